--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool and benchmarks."""
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/settings/_model.py
@@ -0,0 +1,95 @@
+"""Data types of the settings. Times are in milliseconds, sizes in bytes."""
+
+from typing import NamedTuple
+
+from marigoldpath_core.configuration import WorkKind
+
+
+class LeadershipSettings(NamedTuple):
+    """Times of leader election and of leases."""
+
+    beat_ms: int = 1_000
+    row_lease_ms: int = 3_000
+    claim_lease_ms: int = 3_000
+    task_lease_ms: int = 10_000
+    drift_percent: int = 1
+
+
+class JournalSettings(NamedTuple):
+    """Grouping of journal records.
+
+    `interval_ms` is the least time between the beginnings of two writes: 10 ms gives
+    at most 300 writes/s in three zones. `snapshot_after` counts appended rows.
+    """
+
+    interval_ms: int = 10
+    max_entries: int = 500
+    slots: int = 1_024
+    snapshot_after: int = 512
+
+
+class SchedulerSettings(NamedTuple):
+    """Policies and bounds of a zone's scheduler."""
+
+    queue_policy: str = "weighted_fair"
+    worker_failures_before_removal: int = 3
+    removed_fleet_percent: int = 25
+    finished_retention_ms: int = 60_000
+    max_requests: int = 100_000
+
+
+class RoutingSettings(NamedTuple):
+    """Forwarding between entry hosts. `retry_percent` bounds retries by requests."""
+
+    retry_percent: int = 10
+    view_age_ms: int = 5_000
+    reply_ms: int = 2_000
+
+
+class ListenSettings(NamedTuple):
+    """The listening socket and its limits."""
+
+    ip: str = "127.0.0.1"
+    port: int = 0
+    max_body: int = 1_048_576
+    max_connections: int = 4_096
+    read_ms: int = 5_000
+
+
+class AccessKey(NamedTuple):
+    """A key of a caller's team or, with the role `operator`, of an operator."""
+
+    key: str
+    role: str
+    team: str = ""
+
+
+class ObservabilitySettings(NamedTuple):
+    """Receivers of logs, spans and metrics; an empty value turns one off."""
+
+    log_level: str = "info"
+    span_path: str = ""
+    statsd_address: str = ""
+
+
+class DaemonSettings(NamedTuple):
+    """All settings of one entry host's daemon."""
+
+    host: str
+    region: str
+    availability_zone: str
+    availability_zones: tuple[str, ...]
+    platform_address: str
+    listen: ListenSettings = ListenSettings()
+    leadership: LeadershipSettings = LeadershipSettings()
+    journal: JournalSettings = JournalSettings()
+    scheduler: SchedulerSettings = SchedulerSettings()
+    routing: RoutingSettings = RoutingSettings()
+    observability: ObservabilitySettings = ObservabilitySettings()
+    kinds: tuple[WorkKind, ...] = ()
+    keys: tuple[AccessKey, ...] = ()
+
+    @property
+    def address(self) -> str:
+        """Return the address that peers and callers use, `ip:port`."""
+        return f"{self.listen.ip}:{self.listen.port}"
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/__init__.py
@@ -0,0 +1,1 @@
+"""The entry-host daemon: sockets, timers and codecs round the core."""
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/http/__init__.py
@@ -0,0 +1,19 @@
+"""HTTP/1.1 server and client on h11."""
+
+from ._client import HttpClient, HttpClientSettings
+from ._errors import HttpError, NotSentError, ReplyLostError
+from ._messages import HttpRequest, HttpResponse, json_response
+from ._server import HttpServer, HttpServerSettings
+
+__all__ = [
+    "HttpClient",
+    "HttpClientSettings",
+    "HttpError",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "HttpServerSettings",
+    "NotSentError",
+    "ReplyLostError",
+    "json_response",
+]
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -0,0 +1,170 @@
+"""An HTTP/1.1 client on h11 and curio that keeps connections."""
+
+import json
+from typing import Any, NamedTuple
+
+import curio
+import h11
+
+from ._errors import NotSentError, ReplyLostError
+from ._messages import HttpResponse
+
+READ_SIZE = 65_536
+
+
+class HttpClientSettings(NamedTuple):
+    """Limits of a client; times in seconds, sizes in bytes."""
+
+    connect_s: float = 1.0
+    reply_s: float = 5.0
+    max_kept: int = 8
+    max_body: int = 16_777_216
+
+
+class _Connection:
+    def __init__(self, socket: curio.io.Socket) -> None:
+        self.socket = socket
+        self.protocol = h11.Connection(h11.CLIENT)
+
+
+class HttpClient:
+    """Sends requests to addresses of the form `ip:port`."""
+
+    def __init__(self, settings: HttpClientSettings) -> None:
+        self._settings = settings
+        self._kept: dict[str, list[_Connection]] = {}
+
+    async def request(
+        self,
+        method: str,
+        address: str,
+        target: str,
+        *,
+        value: Any = None,
+        headers: dict[str, str] | None = None,
+        reply_s: float | None = None,
+    ) -> HttpResponse:
+        """Return the whole response to a request with `value` as JSON body.
+
+        Raises NotSentError when no connection could be made and ReplyLostError when
+        the response did not come back whole within `reply_s` seconds.
+        """
+        body = b"" if value is None else _encode(value)
+        connection = await self._connect(address)
+        try:
+            response = await curio.timeout_after(
+                self._settings.reply_s if reply_s is None else reply_s,
+                self._exchange,
+                connection,
+                _head(method, address, target, body, headers),
+                body,
+            )
+        except (OSError, h11.ProtocolError, curio.TaskTimeout) as fault:
+            await connection.socket.close()
+            raise ReplyLostError(f"{method} {address}{target}: {fault!r}") from fault
+        except BaseException:
+            await connection.socket.close()
+            raise
+        await self._keep(address, connection)
+        return response
+
+    async def close(self) -> None:
+        """Close the kept connections."""
+        for connections in self._kept.values():
+            for connection in connections:
+                await connection.socket.close()
+        self._kept.clear()
+
+    async def _connect(self, address: str) -> _Connection:
+        kept = self._kept.get(address)
+        while kept:
+            connection = kept.pop()
+            if not _is_closed_by_peer(connection):
+                return connection
+            await connection.socket.close()
+        host, _, port = address.rpartition(":")
+        try:
+            socket = await curio.timeout_after(
+                self._settings.connect_s, curio.open_connection, host, int(port)
+            )
+        except (OSError, ValueError, curio.TaskTimeout) as fault:
+            raise NotSentError(f"no connection to {address}: {fault!r}") from fault
+        socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+        return _Connection(socket)
+
+    async def _keep(self, address: str, connection: _Connection) -> None:
+        kept = self._kept.setdefault(address, [])
+        protocol = connection.protocol
+        reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
+        if not reusable or len(kept) >= self._settings.max_kept:
+            await connection.socket.close()
+            return
+        protocol.start_next_cycle()
+        kept.append(connection)
+
+    async def _exchange(
+        self, connection: _Connection, head: h11.Request, body: bytes
+    ) -> HttpResponse:
+        protocol = connection.protocol
+        parts = [
+            protocol.send(head),
+            protocol.send(h11.Data(data=body)),
+            protocol.send(h11.EndOfMessage()),
+        ]
+        await connection.socket.sendall(b"".join(part for part in parts if part))
+        response: h11.Response | None = None
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                protocol.receive_data(await connection.socket.recv(READ_SIZE))
+            elif isinstance(event, h11.Response):
+                response = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._settings.max_body:
+                    raise h11.RemoteProtocolError("the response body is too large")
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                assert response is not None
+                return _response(response, b"".join(chunks))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise h11.RemoteProtocolError("the peer closed the connection")
+
+
+def _encode(value: Any) -> bytes:
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def _head(
+    method: str,
+    address: str,
+    target: str,
+    body: bytes,
+    headers: dict[str, str] | None,
+) -> h11.Request:
+    fields = [("host", address), *(headers or {}).items()]
+    if body:
+        fields.append(("content-length", str(len(body))))
+    return h11.Request(method=method, target=target, headers=fields)
+
+
+def _response(head: h11.Response, body: bytes) -> HttpResponse:
+    headers = {
+        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
+    }
+    return HttpResponse(head.status_code, body, headers)
+
+
+def _is_closed_by_peer(connection: _Connection) -> bool:
+    """Return whether a kept connection has been closed or has stray bytes."""
+    with connection.socket.blocking() as raw:
+        raw.setblocking(False)
+        try:
+            raw.recv(1, curio.socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/http/_messages.py
@@ -0,0 +1,48 @@
+"""Requests and responses, apart from their encoding."""
+
+import json
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+Headers = list[tuple[str, str]]
+
+
+class HttpRequest(NamedTuple):
+    """A request; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """Return the path with escapes resolved."""
+        return unquote(urlsplit(self.target).path)
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Return the last value of each query parameter."""
+        return dict(parse_qsl(urlsplit(self.target).query))
+
+
+class HttpResponse(NamedTuple):
+    """A whole response; header names are in lower case."""
+
+    status: int
+    body: bytes = b""
+    headers: dict[str, str] = {}  # noqa: RUF012
+
+    def json(self) -> Any:
+        """Return the decoded body; raises ValueError when it is not JSON."""
+        return json.loads(self.body)
+
+
+def json_response(
+    status: int, value: Any, headers: dict[str, str] | None = None
+) -> HttpResponse:
+    """Return a response with a JSON body."""
+    body = json.dumps(value, separators=(",", ":")).encode()
+    return HttpResponse(
+        status, body, {"content-type": "application/json", **(headers or {})}
+    )
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/http/_server.py
@@ -0,0 +1,194 @@
+"""An HTTP/1.1 server on h11 and curio."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import curio
+import h11
+
+from ._messages import HttpRequest, HttpResponse, json_response
+
+READ_SIZE = 65_536
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+class HttpServerSettings(NamedTuple):
+    """Limits of a server; times in seconds, sizes in bytes.
+
+    `idle_s` bounds the wait for the next request on a kept connection and `read_s`
+    the arrival of a whole request, so that a slow sender holds nothing for long.
+    """
+
+    host: str
+    port: int
+    max_body: int = 1_048_576
+    max_connections: int = 4_096
+    idle_s: float = 60.0
+    read_s: float = 5.0
+
+
+class _BadRequestError(Exception):
+    def __init__(self, status: int, code: str, message: str) -> None:
+        super().__init__(message)
+        self.response = json_response(
+            status,
+            {"code": code, "field": "", "message": message, "outcome": "not_run"},
+            {"connection": "close"},
+        )
+
+
+class HttpServer:
+    """Answers requests on a listening socket with a handler."""
+
+    def __init__(self, settings: HttpServerSettings, handler: Handler) -> None:
+        self._settings = settings
+        self._handler = handler
+        self._socket: curio.io.Socket | None = None
+        self._connections = 0
+        self._in_flight = 0
+        self._draining = False
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that are being answered."""
+        return self._in_flight
+
+    @property
+    def port(self) -> int:
+        """The port that the server listens on."""
+        assert self._socket is not None
+        return self._socket.getsockname()[1]
+
+    def listen(self) -> None:
+        """Bind the listening socket; raises OSError when the address is taken."""
+        self._socket = curio.network.tcp_server_socket(
+            self._settings.host, self._settings.port, backlog=1_024
+        )
+
+    def drain(self) -> None:
+        """Close each connection after the request that is being answered on it."""
+        self._draining = True
+
+    async def run(self) -> None:
+        """Accept connections until cancelled."""
+        assert self._socket is not None
+        async with self._socket, curio.TaskGroup(wait=object) as tasks:
+            while True:
+                client, _ = await self._socket.accept()
+                if self._connections >= self._settings.max_connections:
+                    await client.close()
+                    continue
+                self._connections += 1
+                await tasks.spawn(self._serve_connection, client, daemon=True)
+
+    async def _serve_connection(self, client: curio.io.Socket) -> None:
+        client.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
+        connection = h11.Connection(h11.SERVER)
+        try:
+            async with client:
+                while await self._serve_request(client, connection):
+                    connection.start_next_cycle()
+        except (OSError, h11.ProtocolError, curio.TaskTimeout):
+            pass
+        finally:
+            self._connections -= 1
+
+    async def _serve_request(
+        self, client: curio.io.Socket, connection: h11.Connection
+    ) -> bool:
+        """Answer one request; return whether the connection can be used again."""
+        try:
+            request = await self._read_request(client, connection)
+        except _BadRequestError as fault:
+            await self._send(client, connection, fault.response)
+            return False
+        if request is None:
+            return False
+        self._in_flight += 1
+        try:
+            response = await self._handler(request)
+            await self._send(client, connection, response)
+        finally:
+            self._in_flight -= 1
+        return (
+            not self._draining
+            and connection.our_state is h11.DONE
+            and connection.their_state is h11.DONE
+        )
+
+    async def _read_request(
+        self, client: curio.io.Socket, connection: h11.Connection
+    ) -> HttpRequest | None:
+        head: h11.Request | None = None
+        chunks: list[bytes] = []
+        size = 0
+        deadline_s = self._settings.idle_s
+        try:
+            while True:
+                event = connection.next_event()
+                if event is h11.NEED_DATA:
+                    data = await curio.timeout_after(deadline_s, client.recv, READ_SIZE)
+                    deadline_s = self._settings.read_s
+                    connection.receive_data(data)
+                elif isinstance(event, h11.Request):
+                    head = event
+                elif isinstance(event, h11.Data):
+                    size += len(event.data)
+                    self._check_size(size)
+                    chunks.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    assert head is not None
+                    return _request(head, b"".join(chunks))
+                else:
+                    return None
+        except curio.TaskTimeout:
+            if head is None and deadline_s == self._settings.idle_s:
+                return None
+            raise _BadRequestError(
+                408,
+                "too_slow",
+                f"the request did not arrive within {self._settings.read_s:g} s",
+            ) from None
+        except h11.RemoteProtocolError as fault:
+            if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+                return None
+            raise _BadRequestError(
+                fault.error_status_hint, "bad_http", str(fault)
+            ) from None
+
+    def _check_size(self, size: int) -> None:
+        if size > self._settings.max_body:
+            raise _BadRequestError(
+                413,
+                "too_large",
+                f"the body is over {self._settings.max_body} bytes",
+            )
+
+    async def _send(
+        self,
+        client: curio.io.Socket,
+        connection: h11.Connection,
+        response: HttpResponse,
+    ) -> None:
+        headers = [
+            *response.headers.items(),
+            ("content-length", str(len(response.body))),
+        ]
+        if self._draining:
+            headers.append(("connection", "close"))
+        parts = [
+            connection.send(h11.Response(status_code=response.status, headers=headers)),
+            connection.send(h11.Data(data=response.body)),
+            connection.send(h11.EndOfMessage()),
+        ]
+        await client.sendall(b"".join(part for part in parts if part))
+
+
+def _request(head: h11.Request, body: bytes) -> HttpRequest:
+    headers = {
+        name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
+    }
+    return HttpRequest(
+        head.method.decode("ascii"), head.target.decode("latin-1"), headers, body
+    )
