Add the ledger and the zone scheduler

Change: handlers by event in a registry over the state of one zone: intake, dispatch, task ends, leases and repair, recovery after a change of leader.

--- a/packages/core/src/marigoldpath_core/leadership/_leadership.py
+++ b/packages/core/src/marigoldpath_core/leadership/_leadership.py
@@ -47,7 +47,6 @@
         self._listed: frozenset[str] = frozenset()
         self._had_quorum = False
         self._unconfirmed_since_ms: int | None = None
-        self._released_workers: frozenset[str] = frozenset()
 
     @property
     def epoch(self) -> int:
@@ -103,17 +102,24 @@
         """Never take the row again, because this host is stopping."""
         self._row.stop_candidacy()
 
-    def release(self, now_ms: int) -> Step:
-        """Withdraw the claims and release the row at the end of a graceful stop."""
+    def release(self, now_ms: int, clean: bool) -> Step:
+        """Withdraw the claims and release the row at the end of a graceful stop.
+
+        `clean` states that no start of this host is in flight.
+        """
         step = Step([], [])
         if self._epoch:
             self._leave(step, "released")
-        step.effects.extend(self._row.release(now_ms))
+        step.effects.extend(self._row.release(now_ms, clean))
         return step
 
-    def trust_released(self, workers: frozenset[str]) -> None:
-        """Skip settling on workers whose claims the last leader handed over."""
-        self._released_workers = workers
+    def step_down(self, reason: str) -> Step:
+        """Stop leading because another authority was seen."""
+        step = Step([], [])
+        if self._epoch:
+            self._leave(step, reason)
+            self._row.resign()
+        return step
 
     @_handlers.register(Tick)
     def _on_tick(self, event: Tick, now_ms: int, step: Step) -> None:
@@ -169,7 +175,7 @@
             self._row.resign()
             return
         before = claim.phase
-        skip = event.worker in self._released_workers
+        skip = self._row.was_released_clean
         step.effects.extend(claim.on_report(event.report, now_ms, skip))
         if claim.phase is ClaimPhase.HELD and before is not ClaimPhase.HELD:
             step.changes.append(WorkerHeld(event.worker, event.report))
--- a/packages/core/src/marigoldpath_core/leadership/_row.py
+++ b/packages/core/src/marigoldpath_core/leadership/_row.py
@@ -16,7 +16,11 @@
 
 
 class LeaderRow(TypedDict):
-    """The value of a leader row; `token` is unique to each write."""
+    """The value of a leader row; `token` is unique to each write.
+
+    `clean` in a released row means that no start was in flight when the claims were
+    withdrawn, so that the successor need not settle.
+    """
 
     epoch: int
     host: str
@@ -24,6 +28,7 @@
     token: str
     beat: int
     released: bool
+    clean: bool
 
 
 class LeaderView(NamedTuple):
@@ -39,6 +44,7 @@
     epoch: int
     sent_at_ms: int
     released: bool = False
+    clean: bool = False
 
 
 def leader_row_key(availability_zone: str) -> str:
@@ -69,6 +75,7 @@
         self._read_at_ms = -(10**9)
         self._read_in_flight = False
         self._candidacy = True
+        self._took_clean = False
 
     @property
     def epoch(self) -> int:
@@ -88,6 +95,11 @@
         assert self._row is not None
         return cast(LeaderRow, self._row.value)
 
+    @property
+    def was_released_clean(self) -> bool:
+        """Whether the row that this host took over was released cleanly."""
+        return self._took_clean
+
     def is_confirmed(self, now_ms: int) -> bool:
         """Return whether the row surely still names this host."""
         leadership = self._settings.leadership
@@ -120,12 +132,14 @@
             return []
         return self._read(now_ms)
 
-    def release(self, now_ms: int) -> list[Effect]:
+    def release(self, now_ms: int, clean: bool) -> list[Effect]:
         """Give the row up so that a successor need not wait for it to expire."""
         if not self._epoch or self._row is None:
             return []
         epoch, self._epoch = self._epoch, 0
-        return self._write(now_ms, epoch, released=True)
+        pending = self._begin_write(now_ms, epoch)
+        self._pending = pending._replace(released=True, clean=clean)
+        return self._send_write()
 
     def on_read(self, event: RowRead, now_ms: int) -> list[Effect]:
         """Learn the row's content and take it over if its lease has expired."""
@@ -192,6 +206,7 @@
         leadership = self._settings.leadership
         lease_ms = leadership.row_lease_ms * (100 + leadership.drift_percent) // 100
         expired = now_ms - self._row_seen_at_ms >= lease_ms
+        self._took_clean = self._value["released"] and self._value.get("clean", False)
         if self._value["released"] or expired:
             return self._write(now_ms, self._value["epoch"] + 1)
         return []
@@ -203,10 +218,17 @@
         self._read_at_ms, self._read_in_flight = now_ms, True
         return [ReadRow(self._key)]
 
-    def _write(self, now_ms: int, epoch: int, released: bool = False) -> list[Effect]:
+    def _write(self, now_ms: int, epoch: int) -> list[Effect]:
+        self._pending = self._begin_write(now_ms, epoch)
+        return self._send_write()
+
+    def _begin_write(self, now_ms: int, epoch: int) -> _PendingWrite:
         self._write_counter += 1
         token = f"{self._incarnation}:{self._write_counter}"
-        self._pending = _PendingWrite(token, epoch, now_ms, released)
+        return _PendingWrite(token, epoch, now_ms)
+
+    def _send_write(self) -> list[Effect]:
+        assert self._pending is not None
         value = dict(self._new_value(self._pending))
         if self._row is None:
             return [CreateRow(self._key, value)]
@@ -220,6 +242,7 @@
             "token": pending.token,
             "beat": self._write_counter,
             "released": pending.released,
+            "clean": pending.clean,
         }
 
 
--- a/packages/core/src/marigoldpath_core/messages/__init__.py
+++ b/packages/core/src/marigoldpath_core/messages/__init__.py
@@ -20,6 +20,7 @@
 from ._events import (
     CancelRequested,
     Event,
+    EventsPolled,
     HostsListed,
     ObjectRead,
     OutcomeRefusedByOrigin,
@@ -54,6 +55,7 @@
     "EndedTask",
     "EntryHost",
     "Event",
+    "EventsPolled",
     "HostState",
     "HostsListed",
     "ListTasks",
--- a/packages/core/src/marigoldpath_core/messages/_events.py
+++ b/packages/core/src/marigoldpath_core/messages/_events.py
@@ -96,6 +96,14 @@
     answer: Answer | None = None
 
 
+class EventsPolled(NamedTuple):
+    """All ends up to `clock_ms` on the worker's clock have been passed on."""
+
+    worker: str
+    clock_ms: int
+    incarnation: str
+
+
 class UsageReported(NamedTuple):
     """Usage of tasks on a worker, with a lag."""
 
@@ -136,6 +144,7 @@
     | StartsReplied
     | StartsFailed
     | TaskEnded
+    | EventsPolled
     | UsageReported
     | RequestSubmitted
     | CancelRequested
--- a/packages/core/src/marigoldpath_core/requests/_parse.py
+++ b/packages/core/src/marigoldpath_core/requests/_parse.py
@@ -97,7 +97,7 @@
         size=_size(payload.get("size")),
         repeatable=_flag(payload, "repeatable", True),
         wait=_flag(payload, "wait", True),
-        deadline_ms=_integer(payload, "deadline_ms", 30_000, 1, MAX_DEADLINE_MS),
+        deadline_ms=_deadline(payload),
         tasks=_integer(payload, "tasks", 1, 1, MAX_TASKS),
         run_ms=_integer(payload, "run_ms", 0, 0, MAX_DEADLINE_MS),
         work=_work(payload.get("work", {})),
@@ -135,6 +135,12 @@
     return value
 
 
+def _deadline(payload: dict[str, Any]) -> int:
+    """Return the deadline; a request that is accepted to wait gets a week."""
+    default = 30_000 if payload.get("wait", True) else MAX_DEADLINE_MS
+    return _integer(payload, "deadline_ms", default, 1, MAX_DEADLINE_MS)
+
+
 def _size(payload: Any) -> Size:
     if not isinstance(payload, dict):
         raise _FieldError("bad_field", "size", "size must be a JSON object")
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
@@ -0,0 +1,151 @@
+"""Places waiting requests on workers and sends their starts."""
+
+from marigoldpath_core.admission import QueuedRequest
+from marigoldpath_core.journal import Intent
+from marigoldpath_core.ledger import (
+    RequestPhase,
+    RequestState,
+    TaskPhase,
+    TaskState,
+)
+from marigoldpath_core.messages import Start
+from marigoldpath_core.requests import OutcomeKind, Request, task_id
+
+from ._codes import Code
+from ._outcomes import end_request
+from ._zone import Ticket, TicketPurpose, Zone
+
+ATTEMPTS_PER_TERM = 1_000
+
+
+class Placer:
+    """Chooses workers for the requests that the queue offers in one turn."""
+
+    def __init__(self, zone: Zone) -> None:
+        self._zone = zone
+        self._chosen: list[str] = []
+
+    @property
+    def chosen(self) -> list[str]:
+        """The workers for the request that was accepted last."""
+        return self._chosen
+
+    def can_place(self, queued: QueuedRequest) -> bool:
+        """Return whether a request fits now, and remember where."""
+        zone, request = self._zone, queued.request
+        policy = zone.kinds[request.kind].placement
+        size = zone.estimates.size(request.kind, request.size)
+        team = request.key.team
+        if request.tasks == 1:
+            worker = zone.workers.choose(policy, size, request.kind, team)
+            self._chosen = [] if worker is None else [worker]
+        else:
+            self._chosen = (
+                zone.workers.choose_gang(
+                    policy, size, request.tasks, request.kind, team
+                )
+                or []
+            )
+        return bool(self._chosen)
+
+
+def dispatch(zone: Zone, now_ms: int) -> None:
+    """Place as many waiting requests as fit."""
+    if not zone.has_work or zone.is_draining:
+        return
+    zone.has_work = False
+    placer = Placer(zone)
+    while (queued := zone.queue.next(now_ms, placer.can_place)) is not None:
+        state = zone.ledger.get(queued.request.key)
+        if state is not None and state.phase is RequestPhase.WAITING:
+            place(zone, state, placer.chosen, now_ms)
+
+
+def place(zone: Zone, state: RequestState, chosen: list[str], now_ms: int) -> None:
+    """Occupy workers for a request; start it, or record the intent first."""
+    request = state.request
+    # Attempts of different terms never share a task id.
+    state.attempt = max(state.attempt, zone.leadership.epoch * ATTEMPTS_PER_TERM) + 1
+    state.phase = RequestPhase.PLACED
+    size = zone.estimates.size(request.kind, request.size)
+    for index, worker in enumerate(chosen):
+        task = TaskState(task_id(request.key, state.attempt, index), worker, size)
+        zone.ledger.attach(state, task)
+        zone.workers.occupy(worker, task.task, size, request.kind, request.key.team)
+        zone.health.started(worker, request.key, request.kind)
+    zone.queue.started(request, size)
+    state.history.add(now_ms, "placed", f"on {', '.join(chosen)}")
+    if request.repeatable:
+        send_starts(zone, state, now_ms)
+        return
+    ticket = 0
+    for worker in dict.fromkeys(chosen):
+        tasks = tuple(t.task for t in state.tasks.values() if t.worker == worker)
+        ticket = zone.journal.append(Intent(tasks, worker), now_ms)
+    zone.tickets[ticket] = Ticket(TicketPurpose.START, request.key, state.attempt)
+
+
+def send_starts(zone: Zone, state: RequestState, now_ms: int) -> None:
+    """Send the starts of a placed request, or take the placement back."""
+    limits = {
+        task.worker: zone.leadership.start_before(task.worker, now_ms)
+        for task in state.tasks.values()
+    }
+    if any(limit is None for limit in limits.values()):
+        requeue(zone, state, now_ms, "the claim on a worker was lost before the start")
+        return
+    request = state.request
+    work = {**request.work, "repeatable": request.repeatable}
+    lease_ms = zone.settings.leadership.task_lease_ms
+    for task in state.tasks.values():
+        limit = limits[task.worker]
+        clock_ms = zone.leadership.worker_clock_ms(task.worker, now_ms)
+        assert limit is not None and clock_ms is not None
+        task.phase = TaskPhase.STARTING
+        task.start_before_clock_ms = limit
+        task.lease_over_at_ms = lease_over_at_ms(zone, lease_ms, now_ms)
+        start = Start(
+            task.task,
+            task.size,
+            limit,
+            clock_ms + lease_ms,
+            work,
+            state.traceparent,
+        )
+        zone.add_start(task.worker, start)
+
+
+def lease_over_at_ms(zone: Zone, lease_ms: int, now_ms: int) -> int:
+    """Return when a lease that ends `lease_ms` from now is over on any clock.
+
+    The worker's clock may run slower than this host's by the drift on both sides.
+    """
+    drift_percent = 2 * zone.settings.leadership.drift_percent
+    return now_ms + lease_ms * (100 + drift_percent) // 100 + 1
+
+
+def requeue(zone: Zone, state: RequestState, now_ms: int, reason: str) -> None:
+    """Put a request back into the queue, once none of its tasks can run."""
+    assert not state.may_run
+    for task in list(state.tasks.values()):
+        zone.workers.release(task.worker, task.task)
+        zone.ledger.detach(state, task)
+    zone.queue.ended(state.request.key)
+    zone.has_work = True
+    state.requeue_reason = ""
+    state.history.add(now_ms, "requeued", reason)
+    zone.count("requeued")
+    if state.is_cancelled:
+        end_request(zone, state, OutcomeKind.NOT_RUN, now_ms, code=Code.CANCELLED)
+        return
+    if state.is_adopted:
+        zone.ledger.forget(state.request.key)
+        return
+    zone.queue.restore(state.request, now_ms)
+    state.phase = RequestPhase.WAITING
+
+
+def is_standing(zone: Zone, request: Request) -> bool:
+    """Return whether a request runs again and again until it is cancelled."""
+    kind = zone.kinds.get(request.kind)
+    return kind is not None and kind.standing
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -0,0 +1,186 @@
+"""Submissions and cancellations of callers."""
+
+from result import Err
+
+from marigoldpath_core.journal import Accepted, Cancelled
+from marigoldpath_core.ledger import RequestPhase, RequestState
+from marigoldpath_core.messages import CancelRequested, RequestSubmitted, StopTasks
+from marigoldpath_core.requests import Origin, Outcome, OutcomeKind, Request
+
+from ._codes import Code
+from ._outcomes import RETRY_SOON_MS, end_request, refuse, reply
+from ._zone import Ticket, TicketPurpose, Zone, handlers
+
+
+@handlers.register(RequestSubmitted)
+def on_submitted(zone: Zone, event: RequestSubmitted, now_ms: int) -> None:
+    """Take a request in, answer it from the ledger, or refuse it."""
+    request, origin = event.request, event.origin
+    state = zone.ledger.get(request.key)
+    if not zone.is_serving(now_ms) or (zone.is_draining and state is None):
+        refuse(zone, _not_serving(zone, request, now_ms), origin)
+        return
+    if state is None:
+        _submit_new(zone, event, now_ms)
+    elif state.is_adopted:
+        state.request = request
+        state.is_adopted = False
+        _submit_again(zone, state, request, origin)
+    elif _content(state.request) != _content(request):
+        message = f"id {request.key.id!r} was used for a request of other content"
+        refuse(zone, _refusal(request, Code.ID_CONFLICT, message, "id"), origin)
+    else:
+        _submit_again(zone, state, request, origin)
+
+
+@handlers.register(CancelRequested)
+def on_cancel(zone: Zone, event: CancelRequested, now_ms: int) -> None:
+    """Cancel a request: at once if it waits, else by stopping its tasks."""
+    state = zone.ledger.get(event.key)
+    if not zone.is_serving(now_ms) or state is None:
+        code = Code.NOT_FOUND if zone.is_serving(now_ms) else Code.NOT_LEADER
+        reply(zone, event.origin, Outcome(event.key, OutcomeKind.UNKNOWN, code))
+        return
+    if state.phase is RequestPhase.ENDED:
+        assert state.outcome is not None
+        reply(zone, event.origin, state.outcome)
+        return
+    state.origins.append(event.origin)
+    if state.is_cancelled:
+        return
+    state.is_cancelled = True
+    state.history.add(now_ms, "cancel", "requested by its caller")
+    if state.is_recorded:
+        zone.journal.append(Cancelled(event.key, now_ms), now_ms)
+    if state.may_run:
+        for task in state.tasks.values():
+            zone.effects.append(StopTasks(task.worker, (task.task,)))
+        return
+    cancel_waiting(zone, state, now_ms)
+
+
+def cancel_waiting(zone: Zone, state: RequestState, now_ms: int) -> None:
+    """End a request of which no start was sent."""
+    zone.queue.remove(state.request.key, now_ms)
+    for task in list(state.tasks.values()):
+        zone.workers.release(task.worker, task.task)
+        zone.ledger.detach(state, task)
+    zone.queue.ended(state.request.key)
+    end_request(zone, state, OutcomeKind.NOT_RUN, now_ms, code=Code.CANCELLED)
+
+
+def is_accepted_to_wait(zone: Zone, request: Request) -> bool:
+    """Return whether a request is recorded and answered before it has run."""
+    kind = zone.kinds.get(request.kind)
+    return not request.wait or (kind is not None and kind.standing)
+
+
+def enqueue(zone: Zone, state: RequestState, now_ms: int) -> bool:
+    """Queue a request; on refusal its caller is told and False is returned."""
+    origin = state.origins[0] if state.origins else None
+    offered = zone.queue.offer(state.request, origin, now_ms)
+    if isinstance(offered, Err):
+        refusal = offered.err_value
+        zone.count(f"refused.{refusal.code}")
+        end_request(
+            zone,
+            state,
+            OutcomeKind.NOT_RUN,
+            now_ms,
+            code=refusal.code,
+            message=refusal.message,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+        return False
+    state.phase = RequestPhase.WAITING
+    zone.has_work = True
+    return True
+
+
+def _submit_new(zone: Zone, event: RequestSubmitted, now_ms: int) -> None:
+    request, origin = event.request, event.origin
+    refusal = _check(zone, request)
+    if refusal is not None:
+        refuse(zone, refusal, origin)
+        return
+    state = RequestState(request, now_ms)
+    state.traceparent = event.traceparent
+    state.history.add(now_ms, "submitted", f"through {origin.host}")
+    state.origins.append(origin)
+    zone.ledger.add(state)
+    if is_accepted_to_wait(zone, request):
+        state.phase = RequestPhase.RECORDING
+        state.is_recorded = True
+        ticket = zone.journal.append(Accepted(request, now_ms), now_ms)
+        zone.tickets[ticket] = Ticket(TicketPurpose.ACCEPT, request.key, 0)
+        return
+    state.is_recorded = not request.repeatable
+    enqueue(zone, state, now_ms)
+
+
+def _submit_again(
+    zone: Zone, state: RequestState, request: Request, origin: Origin
+) -> None:
+    """Answer a request that is known already."""
+    if state.outcome is not None:
+        reply(zone, origin, state.outcome)
+    elif is_accepted_to_wait(zone, request) and state.phase is not (
+        RequestPhase.RECORDING
+    ):
+        reply(zone, origin, Outcome(request.key, OutcomeKind.ACCEPTED))
+    else:
+        state.origins.append(origin)
+
+
+def _check(zone: Zone, request: Request) -> Outcome | None:
+    """Return the refusal of a request that cannot be taken at all."""
+    if request.kind not in zone.kinds:
+        known = ", ".join(sorted(zone.kinds)) or "none"
+        message = f"kind {request.kind!r} is not configured; known: {known}"
+        return _refusal(request, "unknown_kind", message, "kind")
+    unfit = zone.workers.unfit_dimensions(request.size)
+    if unfit:
+        message = f"no worker of the zone has as much {', '.join(unfit)}"
+        return _refusal(request, Code.NEVER_FITS, message, f"size.{unfit[0]}")
+    needs_journal = not request.repeatable or is_accepted_to_wait(zone, request)
+    if needs_journal and not zone.journal.available:
+        message = "the request has to be recorded and the platform does not answer"
+        return _refusal(
+            request,
+            Code.PLATFORM_UNAVAILABLE,
+            message,
+            retry_after_ms=zone.settings.routing.view_age_ms,
+        )
+    return None
+
+
+def _not_serving(zone: Zone, request: Request, now_ms: int) -> Outcome:
+    if zone.is_draining:
+        code, message = Code.DRAINING, "this entry host is stopping"
+    elif zone.leadership.epoch:
+        code, message = Code.ZONE_RECOVERING, "the zone's new leader is not ready yet"
+    else:
+        code, message = Code.NOT_LEADER, "this entry host does not lead the zone"
+    return _refusal(request, code, message, retry_after_ms=RETRY_SOON_MS)
+
+
+def _refusal(
+    request: Request,
+    code: str,
+    message: str,
+    field: str = "",
+    retry_after_ms: int = 0,
+) -> Outcome:
+    return Outcome(
+        request.key,
+        OutcomeKind.NOT_RUN,
+        code=code,
+        message=message,
+        field=field,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def _content(request: Request) -> Request:
+    """Return a request without what a caller may change when it comes back."""
+    return request._replace(wait=True, deadline_ms=0)
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/scheduler/_tasks.py
@@ -0,0 +1,224 @@
+"""What workers say of starts and ends, and what follows for the requests."""
+
+from marigoldpath_core.ledger import (
+    RequestPhase,
+    RequestState,
+    TaskPhase,
+    TaskState,
+)
+from marigoldpath_core.messages import (
+    StartsFailed,
+    StartsReplied,
+    StartStatus,
+    StopTasks,
+    TaskEnded,
+    TaskStatus,
+)
+from marigoldpath_core.requests import (
+    Answer,
+    OutcomeKind,
+    Request,
+    Size,
+    parse_task_id,
+)
+
+from ._codes import Code
+from ._dispatch import is_standing, requeue
+from ._outcomes import end_request
+from ._zone import Zone, handlers
+
+
+@handlers.register(StartsReplied)
+def on_starts_replied(zone: Zone, event: StartsReplied, now_ms: int) -> None:
+    """Note which starts a worker took."""
+    for task_name, status in event.statuses.items():
+        found = zone.ledger.find_task(task_name)
+        if found is None:
+            continue
+        state, task = found
+        if task.phase is not TaskPhase.STARTING:
+            continue
+        if status is StartStatus.STARTED:
+            running(zone, state, task, event.clock_ms, now_ms)
+        else:
+            never_started(zone, state, task, now_ms, "its start came too late")
+
+
+@handlers.register(StartsFailed)
+def on_starts_failed(zone: Zone, event: StartsFailed, now_ms: int) -> None:
+    """Take back starts that were not sent; look at the worker for the others."""
+    for task_name in event.tasks:
+        found = zone.ledger.find_task(task_name)
+        if found is None or found[1].phase is not TaskPhase.STARTING:
+            continue
+        state, task = found
+        if event.sent:
+            task.phase = TaskPhase.CHECKING
+            state.history.add(now_ms, "checking", "the reply to its start was lost")
+        else:
+            never_started(zone, state, task, now_ms, "its worker was not reachable")
+
+
+@handlers.register(TaskEnded)
+def on_task_ended(zone: Zone, event: TaskEnded, now_ms: int) -> None:
+    """Note the end of a task; ends of tasks that are not placed are ignored."""
+    zone.workers.release(event.worker, event.task)
+    found = zone.ledger.find_task(event.task)
+    if found is None:
+        ended_before_this_term(zone, event, now_ms)
+        return
+    state, task = found
+    if task.worker != event.worker or not task.may_run:
+        zone.log("end_ignored", worker=event.worker, task=event.task)
+        return
+    task.phase = TaskPhase.ENDED
+    task.status, task.answer = event.status, event.answer
+    zone.health.ended(
+        task.worker,
+        state.request.key,
+        state.request.kind,
+        event.status is not TaskStatus.FAILED,
+        now_ms,
+    )
+    if task.started_at_ms and event.status is TaskStatus.DONE:
+        ran_ms = now_ms - task.started_at_ms
+        zone.estimates.observe_run(state.request.kind, state.request.run_ms, ran_ms)
+    zone.has_work = True
+    if len(state.tasks) > 1 and event.status is not TaskStatus.DONE:
+        stop_others(zone, state, task)
+    finish_if_ended(zone, state, now_ms)
+
+
+def ended_before_this_term(zone: Zone, event: TaskEnded, now_ms: int) -> None:
+    """Learn the outcome of a task of an earlier leader from the worker's memory."""
+    try:
+        key, attempt, index = parse_task_id(event.task)
+    except ValueError:
+        return
+    state = zone.ledger.get(key)
+    if state is None:
+        state = RequestState(Request(key, "", Size(), repeatable=False), now_ms)
+        state.is_adopted = True
+        state.attempt = attempt
+        state.history.add(now_ms, "recovered", f"its end was known to {event.worker}")
+        zone.ledger.add(state)
+    elif key not in zone.unresolved or state.tasks or attempt < state.attempt:
+        return
+    if event.status is TaskStatus.DONE and index == 0 and state.request.tasks == 1:
+        end_request(zone, state, OutcomeKind.DONE, now_ms, answer=event.answer)
+    elif state.is_adopted:
+        zone.ledger.forget(key)
+
+
+def running(
+    zone: Zone, state: RequestState, task: TaskState, clock_ms: int, now_ms: int
+) -> None:
+    """Note that a task was running at `clock_ms` on its worker's clock."""
+    task.started_clock_ms = clock_ms
+    task.phase = TaskPhase.RUNNING
+    task.started_at_ms = now_ms
+    task.missing_clock_ms = None
+    state.history.add(now_ms, "running", f"on {task.worker}")
+    if state.is_cancelled or state.requeue_reason:
+        zone.effects.append(StopTasks(task.worker, (task.task,)))
+
+
+def never_started(
+    zone: Zone, state: RequestState, task: TaskState, now_ms: int, reason: str
+) -> None:
+    """Take a task back that certainly was not started."""
+    task.phase = TaskPhase.ENDED
+    task.status = None
+    zone.workers.release(task.worker, task.task)
+    zone.health.ended(task.worker, state.request.key, state.request.kind, True, now_ms)
+    state.requeue_reason = reason
+    if len(state.tasks) > 1:
+        stop_others(zone, state, task)
+    finish_if_ended(zone, state, now_ms)
+
+
+def lost(
+    zone: Zone, state: RequestState, task: TaskState, now_ms: int, reason: str
+) -> None:
+    """Note that a task certainly does not run any more and left no answer."""
+    task.phase = TaskPhase.ENDED
+    task.status = TaskStatus.LAPSED
+    zone.workers.release(task.worker, task.task)
+    state.history.add(now_ms, "lost", reason)
+    zone.log("task_lost", "warning", task=task.task, worker=task.worker, reason=reason)
+    zone.has_work = True
+    if len(state.tasks) > 1:
+        stop_others(zone, state, task)
+    finish_if_ended(zone, state, now_ms)
+
+
+def stop_others(zone: Zone, state: RequestState, ended: TaskState) -> None:
+    """Stop the other tasks of an all-at-once job of which one ended badly."""
+    for other in state.tasks.values():
+        if other is not ended and other.phase is TaskPhase.RUNNING:
+            zone.effects.append(StopTasks(other.worker, (other.task,)))
+
+
+def finish_if_ended(zone: Zone, state: RequestState, now_ms: int) -> None:
+    """Decide what becomes of a request when all its tasks have ended."""
+    if state.phase is not RequestPhase.PLACED or state.may_run:
+        return
+    if any(task.phase is not TaskPhase.ENDED for task in state.tasks.values()):
+        return
+    statuses = {task.status for task in state.tasks.values()}
+    answers = [task.answer for task in state.tasks.values() if task.answer]
+    repeatable = state.request.repeatable
+    was_started = statuses != {None}
+    if statuses == {TaskStatus.DONE} and not is_standing(zone, state.request):
+        answer = answers[0] if answers else None
+        _end(zone, state, OutcomeKind.DONE, now_ms, answer=answer)
+    elif state.is_cancelled:
+        kind = OutcomeKind.DONE if was_started else OutcomeKind.NOT_RUN
+        _end(zone, state, kind, now_ms, code=Code.CANCELLED)
+    elif not was_started:
+        requeue(zone, state, now_ms, state.requeue_reason)
+    elif is_standing(zone, state.request) and repeatable:
+        requeue(zone, state, now_ms, "a standing request runs until it is cancelled")
+    elif TaskStatus.FAILED in statuses:
+        _failed(zone, state, now_ms)
+    elif repeatable or (state.requeue_reason and statuses <= {None}):
+        requeue(zone, state, now_ms, state.requeue_reason or "its task was lost")
+    else:
+        message = "its task ended and no answer was received"
+        _end(
+            zone,
+            state,
+            OutcomeKind.UNKNOWN,
+            now_ms,
+            code=Code.OUTCOME_LOST,
+            message=message,
+        )
+
+
+def _failed(zone: Zone, state: RequestState, now_ms: int) -> None:
+    state.failures += 1
+    fault = zone.health.faulty_request(state.request.key)
+    limit = zone.settings.scheduler.max_attempts
+    if state.request.repeatable and state.failures < limit and not fault:
+        requeue(zone, state, now_ms, f"failed {state.failures} of {limit} times")
+        return
+    message = fault or f"its task failed {state.failures} times"
+    _end(zone, state, OutcomeKind.DONE, now_ms, code=Code.TASK_FAILED, message=message)
+
+
+def _end(
+    zone: Zone,
+    state: RequestState,
+    kind: OutcomeKind,
+    now_ms: int,
+    *,
+    code: str = "",
+    message: str = "",
+    answer: Answer | None = None,
+) -> None:
+    """Free what a request held and give it its outcome."""
+    for task in list(state.tasks.values()):
+        zone.workers.release(task.worker, task.task)
+        zone.ledger.detach(state, task)
+    zone.queue.ended(state.request.key)
+    end_request(zone, state, kind, now_ms, code=code, message=message, answer=answer)
--- a/packages/core/src/marigoldpath_core/settings/_model.py
+++ b/packages/core/src/marigoldpath_core/settings/_model.py
@@ -35,6 +35,7 @@
     worker_failures_before_removal: int = 3
     removed_fleet_percent: int = 25
     finished_retention_ms: int = 60_000
+    max_attempts: int = 3
     max_requests: int = 100_000
 
 
--- a/tests/core/test_leadership.py
+++ b/tests/core/test_leadership.py
@@ -212,11 +212,12 @@
         zone.run(6)
         (leader,) = zone.authorities()
         other = "b" if leader == "a" else "a"
-        for effect in zone.hosts[leader].release(zone.now_ms).effects:
+        for effect in zone.hosts[leader].release(zone.now_ms, clean=True).effects:
             zone.perform(leader, effect)
         zone.hosts[leader].stop_candidacy()
-        zone.run(1)
+        zone.run(2)
         self.assertEqual(zone.hosts[other].epoch, 2)
+        self.assertIsNotNone(zone.hosts[other].start_before("w1", zone.now_ms))
 
 
 class ClaimTests(unittest.TestCase):
