--- /dev/null
+++ b/packages/core/src/marigoldpath_core/journal/__init__.py
@@ -0,0 +1,47 @@
+"""The journal of an availability zone: a write-ahead log in the platform's table.
+
+It does no input or output. `Journal` returns effects and takes events. The shell
+answers each effect once, and calls `tick` at `wake_ms`.
+"""
+
+from ._entries import (
+    Accepted,
+    Cancelled,
+    Entry,
+    EpochBegun,
+    Finished,
+    Intent,
+    Snapshot,
+)
+from ._errors import JournalError, JournalFormatError, JournalNotReadyError
+from ._journal import Journal, Unconfirmed
+from ._kinds import EntryKind, EntryPayload, decode_entry, encode_entry, entry_kind
+from ._rows import JournalRow, RowPayload, SnapshotPayload, decode_row, encode_row
+from ._state import JournalState, RecoveredRequest
+
+__all__ = [
+    "Accepted",
+    "Cancelled",
+    "Entry",
+    "EntryKind",
+    "EntryPayload",
+    "EpochBegun",
+    "Finished",
+    "Intent",
+    "Journal",
+    "JournalError",
+    "JournalFormatError",
+    "JournalNotReadyError",
+    "JournalRow",
+    "JournalState",
+    "RecoveredRequest",
+    "RowPayload",
+    "Snapshot",
+    "SnapshotPayload",
+    "Unconfirmed",
+    "decode_entry",
+    "decode_row",
+    "encode_entry",
+    "encode_row",
+    "entry_kind",
+]
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/journal/_rows.py
@@ -0,0 +1,147 @@
+"""Rows of the ring and objects of snapshots."""
+
+from typing import Any, NamedTuple, TypedDict, cast
+
+from marigoldpath_core.messages import Row, RowValue
+from marigoldpath_core.requests import OutcomeKind, RequestKey, encode_request
+
+from ._entries import Entry, Intent, Snapshot
+from ._errors import JournalFormatError
+from ._kinds import (
+    EntryPayload,
+    apply_entry,
+    decode_answer,
+    decode_entry,
+    decode_request,
+    encode_answer,
+    encode_entry,
+)
+from ._state import JournalState, RecoveredRequest
+
+
+class RowPayload(TypedDict):
+    """A row of the ring as JSON."""
+
+    sequence: int
+    epoch: int
+    writer: str
+    batch: str
+    entries: list[EntryPayload]
+
+
+class SnapshotPayload(TypedDict):
+    """A snapshot object as JSON; `last_ms` is on the clock of its writer."""
+
+    sequence: int
+    last_ms: int
+    requests: list[dict[str, Any]]
+
+
+class JournalRow(NamedTuple):
+    """One append; `batch` is unique to the group of entries, also when repeated."""
+
+    sequence: int
+    epoch: int
+    writer: str
+    batch: str
+    entries: tuple[Entry, ...]
+
+    def apply(self, state: JournalState) -> None:
+        """Apply all entries to the state."""
+        for entry in self.entries:
+            apply_entry(entry, state)
+
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """Return the last snapshot that the row names."""
+        found = None
+        for entry in self.entries:
+            if isinstance(entry, Snapshot):
+                found = entry
+        return found
+
+
+def encode_row(row: JournalRow) -> RowValue:
+    """Return the value of a row."""
+    payload: RowPayload = {
+        "sequence": row.sequence,
+        "epoch": row.epoch,
+        "writer": row.writer,
+        "batch": row.batch,
+        "entries": [encode_entry(entry) for entry in row.entries],
+    }
+    return cast(RowValue, payload)
+
+
+def decode_row(row: Row) -> JournalRow:
+    """Return the row in the table's row; raises JournalFormatError."""
+    value = row.value
+    try:
+        return JournalRow(
+            value["sequence"],
+            value["epoch"],
+            value["writer"],
+            value["batch"],
+            tuple(decode_entry(entry) for entry in value["entries"]),
+        )
+    except (KeyError, TypeError) as error:
+        raise JournalFormatError(f"cannot read row {row.key}: {error}") from error
+
+
+def encode_snapshot(state: JournalState, sequence: int) -> RowValue:
+    """Return the value of an object with the state after the rows up to `sequence`."""
+    payload: SnapshotPayload = {
+        "sequence": sequence,
+        "last_ms": state.last_ms,
+        "requests": [
+            _encode_recovered(request)
+            for request in sorted(state, key=lambda request: request.finished_ms)
+        ],
+    }
+    return cast(RowValue, payload)
+
+
+def decode_snapshot(value: RowValue, sequence: int, retention_ms: int) -> JournalState:
+    """Return the state in a snapshot object; raises JournalFormatError."""
+    try:
+        if value["sequence"] != sequence:
+            message = f"the snapshot covers {value['sequence']}, not {sequence}"
+            raise JournalFormatError(message)
+        state = JournalState(retention_ms, value["last_ms"])
+        for request in value["requests"]:
+            state.load(_decode_recovered(request))
+    except (KeyError, TypeError, ValueError) as error:
+        raise JournalFormatError(f"cannot read a snapshot: {error}") from error
+    return state
+
+
+def _encode_recovered(recovered: RecoveredRequest) -> dict[str, Any]:
+    request = recovered.request
+    outcome = recovered.outcome
+    return {
+        "key": list(recovered.key),
+        "request": None if request is None else encode_request(request),
+        "accepted_ms": recovered.accepted_ms,
+        "intents": [[list(each.tasks), each.worker] for each in recovered.intents],
+        "cancelled": recovered.cancelled,
+        "outcome": None if outcome is None else outcome.value,
+        "answer": encode_answer(recovered.answer),
+        "finished_ms": recovered.finished_ms,
+    }
+
+
+def _decode_recovered(payload: dict[str, Any]) -> RecoveredRequest:
+    request = payload["request"]
+    outcome = payload["outcome"]
+    return RecoveredRequest(
+        key=RequestKey(*payload["key"]),
+        request=None if request is None else decode_request(request),
+        accepted_ms=payload["accepted_ms"],
+        intents=tuple(
+            Intent(tuple(tasks), worker) for tasks, worker in payload["intents"]
+        ),
+        cancelled=payload["cancelled"],
+        outcome=None if outcome is None else OutcomeKind(outcome),
+        answer=decode_answer(payload["answer"]),
+        finished_ms=payload["finished_ms"],
+    )
--- a/packages/core/src/marigoldpath_core/messages/_effects.py
+++ b/packages/core/src/marigoldpath_core/messages/_effects.py
@@ -13,6 +13,12 @@
     key: str
 
 
+class ReadRows(NamedTuple):
+    """Read all rows whose keys begin with `prefix`; RowsRead or RowsReadFailed."""
+
+    prefix: str
+
+
 class WriteRow(NamedTuple):
     """Replace a row if it still has `version`; answered by RowWriteReplied."""
 
@@ -115,6 +121,7 @@
 
 Effect = (
     ReadRow
+    | ReadRows
     | WriteRow
     | CreateRow
     | DeleteRow
--- a/packages/core/src/marigoldpath_core/messages/_events.py
+++ b/packages/core/src/marigoldpath_core/messages/_events.py
@@ -26,6 +26,19 @@
     key: str
 
 
+class RowsRead(NamedTuple):
+    """The rows under a prefix, each as it was at some moment of the read."""
+
+    prefix: str
+    rows: tuple[Row, ...]
+
+
+class RowsReadFailed(NamedTuple):
+    """The table did not answer the read of a prefix."""
+
+    prefix: str
+
+
 class WriteStatus(StrEnum):
     """What is known of a write to the table."""
 
@@ -128,6 +141,8 @@
     Tick
     | RowRead
     | RowReadFailed
+    | RowsRead
+    | RowsReadFailed
     | RowWriteReplied
     | ObjectRead
     | HostsListed
--- a/packages/core/src/marigoldpath_core/settings/_model.py
+++ b/packages/core/src/marigoldpath_core/settings/_model.py
@@ -20,12 +20,15 @@
 
     `interval_ms` is the least time between the beginnings of two writes: 10 ms gives
     at most 300 writes/s in three zones. `snapshot_after` counts appended rows.
+    `retention_ms` is how long the outcome of a finished request is kept; the ledger
+    must not keep it longer.
     """
 
     interval_ms: int = 10
     max_entries: int = 500
     slots: int = 1_024
     snapshot_after: int = 512
+    retention_ms: int = 60_000
 
 
 class SchedulerSettings(NamedTuple):
