Add the platform and worker stand-ins, the oracle and the deployments

Cause: the daemon needs outside systems to run against, and runs must be judged by something that the scheduler does not write itself. Change: a platform stand-in (table, objects, host list, faults), a worker stand-in that starts whatever it is given and records it, an oracle that counts faults in the records, both deployments, and settings files made from them.

--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/deployment/__init__.py
@@ -0,0 +1,28 @@
+"""Turns a deployment file into the settings files of its processes."""
+
+from ._model import Deployment, EntryHostPlan, Rack, load_deployment
+from ._paths import DEPLOY, ROOT, find_deployment
+from ._settings import (
+    ProcessPlan,
+    RunPlan,
+    count_ports,
+    daemon_settings,
+    plan_run,
+    write_run,
+)
+
+__all__ = [
+    "DEPLOY",
+    "ROOT",
+    "Deployment",
+    "EntryHostPlan",
+    "ProcessPlan",
+    "Rack",
+    "RunPlan",
+    "count_ports",
+    "daemon_settings",
+    "find_deployment",
+    "load_deployment",
+    "plan_run",
+    "write_run",
+]
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/deployment/_model.py
@@ -0,0 +1,94 @@
+"""Data types of a deployment file."""
+
+import json
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from marigoldpath_core.configuration import WorkKind
+from marigoldpath_core.messages import WorkerHost
+from marigoldpath_core.requests import Size
+from marigoldpath_core.settings import AccessKey
+
+
+class EntryHostPlan(NamedTuple):
+    """An entry host, without its port."""
+
+    name: str
+    availability_zone: str
+
+
+class Rack(NamedTuple):
+    """A rack of `worker_count` workers named `prefix` and a number from 1.
+
+    `exceptions` gives, by worker name, the dimensions that differ from `capacity`.
+    """
+
+    name: str
+    availability_zone: str
+    prefix: str
+    worker_count: int
+    capacity: Size
+    exceptions: dict[str, dict[str, int]] = {}  # noqa: RUF012
+
+    def workers(self) -> list[WorkerHost]:
+        """Return the workers of the rack, without addresses."""
+        names = [f"{self.prefix}{number}" for number in range(1, self.worker_count + 1)]
+        return [
+            WorkerHost(
+                name,
+                self.availability_zone,
+                self.name,
+                "",
+                self.capacity._replace(**self.exceptions.get(name, {})),
+            )
+            for name in names
+        ]
+
+
+class Deployment(NamedTuple):
+    """One deployment: its hosts, its kinds of work and its callers' keys.
+
+    `daemon` holds fields of the daemon's settings that differ from their defaults.
+    """
+
+    name: str
+    service: str
+    region: str
+    availability_zones: tuple[str, ...]
+    entry_hosts: tuple[EntryHostPlan, ...]
+    racks: tuple[Rack, ...]
+    kinds: tuple[WorkKind, ...]
+    keys: tuple[AccessKey, ...]
+    hosts_lag_ms: int = 1_000
+    usage_lag_ms: int = 2_000
+    daemon: dict[str, Any] = {}  # noqa: RUF012
+
+    def workers(self) -> list[WorkerHost]:
+        """Return all workers, without addresses."""
+        return [worker for rack in self.racks for worker in rack.workers()]
+
+    def key_of(self, team: str) -> str:
+        """Return the key of a team; raises LookupError when it has none."""
+        for key in self.keys:
+            if key.team == team:
+                return key.key
+        raise LookupError(f"deployment {self.name} has no key for team {team!r}")
+
+
+def load_deployment(path: Path) -> Deployment:
+    """Return the deployment in a file; raises TypeError for an unknown field."""
+    payload = json.loads(path.read_text())
+    racks = [
+        Rack(**{**rack, "capacity": Size(**rack["capacity"])})
+        for rack in payload["racks"]
+    ]
+    return Deployment(
+        **{
+            **payload,
+            "availability_zones": tuple(payload["availability_zones"]),
+            "entry_hosts": tuple(EntryHostPlan(**e) for e in payload["entry_hosts"]),
+            "racks": tuple(racks),
+            "kinds": tuple(WorkKind(**kind) for kind in payload["kinds"]),
+            "keys": tuple(AccessKey(**key) for key in payload["keys"]),
+        }
+    )
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/server.py
@@ -0,0 +1,85 @@
+"""What the stand-ins share: settings files, fault treatment and the server loop."""
+
+import argparse
+import json
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import curio
+
+from marigoldpath_bench.faults import FaultGate
+from marigoldpath_node.http import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    HttpServerSettings,
+    json_response,
+)
+
+HOST_HEADER = "x-host"
+MAX_BODY = 16_777_216
+IDLE_S = 3_600.0
+
+
+def now_ms() -> int:
+    """Return the machine's monotonic clock, which all processes on it share."""
+    return time.monotonic_ns() // 1_000_000
+
+
+def read_settings_argument(program: str) -> Any:
+    """Return the decoded file that the argument --settings names."""
+    parser = argparse.ArgumentParser(prog=program)
+    parser.add_argument("--settings", required=True, type=Path)
+    return json.loads(parser.parse_args().settings.read_text())
+
+
+def make_server(
+    ip: str, port: int, handler: Callable[[HttpRequest], Awaitable[HttpResponse]]
+) -> HttpServer:
+    """Return a listening server.
+
+    Kept connections stay open for an hour, so that an idle caller never meets a
+    connection that the stand-in has just closed: that would be a fault nobody asked
+    for.
+    """
+    settings = HttpServerSettings(ip, port, max_body=MAX_BODY, idle_s=IDLE_S)
+    server = HttpServer(settings, handler)
+    server.listen()
+    return server
+
+
+def error_response(status: int, code: str, message: str) -> HttpResponse:
+    """Return the body that both stand-ins use for errors."""
+    return json_response(status, {"code": code, "message": message})
+
+
+class FaultyHandler:
+    """Puts the treatment of a gate round a handler."""
+
+    def __init__(
+        self,
+        gate: FaultGate,
+        handle: Callable[[HttpRequest], Awaitable[HttpResponse]],
+        wait_for_change: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._gate = gate
+        self._handle = handle
+        self._wait_for_change = wait_for_change
+
+    async def __call__(self, request: HttpRequest) -> HttpResponse:
+        """Answer a message, or raise OSError to close its connection."""
+        host = request.headers.get(HOST_HEADER, "")
+        treatment = self._gate.treat(host, request.method != "GET")
+        if treatment.held:
+            while self._gate.frozen:
+                await self._wait_for_change()
+        if treatment.delay_ms:
+            await curio.sleep(treatment.delay_ms / 1_000)
+        if not treatment.handled:
+            raise ConnectionAbortedError("the stand-in does not answer")
+        response = await self._handle(request)
+        if not treatment.answered:
+            raise ConnectionAbortedError("the stand-in loses its answer")
+        return response
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/worker/_server.py
@@ -0,0 +1,250 @@
+"""The routes of the worker stand-in and the process that serves many workers."""
+
+import json
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, TextIO
+
+import curio
+
+from marigoldpath_bench.faults import FaultGate, parse_plan
+from marigoldpath_bench.server import (
+    FaultyHandler,
+    error_response,
+    make_server,
+    now_ms,
+)
+from marigoldpath_core.registry import Registry, UnknownEntryError
+from marigoldpath_core.requests import Size
+from marigoldpath_node.http import HttpRequest, HttpResponse, json_response
+
+from ._machine import WorkerMachine
+from ._messages import Behaviour, encode_event, encode_record, parse_start
+
+MAX_WAIT_MS = 60_000
+
+
+class WorkerSettings(NamedTuple):
+    """One worker; `clock_offset_ms` sets its clock apart from the others."""
+
+    name: str
+    port: int
+    capacity: Size
+    clock_offset_ms: int = 0
+
+
+class WorkerProcessSettings(NamedTuple):
+    """A process of worker stand-ins and the file that it appends records to."""
+
+    record: str
+    workers: tuple[WorkerSettings, ...]
+    ip: str = "127.0.0.1"
+    usage_lag_ms: int = 2_000
+
+
+Route = Callable[["WorkerServer", HttpRequest], Awaitable[HttpResponse]]
+routes: Registry[tuple[str, str], Route] = Registry("worker route")
+
+
+def parse_settings(payload: dict[str, Any]) -> WorkerProcessSettings:
+    """Return the settings in a decoded settings file."""
+    workers = tuple(
+        WorkerSettings(**{**worker, "capacity": Size(**worker["capacity"])})
+        for worker in payload["workers"]
+    )
+    return WorkerProcessSettings(**{**payload, "workers": workers})
+
+
+async def run_workers(settings: WorkerProcessSettings) -> None:
+    """Serve all workers of a process until cancelled."""
+    with open(settings.record, "a", buffering=1) as record:
+        servers = [
+            WorkerServer(worker, settings, record) for worker in settings.workers
+        ]
+        async with curio.TaskGroup() as tasks:
+            for server in servers:
+                await tasks.spawn(server.run)
+
+
+class WorkerServer:
+    """Serves one worker on its own port."""
+
+    def __init__(
+        self, worker: WorkerSettings, settings: WorkerProcessSettings, record: TextIO
+    ) -> None:
+        self._offset_ms = worker.clock_offset_ms
+        self._record = record
+        self._machine = WorkerMachine(
+            worker.name, worker.capacity, "", settings.usage_lag_ms
+        )
+        self._machine.boot(self.clock_ms(), secrets.token_hex(4))
+        self._gate = FaultGate()
+        self._behaviour = Behaviour()
+        self._changed = curio.Event()
+        self._faulty = FaultyHandler(self._gate, self._answer, self.wait_for_change)
+        self._server = make_server(settings.ip, worker.port, self._handle)
+        self._write_records()
+
+    @property
+    def machine(self) -> WorkerMachine:
+        """The state of the worker."""
+        return self._machine
+
+    @property
+    def port(self) -> int:
+        """The port that the worker listens on."""
+        return self._server.port
+
+    def clock_ms(self) -> int:
+        """Return the worker's own clock."""
+        return now_ms() + self._offset_ms
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(self._server.run)
+            await tasks.spawn(self._run_timer)
+
+    async def wait_for_change(self, timeout_ms: int | None = None) -> None:
+        """Wait until the state may have changed, at most `timeout_ms`."""
+        event = self._changed
+        if timeout_ms is None:
+            await event.wait()
+        else:
+            await curio.ignore_after(max(0, timeout_ms) / 1_000, event.wait)
+
+    async def settle(self) -> int:
+        """Bring the state up to now, wake whoever waits, and return the clock."""
+        clock_ms = self.clock_ms()
+        if self._machine.advance(clock_ms):
+            await self.note_change()
+        return clock_ms
+
+    async def note_change(self) -> None:
+        """Write new records and wake whoever waits for a change."""
+        self._write_records()
+        changed, self._changed = self._changed, curio.Event()
+        await changed.set()
+
+    def report(self, **fields: Any) -> HttpResponse:
+        """Return a reply with the clock and the incarnation."""
+        return json_response(
+            200,
+            {
+                "clock_ms": self.clock_ms(),
+                "incarnation": self._machine.incarnation,
+                **fields,
+            },
+        )
+
+    async def control(self, payload: dict[str, Any]) -> None:
+        """Set faults; raises UnknownEntryError for an unknown mode."""
+        if "mode" in payload:
+            self._gate.set_plan(parse_plan(payload))
+        names = [name for name in Behaviour._fields if name in payload]
+        self._behaviour = self._behaviour._replace(
+            **{name: payload[name] for name in names}
+        )
+        self._machine.set_behaviour(self._behaviour)
+        if payload.get("restart", False):
+            self._machine.boot(self.clock_ms(), secrets.token_hex(4))
+        await self.note_change()
+
+    async def _run_timer(self) -> None:
+        while True:
+            due_ms = None if self._gate.frozen else self._machine.next_change_ms
+            left_ms = None if due_ms is None else due_ms - self.clock_ms()
+            if left_ms is None or left_ms > 0:
+                await self.wait_for_change(left_ms)
+                continue
+            await self.settle()
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if request.path != "/control":
+            return await self._faulty(request)
+        try:
+            await self.control(json.loads(request.body or b"{}"))
+        except (UnknownEntryError, ValueError) as fault:
+            return error_response(400, "bad_control", str(fault))
+        return self.report(mode=self._gate.plan.mode)
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await routes.get((request.method, request.path))(self, request)
+        except UnknownEntryError as fault:
+            return error_response(404, "no_route", str(fault))
+        except (KeyError, TypeError, ValueError) as fault:
+            return error_response(400, "bad_request", repr(fault))
+
+    def _write_records(self) -> None:
+        for record in self._machine.take_records():
+            line = json.dumps(encode_record(record, self._offset_ms))
+            self._record.write(line + "\n")
+
+
+@routes.register(("POST", "/v1/start"))
+async def _start(server: WorkerServer, request: HttpRequest) -> HttpResponse:
+    payload = json.loads(request.body)
+    items = [parse_start(item) for item in payload["starts"]]
+    statuses = server.machine.start(server.clock_ms(), payload["holder"], items)
+    await server.note_change()
+    return server.report(statuses=statuses)
+
+
+@routes.register(("POST", "/v1/renew"))
+async def _renew(server: WorkerServer, request: HttpRequest) -> HttpResponse:
+    payload = json.loads(request.body)
+    server.machine.renew(
+        server.clock_ms(),
+        payload["holder"],
+        payload["tasks"],
+        payload["lease_until_ms"],
+    )
+    await server.note_change()
+    return await _tasks(server, request)
+
+
+@routes.register(("POST", "/v1/stop"))
+async def _stop(server: WorkerServer, request: HttpRequest) -> HttpResponse:
+    server.machine.stop(server.clock_ms(), json.loads(request.body)["tasks"])
+    await server.note_change()
+    return server.report()
+
+
+@routes.register(("POST", "/v1/throttle"))
+async def _throttle(server: WorkerServer, request: HttpRequest) -> HttpResponse:
+    payload = json.loads(request.body)
+    server.machine.throttle(server.clock_ms(), payload["tasks"], payload["percent"])
+    await server.note_change()
+    return server.report()
+
+
+@routes.register(("GET", "/v1/tasks"))
+async def _tasks(server: WorkerServer, _request: HttpRequest) -> HttpResponse:
+    return server.report(tasks=server.machine.tasks(await server.settle()))
+
+
+@routes.register(("GET", "/v1/usage"))
+async def _usage(server: WorkerServer, _request: HttpRequest) -> HttpResponse:
+    return server.report(usages=server.machine.usage(await server.settle()))
+
+
+@routes.register(("GET", "/v1/events"))
+async def _events(server: WorkerServer, request: HttpRequest) -> HttpResponse:
+    """Answer when there are events, or after `wait_ms`.
+
+    A caller whose `after` is ahead of the worker, which has restarted, is answered at
+    once so that it sees the new incarnation.
+    """
+    after = int(request.query.get("after", "0"))
+    wait_ms = min(MAX_WAIT_MS, int(request.query.get("wait_ms", "0")))
+    until_ms = server.clock_ms() + wait_ms
+    incarnation = server.machine.incarnation
+    while True:
+        newest, events = server.machine.events(await server.settle(), after)
+        left_ms = until_ms - server.clock_ms()
+        restarted = server.machine.incarnation != incarnation
+        if events or restarted or newest < after or left_ms <= 0:
+            break
+        await server.wait_for_change(left_ms)
+    return server.report(next=newest, events=[encode_event(each) for each in events])
