Check the settings as a whole before the daemon starts

The settings types had no checks: a wrong value would have surfaced only where it was used. Each field now has an option definition, load_settings reports every fault with its key path and what would be right, and the JSON Schema and the reference page are made from the same definitions.

Memory of the import: not measured.

--- a/packages/core/src/marigoldpath_core/settings/__init__.py
+++ b/packages/core/src/marigoldpath_core/settings/__init__.py
@@ -1,5 +1,6 @@
 """Settings of the daemon, passed whole to the parts that use them."""
 
+from ._load import load_settings
 from ._model import (
     AccessKey,
     DaemonSettings,
@@ -10,14 +11,24 @@
     RoutingSettings,
     SchedulerSettings,
 )
+from ._options import OPTION_TYPES, Option, OptionType, SettingsFault, option_type
+from ._reference import settings_reference, settings_schema
 
 __all__ = [
+    "OPTION_TYPES",
     "AccessKey",
     "DaemonSettings",
     "JournalSettings",
     "LeadershipSettings",
     "ListenSettings",
     "ObservabilitySettings",
+    "Option",
+    "OptionType",
     "RoutingSettings",
     "SchedulerSettings",
+    "SettingsFault",
+    "load_settings",
+    "option_type",
+    "settings_reference",
+    "settings_schema",
 ]
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/settings/_checks.py
@@ -0,0 +1,100 @@
+"""Checks of settings that depend on each other."""
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+
+from marigoldpath_core.registry import Registry
+
+from ._model import DaemonSettings
+from ._options import SettingsFault
+
+Check = Callable[[DaemonSettings], Iterator[SettingsFault]]
+SETTINGS_CHECKS: Registry[str, Check] = Registry("settings check")
+
+
+def check_together(settings: DaemonSettings) -> list[SettingsFault]:
+    """Return the faults between settings that are right one by one."""
+    faults: list[SettingsFault] = []
+    for name in SETTINGS_CHECKS:
+        faults.extend(SETTINGS_CHECKS.get(name)(settings))
+    return faults
+
+
+@SETTINGS_CHECKS.register("zones")
+def _zones(settings: DaemonSettings) -> Iterator[SettingsFault]:
+    if settings.availability_zone not in settings.availability_zones:
+        yield SettingsFault(
+            "availability_zone",
+            f'"{settings.availability_zone}"',
+            f"must be one of availability_zones "
+            f"({', '.join(settings.availability_zones)})",
+        )
+
+
+@SETTINGS_CHECKS.register("leases")
+def _leases(settings: DaemonSettings) -> Iterator[SettingsFault]:
+    leadership = settings.leadership
+    for name in ("row_lease_ms", "claim_lease_ms", "task_lease_ms"):
+        lease = getattr(leadership, name)
+        # A lease outlives one lost renewal, and the renewal after it.
+        if lease < 2 * leadership.beat_ms:
+            yield SettingsFault(
+                f"leadership.{name}",
+                str(lease),
+                f"must be at least twice beat_ms ({leadership.beat_ms})",
+            )
+
+
+@SETTINGS_CHECKS.register("journal")
+def _journal(settings: DaemonSettings) -> Iterator[SettingsFault]:
+    journal = settings.journal
+    if journal.snapshot_after > journal.slots // 2:
+        yield SettingsFault(
+            "journal.snapshot_after",
+            str(journal.snapshot_after),
+            f"must be at most half of slots ({journal.slots}), so that a snapshot "
+            "covers a slot before it is overwritten",
+        )
+
+
+@SETTINGS_CHECKS.register("kinds")
+def _kinds(settings: DaemonSettings) -> Iterator[SettingsFault]:
+    yield from _repeated("kinds", "name", [kind.name for kind in settings.kinds])
+    for index, kind in enumerate(settings.kinds):
+        if kind.floor > kind.ceiling:
+            yield SettingsFault(
+                f"kinds[{index}].floor",
+                str(kind.floor),
+                f"must be at most its ceiling ({kind.ceiling})",
+            )
+    floors = sum(kind.floor for kind in settings.kinds)
+    if floors > 1 + 1e-9:
+        yield SettingsFault(
+            "kinds", f"floors add up to {floors:g}", "must add up to at most 1"
+        )
+
+
+@SETTINGS_CHECKS.register("keys")
+def _keys(settings: DaemonSettings) -> Iterator[SettingsFault]:
+    for fault in _repeated("keys", "key", [key.key for key in settings.keys]):
+        yield fault._replace(value="(hidden)")
+    for index, key in enumerate(settings.keys):
+        if key.role == "caller" and not key.team:
+            yield SettingsFault(
+                f"keys[{index}].team", '""', "must name the team of a caller"
+            )
+        if key.role == "operator" and key.team:
+            yield SettingsFault(
+                f"keys[{index}].team", f'"{key.team}"', "must be empty for an operator"
+            )
+
+
+def _repeated(path: str, field: str, values: list[str]) -> Iterator[SettingsFault]:
+    counts = Counter(values)
+    for index, value in enumerate(values):
+        if counts[value] > 1 and value in values[:index]:
+            yield SettingsFault(
+                f"{path}[{index}].{field}",
+                f'"{value}"',
+                f"must differ from that of {path}[{values.index(value)}]",
+            )
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/settings/_definitions.py
@@ -0,0 +1,319 @@
+"""The definition of every option of the daemon."""
+
+from marigoldpath_core.configuration import WorkKind
+
+from ._model import (
+    AccessKey,
+    DaemonSettings,
+    JournalSettings,
+    LeadershipSettings,
+    ListenSettings,
+    ObservabilitySettings,
+    RoutingSettings,
+    SchedulerSettings,
+)
+from ._options import Option, Section
+
+MINUTE_MS = 60_000
+MAX_BODY = 64 * 1_048_576
+
+LISTEN = Section(
+    ListenSettings,
+    (
+        Option("ip", "ip", "The address that the daemon listens on."),
+        Option(
+            "port",
+            "integer",
+            "The port that it listens on; 0 takes a free one.",
+            least=0,
+            most=65_535,
+        ),
+        Option(
+            "max_body",
+            "integer",
+            "The largest request body that is read.",
+            unit="bytes",
+            least=1_024,
+            most=MAX_BODY,
+        ),
+        Option(
+            "max_connections",
+            "integer",
+            "The number of connections that are open at once.",
+            least=1,
+            most=65_536,
+        ),
+        Option(
+            "read_ms",
+            "integer",
+            "The time in which a whole request has to arrive.",
+            unit="ms",
+            least=100,
+            most=MINUTE_MS,
+        ),
+    ),
+)
+
+LEADERSHIP = Section(
+    LeadershipSettings,
+    (
+        Option(
+            "beat_ms",
+            "integer",
+            "The time between two rewrites of the leader row and renewals of claims.",
+            unit="ms",
+            least=50,
+            most=10_000,
+        ),
+        Option(
+            "row_lease_ms",
+            "integer",
+            "The time without a rewrite after which a candidate may take over.",
+            unit="ms",
+            least=200,
+            most=MINUTE_MS,
+        ),
+        Option(
+            "claim_lease_ms",
+            "integer",
+            "The lease of the claim that a leader holds on each worker.",
+            unit="ms",
+            least=200,
+            most=MINUTE_MS,
+        ),
+        Option(
+            "task_lease_ms",
+            "integer",
+            "The lease of a running task, within which it is renewed.",
+            unit="ms",
+            least=1_000,
+            most=10 * MINUTE_MS,
+        ),
+        Option(
+            "drift_percent",
+            "integer",
+            "The largest drift assumed between two monotonic clocks.",
+            unit="percent",
+            least=0,
+            most=10,
+        ),
+    ),
+)
+
+JOURNAL = Section(
+    JournalSettings,
+    (
+        Option(
+            "interval_ms",
+            "integer",
+            "The least time between the beginnings of two journal writes.",
+            unit="ms",
+            least=1,
+            most=1_000,
+        ),
+        Option(
+            "max_entries",
+            "integer",
+            "The number of entries in one journal row.",
+            least=1,
+            most=10_000,
+        ),
+        Option(
+            "slots",
+            "integer",
+            "The number of rows in the journal's ring, the same on all hosts.",
+            least=16,
+            most=65_536,
+        ),
+        Option(
+            "snapshot_after",
+            "integer",
+            "The number of appended rows after which a snapshot is written.",
+            least=1,
+            most=32_768,
+        ),
+    ),
+)
+
+SCHEDULER = Section(
+    SchedulerSettings,
+    (
+        Option("queue_policy", "name", "The registered policy that orders the queue."),
+        Option(
+            "worker_failures_before_removal",
+            "integer",
+            "The failures in a row after which a worker gets no more work.",
+            least=1,
+            most=100,
+        ),
+        Option(
+            "removed_fleet_percent",
+            "integer",
+            "The part of the zone's workers that may be out of service for failures.",
+            unit="percent",
+            least=0,
+            most=100,
+        ),
+        Option(
+            "finished_retention_ms",
+            "integer",
+            "The time for which the answer of a finished request is kept.",
+            unit="ms",
+            least=1_000,
+            most=60 * MINUTE_MS,
+        ),
+        Option(
+            "max_requests",
+            "integer",
+            "The number of requests that a leader holds at once.",
+            least=1,
+            most=10_000_000,
+        ),
+    ),
+)
+
+ROUTING = Section(
+    RoutingSettings,
+    (
+        Option(
+            "retry_percent",
+            "integer",
+            "The retries allowed, as a part of the requests of the last 10 s.",
+            unit="percent",
+            least=0,
+            most=100,
+        ),
+        Option(
+            "view_age_ms",
+            "integer",
+            "The age after which the view of a zone is refreshed before use.",
+            unit="ms",
+            least=100,
+            most=10 * MINUTE_MS,
+        ),
+        Option(
+            "reply_ms",
+            "integer",
+            "The time for which a peer's reply is awaited.",
+            unit="ms",
+            least=10,
+            most=MINUTE_MS,
+        ),
+    ),
+)
+
+OBSERVABILITY = Section(
+    ObservabilitySettings,
+    (
+        Option(
+            "log_level",
+            "choice",
+            "The least level of log lines that are written.",
+            choices=("debug", "info", "warning", "error"),
+        ),
+        Option("span_path", "text", "The file that spans go to; empty for none."),
+        Option(
+            "statsd_address",
+            "address",
+            "The statsd receiver of metrics; empty for none.",
+            least=0,
+        ),
+    ),
+)
+
+KIND = Section(
+    WorkKind,
+    (
+        Option("name", "name", "The name that requests give as their kind."),
+        Option(
+            "priority",
+            "integer",
+            "The urgency, where a lower number is more urgent.",
+            least=0,
+            most=9,
+        ),
+        Option(
+            "weight",
+            "integer",
+            "The share of starts while kinds compete.",
+            least=1,
+            most=10_000,
+        ),
+        Option(
+            "floor",
+            "number",
+            "The part of the zone's capacity kept for the kind during floods.",
+            least=0,
+            most=1,
+        ),
+        Option(
+            "ceiling",
+            "number",
+            "The part of the zone's capacity that the kind may hold.",
+            least=0,
+            most=1,
+        ),
+        Option(
+            "queue_limit",
+            "integer",
+            "The number of waiting requests beyond which new ones are refused.",
+            least=0,
+            most=1_000_000,
+        ),
+        Option("placement", "name", "The registered placement policy."),
+        Option("standing", "flag", "Whether requests run until they are cancelled."),
+        Option("checkpoint", "flag", "Whether tasks can be checkpointed."),
+    ),
+)
+
+KEY = Section(
+    AccessKey,
+    (
+        Option("key", "secret", "The secret that is sent with each request."),
+        Option(
+            "role",
+            "choice",
+            "What the holder may do; an operator may apply sheets and drain hosts.",
+            choices=("caller", "operator"),
+        ),
+        Option("team", "name", "The team of a caller; empty for operators.", least=0),
+    ),
+)
+
+DAEMON = Section(
+    DaemonSettings,
+    (
+        Option("host", "name", "The name of this entry host, unique in the fleet."),
+        Option("region", "name", "The region of this entry host."),
+        Option("availability_zone", "name", "The zone of this entry host."),
+        Option("availability_zones", "names", "All zones that requests may name."),
+        Option("platform_address", "address", "The platform's services."),
+        Option("listen", "section", "The listening socket.", section=LISTEN),
+        Option(
+            "leadership", "section", "Leader election and leases.", section=LEADERSHIP
+        ),
+        Option("journal", "section", "Grouping of journal records.", section=JOURNAL),
+        Option(
+            "scheduler",
+            "section",
+            "Policies and bounds of the zone's scheduler.",
+            section=SCHEDULER,
+        ),
+        Option(
+            "routing", "section", "Forwarding between entry hosts.", section=ROUTING
+        ),
+        Option(
+            "observability",
+            "section",
+            "Receivers of logs, spans and metrics.",
+            section=OBSERVABILITY,
+        ),
+        Option(
+            "kinds",
+            "sections",
+            "The kinds of work in force until a sheet has been applied.",
+            section=KIND,
+        ),
+        Option("keys", "sections", "The keys of callers and operators.", section=KEY),
+    ),
+)
