Read the planners' sheet and report all its faults at once

Operators had no way to say what they want. parse_sheet reads a CSV as spreadsheets export it (byte order mark, comma, semicolon or tab, decimal comma, any column order), checks each cell and the rows against each other, and names row, column, value and what would be right. to_configuration, the JSON form and diff follow from it. A number such as 1.500, which countries read differently, is refused.

--- /dev/null
+++ b/packages/core/src/marigoldpath_core/configuration/_diff.py
@@ -0,0 +1,76 @@
+"""What changes between two configurations."""
+
+from collections.abc import Iterable, Iterator
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from ._model import Configuration
+
+
+class ChangeSort(StrEnum):
+    """How a part of the configuration changes."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+class Change(NamedTuple):
+    """One change; `field`, `before` and `after` are empty unless a value changed."""
+
+    sort: ChangeSort
+    subject: str
+    name: str
+    field: str = ""
+    before: str = ""
+    after: str = ""
+
+    def __str__(self) -> str:
+        text = f"{self.subject} {self.name} {self.sort}"
+        if self.sort is ChangeSort.CHANGED:
+            return f"{text}: {self.field} from {self.before} to {self.after}"
+        return text
+
+
+def diff(old: Configuration, new: Configuration) -> list[Change]:
+    """Return the changes from one configuration to another, apart from the version."""
+    return [
+        *_compare("kind", old.kinds, new.kinds, "name"),
+        *_compare("team", old.quotas, new.quotas, "team"),
+        *_compare("work", old.standing, new.standing, "key"),
+    ]
+
+
+def _compare(
+    subject: str, old: Iterable[Any], new: Iterable[Any], key: str
+) -> Iterator[Change]:
+    before = {str(getattr(item, key)): item for item in old}
+    after = {str(getattr(item, key)): item for item in new}
+    for name, item in before.items():
+        if name not in after:
+            yield Change(ChangeSort.REMOVED, subject, name)
+        else:
+            yield from _fields(subject, name, item, after[name])
+    for name in after:
+        if name not in before:
+            yield Change(ChangeSort.ADDED, subject, name)
+
+
+def _fields(subject: str, name: str, old: Any, new: Any) -> Iterator[Change]:
+    for field, before, after in zip(old._fields, old, new):
+        if before == after:
+            continue
+        if hasattr(before, "_fields"):
+            yield from _fields(subject, name, before, after)
+        else:
+            yield Change(
+                ChangeSort.CHANGED, subject, name, field, _text(before), _text(after)
+            )
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:g}"
+    return str(value)
--- a/packages/core/src/marigoldpath_core/settings/_reference.py
+++ b/packages/core/src/marigoldpath_core/settings/_reference.py
@@ -24,7 +24,7 @@
         "",
         "The daemon `marigoldpathd` reads its settings from one JSON file and checks",
         "the whole file before it starts. To check a file by hand, run",
-        "`marigoldpath settings check FILE`. `settings_reference()` generates this page.",
+        "`marigoldpath settings check FILE`. `settings_reference()` makes this page.",
         "",
     ]
     for path, section in _all_sections(DAEMON, ""):
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/sheet/_parse.py
@@ -0,0 +1,55 @@
+"""Checks a sheet as a whole."""
+
+from result import Err, Ok, Result
+
+from marigoldpath_core.configuration import Configuration
+
+from ._checks import check_rows, split_rows
+from ._expand import to_configuration
+from ._model import RowSort, Sheet, SheetFault
+from ._rows import build_row
+from ._table import Table, read_table
+
+
+def parse_sheet(data: bytes) -> Result[Sheet, list[SheetFault]]:
+    """Return the content of an exported sheet, or every fault in it by row."""
+    faults: list[SheetFault] = []
+    table = read_table(data, faults)
+    if "row" not in table.columns:
+        return Err(faults)
+    built = [
+        row
+        for row in (build_row(cells, faults) for cells in table.rows)
+        if row is not None
+    ]
+    kinds = _named(table, RowSort.KIND)
+    rows = split_rows(built, kinds, _named(table, RowSort.TEAM))
+    faults.extend(check_rows(rows))
+    if not kinds and not faults:
+        faults.append(SheetFault(0, "row", "no kind row", "must describe a kind"))
+    if faults:
+        return Err(sorted(faults, key=lambda fault: fault.row))
+    return Ok(
+        Sheet(
+            tuple(kind for _, kind in rows.kinds),
+            tuple(quota for _, quota in rows.teams),
+            tuple(item for _, item in rows.descriptions),
+        )
+    )
+
+
+def read_configuration(
+    text: str, version: int
+) -> Result[Configuration, list[SheetFault]]:
+    """Return the configuration that the text of a sheet describes."""
+    return parse_sheet(text.encode()).map(
+        lambda sheet: to_configuration(sheet, version)
+    )
+
+
+def _named(table: Table, sort: RowSort) -> frozenset[str]:
+    return frozenset(
+        row.cells["name"]
+        for row in table.rows
+        if row.cells.get("row", "").casefold() == sort and "name" in row.cells
+    )
--- /dev/null
+++ b/tests/core/test_sheet.py
@@ -0,0 +1,168 @@
+"""Tests of the planners' sheet."""
+
+import json
+import unittest
+from pathlib import Path
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marigoldpath_core.sheet import (
+    ChangeSort,
+    Sheet,
+    decode_configuration,
+    diff,
+    encode_configuration,
+    parse_sheet,
+    to_configuration,
+)
+
+ROOT = Path(__file__).resolve().parents[2]
+DEPLOYMENTS = ("skala", "sfax")
+HEADER = (
+    "row,name,floor,ceiling,standing,id,team,availability zone,kind,"
+    "cpu cores,memory GB,count,accelerators,slots,connections\n"
+)
+KINDS = "kind,plan,0.5,1,no\nkind,watch,0.5,1,yes\n"
+
+
+def faults_of(text: str) -> set[tuple[int, str]]:
+    """Return the row and the column of each fault."""
+    return {(f.row, f.column) for f in parse_sheet(text.encode()).unwrap_err()}
+
+
+def sample(deployment: str) -> bytes:
+    return (ROOT / "deploy" / deployment / "sheet.csv").read_bytes()
+
+
+class SheetFormatTests(unittest.TestCase):
+    def test_the_sample_sheets_are_right(self) -> None:
+        for deployment in DEPLOYMENTS:
+            sheet = parse_sheet(sample(deployment)).unwrap()
+            self.assertEqual((len(sheet.kinds), len(sheet.teams)), (3, 3))
+
+    def test_every_way_of_exporting_reads_the_same(self) -> None:
+        comma = "row,name,floor\r\nkind,plan,0.25\r\n"
+        expected = parse_sheet(comma.encode()).unwrap()
+        self.assertEqual(expected.kinds[0].floor, 0.25)
+        for text in (
+            "\ufeff" + comma,
+            "row;name;floor\nkind;plan;0,25\n",
+            "row\tname\tfloor\nkind\tplan\t0,25\n",
+            'row,name,floor\nkind,"plan","0,25"\n',
+            "\n,,\n Floor ,ROW,Name\n\n25%,Kind, plan \n,,\n",
+            "sep=;\nrow;name;floor;;\nkind;plan;0,25;;\n",
+        ):
+            self.assertEqual(parse_sheet(text.encode()).unwrap(), expected, text)
+
+    def test_a_number_that_two_countries_read_differently_is_refused(self) -> None:
+        text = f"{HEADER}{KINDS}batch,,,,,a,t,zadar,plan,1.500,2\n"
+        self.assertEqual(faults_of(text), {(4, "cpu cores")})
+
+    def test_a_wrong_encoding_is_named_with_its_row(self) -> None:
+        found = parse_sheet("row,name\nkind,šina\n".encode("cp1250")).unwrap_err()
+        self.assertEqual(found[0].row, 2)
+        self.assertIn("UTF-8", found[0].expected)
+        found = parse_sheet("row,name\n".encode("utf-16")).unwrap_err()
+        self.assertIn("UTF-16", found[0].value)
+
+    def test_an_open_quote_is_a_fault_and_not_a_short_sheet(self) -> None:
+        self.assertIn((2, ""), faults_of('row,name\nkind,"plan\nkind,watch\n'))
+
+    @given(
+        st.binary(max_size=60) | st.text(alphabet='row,name;"\nkid0.,%', max_size=60)
+    )
+    def test_no_input_raises(self, text: bytes | str) -> None:
+        data = text if isinstance(text, bytes) else f"row,name\n{text}".encode()
+        self.assertIsNotNone(parse_sheet(data))
+
+
+class SheetFaultTests(unittest.TestCase):
+    def test_all_faults_are_reported_at_once(self) -> None:
+        text = (
+            f"{HEADER}kind,plan,0.7,0.6,maybe\nkind,watch,-1,1,yes\nkind\nflock,x\n"
+            "batch,,,,,a b,t,zadar,plan,1,2\nbatch,,,0.5,,a,t,zadar,plan,1,2\n"
+        )
+        self.assertEqual(
+            faults_of(text),
+            {
+                (2, "standing"),
+                (3, "floor"),
+                (4, "name"),
+                (5, "row"),
+                (6, "id"),
+                (7, "ceiling"),
+            },
+        )
+
+    def test_rows_are_checked_against_each_other(self) -> None:
+        text = (
+            f"{HEADER}{KINDS}kind,plan,0.1,1,no\n"
+            "service,,,,,a,t,zadar,watch,1,2,2\nservice,,,,,a.2,t,zadar,watch,1,2\n"
+            "batch,,,,,b,t,zadar,plam,1,2\nbatch,,,,,c,t,zadar,watch,0,2\n"
+        )
+        self.assertEqual(
+            faults_of(text),
+            {
+                (4, "name"),
+                (4, "floor"),
+                (6, "id"),
+                (7, "kind"),
+                (8, "kind"),
+                (8, "cpu cores"),
+            },
+        )
+
+    def test_a_description_must_fit_its_teams_quota(self) -> None:
+        text = (
+            f"{HEADER}{KINDS}team,t,,,,,,,,4,8,,0,8,8\n"
+            "job,,,,,a,t,zadar,plan,1,2,5\nbatch,,,,,b,u,zadar,plan,1,2\n"
+        )
+        self.assertEqual(
+            faults_of(text), {(5, "cpu cores"), (5, "memory gb"), (6, "team")}
+        )
+
+    def test_floors_that_add_up_to_one_exactly_are_right(self) -> None:
+        rows = "".join(f"kind,k{number},0.1\n" for number in range(10))
+        self.assertTrue(parse_sheet(f"row,name,floor\n{rows}".encode()).is_ok())
+
+    def test_an_unknown_column_is_named(self) -> None:
+        self.assertIn((1, "flor"), faults_of("row,name,flor\nkind,plan,0.5\n"))
+
+
+class ConfigurationOfSheetTests(unittest.TestCase):
+    def test_a_service_makes_one_request_for_each_task_and_a_job_one(self) -> None:
+        configuration = to_configuration(parse_sheet(sample("skala")).unwrap(), 3)
+        tasks = {r.key.id: r.tasks for r in configuration.standing}
+        self.assertEqual(tasks["watch-zadar"], 1)
+        self.assertEqual(tasks["watch-zadar.2"], 1)
+        self.assertEqual(tasks["cord-plan-night"], 4)
+
+    def test_the_json_form_keeps_everything(self) -> None:
+        for deployment in DEPLOYMENTS:
+            sheet = parse_sheet(sample(deployment)).unwrap()
+            configuration = to_configuration(sheet, 7)
+            payload = json.loads(json.dumps(encode_configuration(configuration)))
+            self.assertEqual(decode_configuration(payload).unwrap(), configuration)
+
+    def test_json_that_is_no_configuration_is_an_error(self) -> None:
+        for payload in (None, [], {}, {"version": 1, "kinds": [{"nam": 1}]}):
+            self.assertTrue(decode_configuration(payload).is_err())
+
+    def test_the_difference_names_each_changed_field(self) -> None:
+        sheet = parse_sheet(sample("skala")).unwrap()
+        kind = sheet.kinds[0]._replace(weight=9, standing=True)
+        quota = sheet.teams[0]._replace(limit=sheet.teams[0].limit._replace(slots=1))
+        changed = Sheet((kind, *sheet.kinds[2:]), (quota, *sheet.teams[1:]))
+        found = diff(to_configuration(sheet, 1), to_configuration(changed, 2))
+        lines = [str(change) for change in found]
+        self.assertIn("kind alignment_check changed: weight from 6 to 9", lines)
+        self.assertIn("kind alignment_check changed: standing from no to yes", lines)
+        self.assertIn("kind cord_path_plan removed", lines)
+        self.assertIn("team counter changed: slots from 96 to 1", lines)
+        removed = [c for c in found if c.sort is ChangeSort.REMOVED]
+        self.assertEqual(len(removed), 1 + len(to_configuration(sheet, 1).standing))
+
+
+if __name__ == "__main__":
+    unittest.main()
