--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/world/__init__.py
@@ -0,0 +1,10 @@
+"""Zone schedulers, workers and a table that exchange messages on one passed-in clock.
+
+It drives the core through exact or seeded orders of messages, without sockets.
+"""
+
+from ._callers import Call, Callers
+from ._faults import Faults
+from ._world import World, WorldSettings
+
+__all__ = ["Call", "Callers", "Faults", "World", "WorldSettings"]
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/world/_faults.py
@@ -0,0 +1,50 @@
+"""What goes wrong with messages, by seed or by command."""
+
+import random
+
+
+class Faults:
+    """Delays and losses of messages. Delays are in milliseconds."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self.least_delay_ms = 1
+        self.most_delay_ms = 8
+        self.lost_requests = 0.0
+        self.lost_replies = 0.0
+        self.doubled_events = 0.0
+        self.table_down = False
+        self.table_loses_answers = False
+        self.cut: set[tuple[str, str]] = set()
+
+    @property
+    def random(self) -> random.Random:
+        """The source of all chance in a world."""
+        return self._random
+
+    def delay_ms(self) -> int:
+        """Return the delay of one message."""
+        return self._random.randint(self.least_delay_ms, self.most_delay_ms)
+
+    def loses_request(self, host: str, target: str) -> bool:
+        """Return whether a request does not arrive."""
+        return self.is_cut(host, target) or self._random.random() < self.lost_requests
+
+    def loses_reply(self, host: str, target: str) -> bool:
+        """Return whether a reply does not arrive."""
+        if target == TABLE and self.table_loses_answers:
+            return True
+        return self.is_cut(host, target) or self._random.random() < self.lost_replies
+
+    def doubles_event(self) -> bool:
+        """Return whether a host sees an event twice."""
+        return self._random.random() < self.doubled_events
+
+    def is_cut(self, host: str, target: str) -> bool:
+        """Return whether nothing passes between a host and a target."""
+        if target == TABLE and self.table_down:
+            return True
+        return (host, target) in self.cut
+
+
+TABLE = "table"
