--- /dev/null
+++ b/packages/core/src/marigoldpath_core/admission/_policies.py
@@ -0,0 +1,67 @@
+"""Queue policies: the order in which waiting requests are tried."""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from marigoldpath_core.registry import Registry
+from marigoldpath_core.requests import Request
+
+from ._lane import Lane
+from ._model import QueuedRequest
+
+# An urgent kind goes first until it is this many starts, for each unit of weight,
+# ahead of the kind that is furthest behind. Without the bound a flood of the most
+# urgent kind would start nothing else.
+URGENT_LEAD = 32.0
+
+
+class WaitingRequests(Protocol):
+    """What a policy sees of the queue."""
+
+    def oldest(self) -> QueuedRequest | None:
+        """Return the request that waits longest."""
+
+    def waiting_lanes(self) -> list[Lane]:
+        """Return the lanes with waiting requests."""
+
+    def is_below_floor(self, kind: str) -> bool:
+        """Return whether a kind holds less than its floor."""
+
+    def within_quota(self, request: Request) -> bool:
+        """Return whether a request fits in what its team's quota leaves."""
+
+    def allows(self, request: Request) -> bool:
+        """Return whether quota, ceiling and the floors of others allow a request."""
+
+
+QueuePolicy = Callable[[WaitingRequests], Iterable[QueuedRequest]]
+queue_policies: Registry[str, QueuePolicy] = Registry("queue policy")
+queue_policy = queue_policies.register
+
+
+@queue_policy("fifo")
+def first_in_first_out(waiting: WaitingRequests) -> Iterable[QueuedRequest]:
+    """Offer only the oldest request; the baseline, without floors and ceilings."""
+    oldest = waiting.oldest()
+    if oldest is not None and waiting.within_quota(oldest.request):
+        yield oldest
+
+
+@queue_policy("weighted_fair")
+def weighted_fair(waiting: WaitingRequests) -> Iterable[QueuedRequest]:
+    """Offer kinds below their floor first, then urgent kinds, then by weight."""
+    lanes = waiting.waiting_lanes()
+    if len(lanes) > 1:
+        least = min(lane.virtual_time for lane in lanes)
+
+        def rank(lane: Lane) -> tuple[bool, bool, int, float, str]:
+            ahead = lane.virtual_time - least > URGENT_LEAD
+            urgency = 0 if ahead else lane.kind.priority
+            below = waiting.is_below_floor(lane.kind.name)
+            return not below, ahead, urgency, lane.virtual_time, lane.kind.name
+
+        lanes = sorted(lanes, key=rank)
+    for lane in lanes:
+        for queued in lane.heads():
+            if waiting.allows(queued.request):
+                yield queued
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/admission/_shares.py
@@ -0,0 +1,180 @@
+"""What kinds and teams hold of the zone, and what they may hold."""
+
+from typing import NamedTuple
+
+from marigoldpath_core.configuration import Configuration, TeamQuota, WorkKind
+from marigoldpath_core.requests import Request, RequestKey, Size
+
+# Weight of a new request in the usual shape of its kind: about the last 50 count.
+SHAPE_STEP = 0.02
+
+
+class Charge(NamedTuple):
+    """What a started request holds."""
+
+    kind: str
+    team: str
+    size: Size
+    tasks: int
+
+
+class Shares:
+    """Accounts of started requests against quotas, floors and ceilings.
+
+    A floor keeps room free for its kind in the proportions in which the kind uses
+    the dimensions, so a kind without accelerators keeps none of them from others.
+    """
+
+    def __init__(self) -> None:
+        self._capacity = Size()
+        self._kinds: dict[str, WorkKind] = {}
+        self._quotas: dict[str, TeamQuota] = {}
+        self._charges: dict[RequestKey, Charge] = {}
+        self._held = Size()
+        self._by_kind: dict[str, Size] = {}
+        self._by_team: dict[str, Size] = {}
+        self._shapes: dict[str, tuple[float, ...]] = {}
+        self._reserves: dict[str, Size] = {}
+        self._reserved = Size()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Apply the kinds and quotas of a configuration."""
+        self._kinds = {kind.name: kind for kind in configuration.kinds}
+        self._quotas = {quota.team: quota for quota in configuration.quotas}
+        self._refresh()
+
+    def set_capacity(self, capacity: Size) -> None:
+        """Set what the zone's workers hold together."""
+        if capacity != self._capacity:
+            self._capacity = capacity
+            self._refresh()
+
+    def observe(self, request: Request) -> None:
+        """Learn the usual shape of a kind from a request."""
+        shape = self._shapes.get(request.kind)
+        if shape is None:
+            self._shapes[request.kind] = tuple(map(float, request.size))
+            self._refresh()
+            return
+        self._shapes[request.kind] = tuple(
+            old + SHAPE_STEP * (new - old) for old, new in zip(shape, request.size)
+        )
+
+    def team_weight(self, team: str) -> int:
+        """Return the weight of a team's turns."""
+        quota = self._quotas.get(team)
+        return 1 if quota is None else quota.weight
+
+    def over_quota_alone(self, request: Request) -> list[str]:
+        """Return the dimensions in which a request exceeds its team's whole quota."""
+        quota = self._quotas.get(request.key.team)
+        if quota is None:
+            return []
+        return _times(request.size, request.tasks).exceeding(quota.limit)
+
+    def is_below_floor(self, kind: str) -> bool:
+        """Return whether a kind holds less than its floor."""
+        reserve = self._reserves.get(kind)
+        return reserve is not None and any(reserve)
+
+    def within_quota(self, request: Request) -> bool:
+        """Return whether a request fits in what its team's quota leaves."""
+        quota = self._quotas.get(request.key.team)
+        if quota is None:
+            return True
+        size = _times(request.size, request.tasks)
+        return self.held_by_team(request.key.team).plus(size).fits(quota.limit)
+
+    def allows(self, request: Request) -> bool:
+        """Return whether quota, ceiling and the floors of others allow a request."""
+        if not self.within_quota(request):
+            return False
+        size = _times(request.size, request.tasks)
+        if not any(self._capacity):
+            return True
+        kind = self._kinds.get(request.kind)
+        held = self._by_kind.get(request.kind, Size()).plus(size)
+        if kind is not None and kind.ceiling < 1.0:
+            limit = self._part(kind.ceiling)
+            if not held.fits(limit):
+                return False
+        own = self._reserves.get(request.kind, Size())
+        others = self._reserved.minus(own)
+        if not any(others):
+            return True
+        free = self._capacity.minus(self._held).minus(others)
+        return all(not needed or needed <= left for needed, left in zip(size, free))
+
+    def charge(self, request: Request, size: Size) -> bool:
+        """Count a started request; False if it is counted already."""
+        if request.key in self._charges:
+            return False
+        charge = Charge(request.kind, request.key.team, size, request.tasks)
+        self._charges[request.key] = charge
+        self._count(charge, _times(size, request.tasks))
+        return True
+
+    def discharge(self, key: RequestKey) -> bool:
+        """Give back what a request held; False if it is not counted."""
+        charge = self._charges.pop(key, None)
+        if charge is None:
+            return False
+        self._count(charge, Size().minus(_times(charge.size, charge.tasks)))
+        return True
+
+    def held_by_kind(self, kind: str) -> Size:
+        """Return what the started requests of a kind hold."""
+        return self._by_kind.get(kind, Size())
+
+    def held_by_team(self, team: str) -> Size:
+        """Return what the started requests of a team hold."""
+        return self._by_team.get(team, Size())
+
+    def _count(self, charge: Charge, size: Size) -> None:
+        self._held = self._held.plus(size)
+        self._by_kind[charge.kind] = self.held_by_kind(charge.kind).plus(size)
+        team = self.held_by_team(charge.team).plus(size)
+        if any(team):
+            self._by_team[charge.team] = team
+        else:
+            self._by_team.pop(charge.team, None)
+        self._reserve(charge.kind)
+
+    def _refresh(self) -> None:
+        self._reserves.clear()
+        self._reserved = Size()
+        for kind in self._kinds:
+            self._reserve(kind)
+
+    def _reserve(self, name: str) -> None:
+        kind = self._kinds.get(name)
+        if kind is None or kind.floor <= 0.0:
+            return
+        target = self._floor(kind)
+        held = self.held_by_kind(name)
+        reserve = Size(*(max(0, all_ - has) for all_, has in zip(target, held)))
+        old = self._reserves.get(name, Size())
+        self._reserves[name] = reserve
+        self._reserved = self._reserved.plus(reserve).minus(old)
+
+    def _floor(self, kind: WorkKind) -> Size:
+        shape = self._shapes.get(kind.name)
+        if shape is None:
+            return self._part(kind.floor)._replace(accelerators=0)
+        dominant = max(
+            (used / all_ for used, all_ in zip(shape, self._capacity) if all_),
+            default=0.0,
+        )
+        if not dominant:
+            return Size()
+        tasks = kind.floor / dominant
+        return Size(*(int(used * tasks) for used in shape))
+
+    def _part(self, part: float) -> Size:
+        return Size(*(int(all_ * part) for all_ in self._capacity))
+
+
+def _times(size: Size, tasks: int) -> Size:
+    if tasks == 1:
+        return size
+    return Size(*(tasks * needed for needed in size))
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/placement/_model.py
@@ -0,0 +1,70 @@
+"""Data types of placement."""
+
+from typing import NamedTuple
+
+from marigoldpath_core.requests import Size
+
+
+class UnknownWorkerError(LookupError):
+    """Raised when a task is put on a worker that was never added."""
+
+
+class HeldTask(NamedTuple):
+    """What a task holds on a worker."""
+
+    task: str
+    size: Size
+    kind: str
+    team: str = ""
+
+
+class WorkerView(NamedTuple):
+    """The leader's view of one worker.
+
+    `free` is negative in a dimension where adopted tasks exceed the capacity.
+    `removed` means taken out of service for its failures, `placeable` that the
+    leader's claim allows starts.
+    """
+
+    name: str
+    rack: str
+    capacity: Size
+    used: Size = Size()
+    free: Size = Size()
+    leaving: bool = False
+    removed: bool = False
+    placeable: bool = False
+    reserved_for: str = ""
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether new tasks may be placed on the worker at all."""
+        return self.placeable and not self.leaving and not self.removed
+
+
+class RunningWork(NamedTuple):
+    """A running task with what decides whether it may make room for another.
+
+    A lower `priority` is more urgent. `checkpoint` means that the kind of the task
+    can be checkpointed and resumed.
+    """
+
+    task: str
+    worker: str
+    size: Size
+    priority: int
+    started_ms: int
+    repeatable: bool
+    checkpoint: bool
+
+
+class Victim(NamedTuple):
+    """A task to act on; `action` is "throttle", "checkpoint" or "stop".
+
+    `frees` is what the action makes free on the worker.
+    """
+
+    task: str
+    worker: str
+    action: str
+    frees: Size
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/placement/_preemption.py
@@ -0,0 +1,96 @@
+"""Choice of running tasks that make room for an urgent request."""
+
+from collections.abc import Iterable
+
+from marigoldpath_core.requests import Size
+
+from ._model import RunningWork, Victim, WorkerView
+
+# A throttled task keeps half of its processor time, so that it still ends.
+THROTTLE_PERCENT = 50
+
+
+def choose_victims(
+    size: Size,
+    priority: int,
+    workers: Iterable[WorkerView],
+    running: Iterable[RunningWork],
+) -> tuple[str, list[Victim]] | None:
+    """Return a worker and the tasks to act on there, or None if there is no way.
+
+    Only tasks less urgent than `priority` are acted on, the least urgent and youngest
+    first, and of the workers the one where fewest are. Where only processors lack,
+    tasks are throttled. Otherwise they are checkpointed, or stopped when they are
+    repeatable. A task that is neither is never stopped.
+    """
+    by_worker: dict[str, list[RunningWork]] = {}
+    for work in running:
+        if work.priority > priority:
+            by_worker.setdefault(work.worker, []).append(work)
+    best: tuple[tuple[bool, int, int, str], str, list[Victim]] | None = None
+    for view in workers:
+        if not view.is_open or view.reserved_for or not size.fits(view.capacity):
+            continue
+        victims = _victims_on(size, view, by_worker.get(view.name, []))
+        if victims is None:
+            continue
+        throttles = all(victim.action == "throttle" for victim in victims)
+        urgency = sum(
+            work.priority
+            for work in by_worker.get(view.name, [])
+            if any(victim.task == work.task for victim in victims)
+        )
+        cost = not throttles, len(victims), -urgency, view.name
+        if best is None or cost < best[0]:
+            best = cost, view.name, victims
+    return None if best is None else best[1:]
+
+
+def _victims_on(
+    size: Size, view: WorkerView, running: list[RunningWork]
+) -> list[Victim] | None:
+    running.sort(key=lambda work: (-work.priority, -work.started_ms, work.task))
+    if size.exceeding(view.free) == ["cpu_millis"]:
+        victims = _take(size, view.free, [_throttle(work) for work in running])
+        if victims is not None:
+            return victims
+    return _take(
+        size,
+        view.free,
+        [_halt(work) for work in running if work.checkpoint or work.repeatable],
+    )
+
+
+def _take(size: Size, free: Size, victims: list[Victim]) -> list[Victim] | None:
+    taken: list[Victim] = []
+    for victim in victims:
+        lacking = size.exceeding(free)
+        if not lacking:
+            break
+        if any(getattr(victim.frees, dimension) for dimension in lacking):
+            taken.append(victim)
+            free = free.plus(victim.frees)
+    if not size.fits(free):
+        return None
+    return _without_superfluous(size, free, taken)
+
+
+def _without_superfluous(size: Size, free: Size, taken: list[Victim]) -> list[Victim]:
+    kept = []
+    for victim in reversed(taken):
+        without = free.minus(victim.frees)
+        if size.fits(without):
+            free = without
+        else:
+            kept.append(victim)
+    return kept[::-1]
+
+
+def _throttle(work: RunningWork) -> Victim:
+    freed = work.size.cpu_millis * (100 - THROTTLE_PERCENT) // 100
+    return Victim(work.task, work.worker, "throttle", Size(cpu_millis=freed))
+
+
+def _halt(work: RunningWork) -> Victim:
+    action = "checkpoint" if work.checkpoint else "stop"
+    return Victim(work.task, work.worker, action, work.size)
