--- a/packages/bench/src/marigoldpath_bench/platform/__init__.py
+++ b/packages/bench/src/marigoldpath_bench/platform/__init__.py
@@ -2,6 +2,6 @@
 
 from ._hosts import HostList
 from ._server import PlatformServer, PlatformSettings
-from ._store import Store
+from ._store import ConflictError, Store
 
-__all__ = ["HostList", "PlatformServer", "PlatformSettings", "Store"]
+__all__ = ["ConflictError", "HostList", "PlatformServer", "PlatformSettings", "Store"]
--- a/packages/bench/src/marigoldpath_bench/world/_callers.py
+++ b/packages/bench/src/marigoldpath_bench/world/_callers.py
@@ -17,11 +17,43 @@
 RETRY_MS = 500
 
 
-class Call(NamedTuple):
-    """One request with what its caller was told, in order."""
+class Told(NamedTuple):
+    """What a caller was told and when."""
 
-    request: Request
-    outcomes: list[Outcome]
+    at_ms: int
+    outcome: Outcome
+
+
+class Call:
+    """One request with what its caller was told, in order.
+
+    Once an ask went unanswered or got "unknown", an entry host no longer passes "not
+    run" on, because a later leader cannot know of the earlier ask.
+    """
+
+    def __init__(self, request: Request) -> None:
+        self.request = request
+        self.told: list[Told] = []
+        self.asked_ms: list[int] = []
+        self.is_uncertain = False
+
+    @property
+    def outcomes(self) -> list[Outcome]:
+        """All that the caller was told."""
+        return [told.outcome for told in self.told]
+
+    def asks(self, now_ms: int) -> None:
+        """Note that the caller asks."""
+        last = self.told[-1].outcome.kind if self.told else None
+        if self.asked_ms and last not in (OutcomeKind.NOT_RUN, OutcomeKind.ACCEPTED):
+            self.is_uncertain = True
+        self.asked_ms.append(now_ms)
+
+    def tell(self, now_ms: int, outcome: Outcome) -> None:
+        """Note what the caller is told."""
+        if self.is_uncertain and outcome.kind is OutcomeKind.NOT_RUN:
+            outcome = outcome._replace(kind=OutcomeKind.UNKNOWN)
+        self.told.append(Told(now_ms, outcome))
 
     @property
     def outcome(self) -> OutcomeKind | None:
@@ -63,12 +95,14 @@
             fields.pop("size", Size(1_000, 1_000, 0, 1, 1)),
             **fields,
         )
-        self._calls[name] = Call(request, [])
+        self._calls[name] = Call(request)
         self.ask(name, through)
 
     def ask(self, name: str, through: str | None = None) -> None:
         """Submit a request that was submitted before."""
-        request = self._calls[name].request
+        call = self._calls[name]
+        request = call.request
+        call.asks(self._world.now_ms)
         self._asked_at_ms[name] = self._world.now_ms
         for host in [through] if through else self._world.serving:
             origin = Origin(host, self._number(name))
@@ -96,7 +130,7 @@
         for _, number, outcome in outcomes[self._seen :]:
             name = self._numbers[number]
             assert outcome.key.id == name, f"{name} was told of {outcome.key}"
-            self._calls[name].outcomes.append(outcome)
+            self._calls[name].tell(self._world.now_ms, outcome)
         self._seen = len(outcomes)
 
     def _come_back(self) -> None:
@@ -108,9 +142,7 @@
 
     def _is_open(self, call: Call) -> bool:
         last = call.outcomes[-1] if call.outcomes else None
-        if last is None or last.code == "leader_changed":
-            return True
-        return last.kind is OutcomeKind.NOT_RUN and last.retry_after_ms > 0
+        return last is None or last.retry_after_ms > 0
 
     def _number(self, name: str) -> int:
         self._next_number += 1
--- a/packages/core/src/marigoldpath_core/admission/_queue.py
+++ b/packages/core/src/marigoldpath_core/admission/_queue.py
@@ -90,20 +90,20 @@
         refusal = self._refusal(request)
         if refusal is not None:
             return Err(refusal)
-        lane = self._lanes[request.kind]
-        self._sequence += 1
-        expires_ms = now_ms + request.deadline_ms
-        queued = QueuedRequest(request, origin, now_ms, expires_ms, self._sequence)
-        if not len(lane):
-            active = [other.virtual_time for other in self.waiting_lanes()]
-            lane.virtual_time = max(lane.virtual_time, min(active, default=0.0))
-        lane.put(queued)
-        lane.drain.grew(now_ms)
-        self._queued[request.key] = queued
-        heapq.heappush(self._deadlines, (expires_ms, self._sequence, request.key))
-        self._shares.observe(request)
+        self._put(request, origin, now_ms)
         return Ok(None)
 
+    def restore(self, request: Request, now_ms: int) -> None:
+        """Queue a request that was taken in before, also where it is full.
+
+        A kind that is no longer configured gets a lane that takes no new requests.
+        """
+        if request.key in self._queued:
+            return
+        if request.kind not in self._lanes:
+            self._lanes[request.kind] = Lane(WorkKind(request.kind, queue_limit=0))
+        self._put(request, None, now_ms)
+
     def next(
         self, now_ms: int, can_place: Callable[[QueuedRequest], bool]
     ) -> QueuedRequest | None:
@@ -257,6 +257,20 @@
             return Refusal("too_late", message, "deadline_ms", retry_ms)
         return None
 
+    def _put(self, request: Request, origin: Origin | None, now_ms: int) -> None:
+        lane = self._lanes[request.kind]
+        self._sequence += 1
+        expires_ms = now_ms + request.deadline_ms
+        queued = QueuedRequest(request, origin, now_ms, expires_ms, self._sequence)
+        if not len(lane):
+            active = [other.virtual_time for other in self.waiting_lanes()]
+            lane.virtual_time = max(lane.virtual_time, min(active, default=0.0))
+        lane.put(queued)
+        lane.drain.grew(now_ms)
+        self._queued[request.key] = queued
+        heapq.heappush(self._deadlines, (expires_ms, self._sequence, request.key))
+        self._shares.observe(request)
+
     def _drop(self, queued: QueuedRequest, now_ms: int | None, started: bool) -> None:
         key = queued.key
         del self._queued[key]
--- a/packages/core/src/marigoldpath_core/ledger/_state.py
+++ b/packages/core/src/marigoldpath_core/ledger/_state.py
@@ -74,7 +74,8 @@
     """One request, its attempt in progress and its outcome.
 
     `is_adopted` marks a request that is known only from a worker's list, so that
-    its content has yet to be learned from its caller or the journal.
+    its content has yet to be learned from its caller or the journal. `has_run` tells
+    that some attempt was started, so that its caller must not be told "not run".
     """
 
     __slots__ = (
@@ -82,6 +83,7 @@
         "cancel_reason",
         "ended_at_ms",
         "failures",
+        "has_run",
         "history",
         "is_adopted",
         "is_cancelled",
@@ -106,6 +108,7 @@
         self.outcome: Outcome | None = None
         self.ended_at_ms = 0
         self.failures = 0
+        self.has_run = False
         self.is_recorded = False
         self.is_adopted = False
         self.is_cancelled = False
--- a/packages/core/src/marigoldpath_core/scheduler/_leases.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_leases.py
@@ -202,6 +202,7 @@
     _, state.attempt, _ = parse_task_id(entry.task)
     task = TaskState(entry.task, worker, entry.size)
     task.phase = TaskPhase.RUNNING
+    state.has_run = True
     task.started_clock_ms = zone.watch(worker).clock_ms
     zone.ledger.attach(state, task)
     kind, team = state.request.kind, state.request.key.team
--- a/packages/core/src/marigoldpath_core/scheduler/_outcomes.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_outcomes.py
@@ -28,7 +28,14 @@
     answer: Answer | None = None,
     retry_after_ms: int = 0,
 ) -> None:
-    """Give a request its outcome and tell everyone who waits for it."""
+    """Give a request its outcome and tell everyone who waits for it.
+
+    A request of which an attempt was started did run, whatever `kind` says: when it
+    was cancelled it is done without an answer, else its outcome is unknown.
+    """
+    if kind is OutcomeKind.NOT_RUN and state.has_run:
+        is_cancelled = code == Code.CANCELLED
+        kind = OutcomeKind.DONE if is_cancelled else OutcomeKind.UNKNOWN
     state.outcome = Outcome(
         state.request.key,
         kind,
--- a/packages/core/src/marigoldpath_core/scheduler/_recovery.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_recovery.py
@@ -32,7 +32,8 @@
     """End a term: tell who waits to ask the next leader, and forget all else."""
     zone.log("stepped_down", "warning", epoch=change.epoch, reason=change.reason)
     for state in zone.ledger:
-        sent = state.may_run or state.phase is RequestPhase.RECORDING
+        sent = state.has_run or state.may_run
+        sent = sent or state.phase is RequestPhase.RECORDING
         kind = OutcomeKind.UNKNOWN if sent else OutcomeKind.NOT_RUN
         outcome = Outcome(
             state.request.key,
--- a/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
@@ -13,6 +13,7 @@
     StopTasks,
     Tick,
 )
+from marigoldpath_core.registry import Registry
 from marigoldpath_core.requests import OutcomeKind, RequestKey
 from marigoldpath_core.settings import DaemonSettings
 
@@ -26,6 +27,7 @@
 
 _MODULES_WITH_HANDLERS = (_intake, _leases, _recovery, _tasks)
 TICK_MS = 100
+_upkeep: Registry = Registry("scheduler upkeep")
 
 
 class ZoneScheduler:
@@ -78,7 +80,7 @@
         if type(event) in handlers:
             handlers.get(type(event))(zone, event, now_ms)
         if type(event) in _upkeep:
-            _upkeep[type(event)](self, event, now_ms)
+            _upkeep.get(type(event))(self, event, now_ms)
         self._settle_journal(now_ms)
         if zone.phase is ZonePhase.RECOVERING:
             _recovery.begin_serving(zone, now_ms)
@@ -162,6 +164,7 @@
             elif ticket.attempt == state.attempt and not state.may_run:
                 send_starts(zone, state, now_ms)
 
+    @_upkeep.register(HostsListed)
     def _on_hosts(self, event: HostsListed, now_ms: int) -> None:
         """Follow the host list: capacities, new, leaving and gone workers."""
         zone = self._zone
@@ -193,6 +196,7 @@
                 state.history.add(now_ms, "moving", state.requeue_reason)
                 zone.effects.append(StopTasks(worker, (task.task,), checkpoint=True))
 
+    @_upkeep.register(Tick)
     def _on_tick(self, event: Tick, now_ms: int) -> None:
         """Expire, repair and drain while this host leads."""
         zone = self._zone
@@ -248,6 +252,3 @@
             and host.state is HostState.LIVE
             for host in zone.entry_hosts
         )
-
-
-_upkeep = {HostsListed: ZoneScheduler._on_hosts, Tick: ZoneScheduler._on_tick}
--- a/packages/core/src/marigoldpath_core/scheduler/_tasks.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_tasks.py
@@ -72,6 +72,7 @@
         zone.log("end_ignored", worker=event.worker, task=event.task)
         return
     task.phase = TaskPhase.ENDED
+    state.has_run = True
     task.status, task.answer = event.status, event.answer
     zone.health.ended(
         task.worker,
@@ -115,6 +116,7 @@
 ) -> None:
     """Note that a task was running at `clock_ms` on its worker's clock."""
     task.started_clock_ms = clock_ms
+    state.has_run = True
     task.phase = TaskPhase.RUNNING
     task.started_at_ms = now_ms
     task.missing_clock_ms = None
@@ -142,6 +144,7 @@
 ) -> None:
     """Note that a task certainly does not run any more and left no answer."""
     task.phase = TaskPhase.ENDED
+    state.has_run = True
     task.status = TaskStatus.LAPSED
     zone.workers.release(task.worker, task.task)
     state.history.add(now_ms, "lost", reason)
@@ -173,8 +176,7 @@
         answer = answers[0] if answers else None
         _end(zone, state, OutcomeKind.DONE, now_ms, answer=answer)
     elif state.is_cancelled:
-        kind = OutcomeKind.DONE if was_started else OutcomeKind.NOT_RUN
-        _end(zone, state, kind, now_ms, code=Code.CANCELLED)
+        _end(zone, state, OutcomeKind.NOT_RUN, now_ms, code=Code.CANCELLED)
     elif not was_started:
         requeue(zone, state, now_ms, state.requeue_reason)
     elif is_standing(zone, state.request) and repeatable:
