Add the fleet, the traces, the load client and the demonstration

Cause: a change of the daemon must be shown to hold against a whole deployment that loses a zone leader. Change: a process manager that always ends what it started, generated traces, an open-loop client that repeats an id through another entry host, and a demonstration that counts from the callers' tally and the workers' records. The demonstration itself was not run, as there is no daemon yet.

--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/demo/_judge.py
@@ -0,0 +1,82 @@
+"""Sums up a run from the callers' results and the workers' records."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from marigoldpath_bench.load import CallResult, Ending
+from marigoldpath_bench.oracle import Interval, Verdict
+
+
+class Summary(NamedTuple):
+    """Counts of a run. `evidence` has one line for each thing that went wrong.
+
+    A request is answered when its caller got the whole answer; a standing one when it
+    was accepted, ran and, after its cancellation, no longer runs. It is refused when
+    its caller was told so and no worker ever started it. It is lost when its caller
+    never learnt its end or was told an end that the records contradict.
+    """
+
+    requests: int
+    answered: int
+    refused: int
+    lost: int
+    duplicated: int
+    overcommitted: int
+    evidence: tuple[str, ...]
+
+    @property
+    def passed(self) -> bool:
+        """Whether nothing was lost, duplicated or overcommitted."""
+        faults = self.lost + self.duplicated + self.overcommitted
+        return faults == 0 and self.answered + self.refused == self.requests
+
+    def line(self) -> str:
+        """Return the last line of the demonstration."""
+        return (
+            f"demo: requests={self.requests} answered={self.answered} "
+            f"refused={self.refused} lost={self.lost} duplicated={self.duplicated} "
+            f"overcommitted={self.overcommitted}"
+        )
+
+
+def summarise(
+    names: Iterable[str], results: Iterable[CallResult], verdict: Verdict
+) -> Summary:
+    """Return the counts for the requests named, each of which must have a result."""
+    by_name = {result.name: result for result in results}
+    answered = refused = lost = total = 0
+    evidence = list(verdict.evidence)
+    for name in names:
+        total += 1
+        result = by_name.get(name)
+        runs = verdict.intervals.get(name, [])
+        if result is None:
+            lost += 1
+            evidence.append(f"lost: {name} has no end")
+        elif _is_answered(result, runs):
+            answered += 1
+        elif result.ending is Ending.NOT_RUN and not runs:
+            refused += 1
+        else:
+            lost += 1
+            evidence.append(
+                f"lost: {name} ended {result.ending} ({result.code}) after "
+                f"{result.latency_ms} ms with {len(runs)} runs"
+            )
+    return Summary(
+        total,
+        answered,
+        refused,
+        lost,
+        verdict.duplicated,
+        verdict.overcommitted,
+        tuple(evidence),
+    )
+
+
+def _is_answered(result: CallResult, runs: list[Interval]) -> bool:
+    if result.ending is Ending.DONE:
+        return any(run.status == "done" for run in runs)
+    if result.ending is Ending.ACCEPTED:
+        return bool(runs) and all(run.end_ms is not None for run in runs)
+    return False
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/demo/_run.py
@@ -0,0 +1,138 @@
+"""Runs the demonstration."""
+
+import sys
+import time
+from pathlib import Path
+from typing import NamedTuple
+
+import curio
+
+from marigoldpath_bench.deployment import (
+    ROOT,
+    Deployment,
+    count_ports,
+    find_deployment,
+    load_deployment,
+    plan_run,
+)
+from marigoldpath_bench.fleet import Fleet, FleetError, free_base_port
+from marigoldpath_bench.load import (
+    CallResult,
+    Ending,
+    LoadClient,
+    load_settings,
+    tally_by_kind,
+)
+from marigoldpath_bench.oracle import judge, read_records
+from marigoldpath_bench.trace import TraceItem, TraceSettings, generate_trace
+
+from ._judge import Summary, summarise
+
+STANDING_START_S = 20.0
+STANDING_END_S = 20.0
+POLL_S = 0.2
+
+
+class DemoSettings(NamedTuple):
+    """What to run; `zone` is the zone whose leader is killed, the first by default."""
+
+    deployment: str
+    seed: int
+    daemon_python: str
+    seconds: float = 10.0
+    rate: float = 100.0
+    zone: str = ""
+
+
+def run_demo(settings: DemoSettings) -> Summary:
+    """Run all processes, send the trace, kill a zone leader and count."""
+    folder = find_deployment(settings.deployment)
+    deployment = load_deployment(folder / "deployment.json")
+    base_port = free_base_port(count_ports(deployment))
+    run_folder = ROOT / "run" / f"{deployment.name}-{settings.seed}-{base_port}"
+    plan = plan_run(deployment, base_port, run_folder)
+    trace = generate_trace(
+        deployment, TraceSettings(settings.seed, settings.seconds, settings.rate)
+    )
+    _tell(f"files of this run are in run/{run_folder.name}")
+    with Fleet(plan, settings.daemon_python) as fleet:
+        results = curio.run(_run, fleet, deployment, trace, settings)
+    verdict = judge(read_records(plan.record_paths))
+    for tally in tally_by_kind(results):
+        _tell(
+            f"{tally.kind}: {tally.endings} waiting p50 {tally.wait_p50_ms} ms, "
+            f"p99 {tally.wait_p99_ms} ms"
+        )
+    summary = summarise([_name(item) for item in trace], results, verdict)
+    _write_evidence(run_folder / "evidence.txt", summary)
+    return summary
+
+
+async def _run(
+    fleet: Fleet, deployment: Deployment, trace: list[TraceItem], settings: DemoSettings
+) -> list[CallResult]:
+    started_s = time.monotonic()
+    await fleet.start()
+    _tell(f"all zones are served after {time.monotonic() - started_s:.1f} s")
+    client = LoadClient(load_settings(deployment, fleet.daemon_addresses))
+    zone = settings.zone or deployment.availability_zones[0]
+    async with curio.TaskGroup() as tasks:
+        await tasks.spawn(_kill_leader, fleet, zone, settings.seconds / 2)
+        sending = await tasks.spawn(client.run, trace)
+    results = sending.result
+    _tell(f"the last caller had its answer after {time.monotonic() - started_s:.1f} s")
+    await _end_standing(fleet, client, results)
+    await client.close()
+    await fleet.close()
+    return results
+
+
+async def _kill_leader(fleet: Fleet, zone: str, after_s: float) -> None:
+    await curio.sleep(after_s)
+    leader = await fleet.leader(zone)
+    if leader is None:
+        raise FleetError(f"zone {zone} has no leader to kill")
+    fleet.kill(leader.host)
+    _tell(f"killed {leader.host}, the leader of {zone} in epoch {leader.epoch}")
+
+
+async def _end_standing(
+    fleet: Fleet, client: LoadClient, results: list[CallResult]
+) -> None:
+    """Wait until standing requests have run, cancel them, and wait for their ends."""
+    standing = [each for each in results if each.ending is Ending.ACCEPTED]
+    names = {each.name for each in standing}
+    await _wait_runs(fleet, names, STANDING_START_S, running=True)
+    for result in standing:
+        if not await client.cancel(result):
+            _tell(f"no entry host confirmed the cancellation of {result.name}")
+    await _wait_runs(fleet, names, STANDING_END_S, running=False)
+
+
+async def _wait_runs(
+    fleet: Fleet, names: set[str], timeout_s: float, *, running: bool
+) -> None:
+    """Wait until each request has started, or until none of them runs."""
+    until_s = time.monotonic() + timeout_s
+    while time.monotonic() < until_s:
+        intervals = judge(read_records(fleet.plan.record_paths)).intervals
+        runs = [intervals.get(name, []) for name in names]
+        open_runs = [run for each in runs for run in each if run.end_ms is None]
+        if all(runs) if running else not open_runs:
+            return
+        await curio.sleep(POLL_S)
+
+
+def _name(item: TraceItem) -> str:
+    request = item.request
+    return f"{request['team']}/{request['availability_zone']}/{request['id']}"
+
+
+def _write_evidence(path: Path, summary: Summary) -> None:
+    path.write_text("".join(f"{line}\n" for line in summary.evidence))
+    for line in summary.evidence[:20]:
+        _tell(line)
+
+
+def _tell(text: str) -> None:
+    print(text, file=sys.stderr, flush=True)
--- a/packages/bench/src/marigoldpath_bench/deployment/__init__.py
+++ b/packages/bench/src/marigoldpath_bench/deployment/__init__.py
@@ -1,6 +1,6 @@
 """Turns a deployment file into the settings files of its processes."""
 
-from ._model import Deployment, EntryHostPlan, Rack, load_deployment
+from ._model import Deployment, EntryHostPlan, MixPart, Rack, load_deployment
 from ._paths import DEPLOY, ROOT, find_deployment
 from ._settings import (
     ProcessPlan,
@@ -16,6 +16,7 @@
     "ROOT",
     "Deployment",
     "EntryHostPlan",
+    "MixPart",
     "ProcessPlan",
     "Rack",
     "RunPlan",
--- a/packages/bench/src/marigoldpath_bench/deployment/_model.py
+++ b/packages/bench/src/marigoldpath_bench/deployment/_model.py
@@ -9,6 +9,8 @@
 from marigoldpath_core.requests import Size
 from marigoldpath_core.settings import AccessKey
 
+PAIRS = ("run_ms", "gang_tasks")
+
 
 class EntryHostPlan(NamedTuple):
     """An entry host, without its port."""
@@ -45,6 +47,27 @@
         ]
 
 
+class MixPart(NamedTuple):
+    """One kind of work in a trace.
+
+    `share` is its part of the requests. `run_ms` bounds the run time; without it a
+    task runs until stopped. `once_share` is the part that is not repeatable and
+    `gang_share` the part that has several tasks, within `gang_tasks`.
+    """
+
+    kind: str
+    team: str
+    share: float
+    sizes: tuple[Size, ...]
+    wait: bool = True
+    standing: bool = False
+    deadline_ms: int = 30_000
+    run_ms: tuple[int, int] | None = None
+    once_share: float = 0.0
+    gang_share: float = 0.0
+    gang_tasks: tuple[int, int] = (2, 2)
+
+
 class Deployment(NamedTuple):
     """One deployment: its hosts, its kinds of work and its callers' keys.
 
@@ -59,6 +82,7 @@
     racks: tuple[Rack, ...]
     kinds: tuple[WorkKind, ...]
     keys: tuple[AccessKey, ...]
+    mix: tuple[MixPart, ...] = ()
     hosts_lag_ms: int = 1_000
     usage_lag_ms: int = 2_000
     daemon: dict[str, Any] = {}  # noqa: RUF012
@@ -90,5 +114,12 @@
             "racks": tuple(racks),
             "kinds": tuple(WorkKind(**kind) for kind in payload["kinds"]),
             "keys": tuple(AccessKey(**key) for key in payload["keys"]),
+            "mix": tuple(_mix_part(part) for part in payload["mix"]),
         }
     )
+
+
+def _mix_part(payload: dict[str, Any]) -> MixPart:
+    lists = {name: tuple(payload[name]) for name in PAIRS if name in payload}
+    sizes = tuple(Size(**size) for size in payload["sizes"])
+    return MixPart(**{**payload, **lists, "sizes": sizes})
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/fleet/__init__.py
@@ -0,0 +1,6 @@
+"""Starts, disturbs and ends the processes of a run."""
+
+from ._fleet import Fleet, FleetError, ZoneLeader, free_base_port
+from ._process import ManagedProcess
+
+__all__ = ["Fleet", "FleetError", "ManagedProcess", "ZoneLeader", "free_base_port"]
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/fleet/_fleet.py
@@ -0,0 +1,232 @@
+"""All processes of a run of a deployment."""
+
+import random
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+from typing import Any, NamedTuple, Self
+
+import curio
+
+from marigoldpath_bench.deployment import ROOT, ProcessPlan, RunPlan, write_run
+from marigoldpath_node.http import HttpClient, HttpClientSettings, HttpError
+
+from ._process import ManagedProcess
+
+LOWEST_PORT = 20_000
+# Above are the ports that the system gives to outgoing connections.
+HIGHEST_PORT = 32_000
+POLL_S = 0.1
+GRACE_S = 3.0
+DAEMON_PACKAGES = ("core", "node")
+STAND_IN_PACKAGES = ("core", "node", "cli", "bench")
+
+
+class FleetError(Exception):
+    """A process did not start, or a wait for the fleet took too long."""
+
+
+class ZoneLeader(NamedTuple):
+    """The leader of a zone as the table has it."""
+
+    host: str
+    epoch: int
+
+
+def free_base_port(count: int, seed: int | None = None) -> int:
+    """Return the first of `count` ports that nothing listens on.
+
+    Raises FleetError when no such range is found in 50 tries.
+    """
+    rng = random.Random(seed)
+    for _ in range(50):
+        base = rng.randrange(LOWEST_PORT, HIGHEST_PORT - count)
+        if all(_is_free(base + number) for number in range(count)):
+            return base
+    raise FleetError(f"no {count} free ports in a row")
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+class Fleet:
+    """A context manager that leaves no process behind, also after an exception."""
+
+    def __init__(self, plan: RunPlan, daemon_python: str) -> None:
+        self._plan = plan
+        self._daemon_python = daemon_python
+        self._processes: dict[str, ManagedProcess] = {}
+        self._client = HttpClient(HttpClientSettings(connect_s=0.5, reply_s=2.0))
+
+    def __enter__(self) -> Self:
+        write_run(self._plan)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.end()
+
+    @property
+    def plan(self) -> RunPlan:
+        """The processes and files of the run."""
+        return self._plan
+
+    @property
+    def processes(self) -> dict[str, ManagedProcess]:
+        """The processes started so far by name; a restarted one replaces its name."""
+        return self._processes
+
+    @property
+    def daemon_addresses(self) -> list[str]:
+        """The addresses of the entry hosts."""
+        return [daemon.address for daemon in self._plan.daemons]
+
+    async def start(self, timeout_s: float = 60.0) -> None:
+        """Start everything and wait until every zone is served."""
+        await self.start_surroundings()
+        for daemon in self._plan.daemons:
+            self.start_daemon(daemon.name)
+        await self.wait_ready(timeout_s)
+
+    async def start_surroundings(self, timeout_s: float = 15.0) -> None:
+        """Start the platform and the workers and wait until they answer."""
+        stand_ins = (self._plan.platform, *self._plan.workers)
+        for process in stand_ins:
+            self._start(process, sys.executable, STAND_IN_PACKAGES)
+        until_s = time.monotonic() + timeout_s
+        await self._wait_answer(self._plan.platform.address, "/v1/hosts", until_s)
+        for worker in self._plan.worker_hosts:
+            await self._wait_answer(worker.address, "/v1/tasks", until_s)
+
+    def start_daemon(self, name: str) -> None:
+        """Start the daemon of an entry host, anew if it has ended."""
+        self._start(self._daemon(name), self._daemon_python, DAEMON_PACKAGES)
+
+    def kill(self, name: str) -> None:
+        """Kill a process with SIGKILL."""
+        self._processes[name].send_signal(signal.SIGKILL)
+
+    def pause(self, name: str) -> None:
+        """Stop a process with SIGSTOP."""
+        self._processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Continue a process with SIGCONT."""
+        self._processes[name].send_signal(signal.SIGCONT)
+
+    def terminate(self, name: str) -> None:
+        """Ask a process to end with SIGTERM."""
+        self._processes[name].send_signal(signal.SIGTERM)
+
+    async def health(self, name: str) -> dict[str, Any]:
+        """Return what a daemon's health route says, empty without an answer."""
+        return await self._get(self._daemon(name).address, "/v1/health")
+
+    async def leader(self, zone: str) -> ZoneLeader | None:
+        """Return the leader that the table names, or None."""
+        target = f"/v1/rows/leader/{zone}"
+        value = (await self._get(self._plan.platform.address, target)).get("value", {})
+        if not value.get("host"):
+            return None
+        return ZoneLeader(value["host"], value.get("epoch", 0))
+
+    async def control(self, address: str, payload: dict[str, Any]) -> dict[str, Any]:
+        """Send a control message to a stand-in and return its reply."""
+        reply = await self._client.request("POST", address, "/control", value=payload)
+        return reply.json()
+
+    async def wait_ready(self, timeout_s: float) -> None:
+        """Wait until all running daemons are well and all zones are served."""
+        until_s = time.monotonic() + timeout_s
+        while True:
+            missing = await self._missing()
+            if not missing:
+                return
+            if time.monotonic() >= until_s:
+                raise FleetError(f"not ready in {timeout_s:g} s: {', '.join(missing)}")
+            await curio.sleep(POLL_S)
+
+    async def close(self) -> None:
+        """Close the connections; the processes go on."""
+        await self._client.close()
+
+    def end(self) -> None:
+        """End all processes, the daemons first and all of them at the same time."""
+        daemons = {daemon.name for daemon in self._plan.daemons}
+        ordered = sorted(self._processes.values(), key=lambda p: p.name not in daemons)
+        for process in ordered:
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGTERM)
+        until_s = time.monotonic() + GRACE_S
+        try:
+            for process in ordered:
+                process.end(max(0.0, until_s - time.monotonic()))
+        finally:
+            for process in ordered:
+                process.end(0)
+
+    def _start(
+        self, process: ProcessPlan, python: str, packages: tuple[str, ...]
+    ) -> None:
+        running = self._processes.get(process.name)
+        if running is not None and running.exit_status is None:
+            raise FleetError(f"{process.name} runs already as {running.pid}")
+        path = process.settings_path(self._plan.folder)
+        self._processes[process.name] = ManagedProcess(
+            process.name,
+            [python, "-m", process.module, "--settings", str(path)],
+            self._plan.folder / f"{process.name}.log",
+            _python_path(packages),
+        )
+
+    def _daemon(self, name: str) -> ProcessPlan:
+        for daemon in self._plan.daemons:
+            if daemon.name == name:
+                return daemon
+        raise FleetError(f"no entry host {name!r}")
+
+    async def _missing(self) -> list[str]:
+        """Return the daemons that are not well and the zones without a leader."""
+        missing = []
+        served: set[str] = set()
+        for daemon in self._plan.daemons:
+            process = self._processes.get(daemon.name)
+            if process is None or process.exit_status is not None:
+                continue
+            health = await self.health(daemon.name)
+            if health.get("status") != "ok":
+                missing.append(daemon.name)
+            served.update(serving_zones(health))
+        zones = self._plan.deployment.availability_zones
+        return missing + [zone for zone in zones if zone not in served]
+
+    async def _wait_answer(self, address: str, target: str, until_s: float) -> None:
+        while not await self._get(address, target):
+            if time.monotonic() >= until_s:
+                raise FleetError(f"no answer from {address}{target}")
+            await curio.sleep(POLL_S)
+
+    async def _get(self, address: str, target: str) -> dict[str, Any]:
+        try:
+            response = await self._client.request("GET", address, target)
+            return response.json() if response.status == 200 else {}
+        except (HttpError, ValueError):
+            return {}
+
+
+def serving_zones(health: dict[str, Any]) -> set[str]:
+    """Return the zones that a daemon's health says have a serving leader."""
+    leaders = health.get("leaders", {})
+    return {zone for zone, leader in leaders.items() if leader.get("serving")}
+
+
+def _python_path(packages: tuple[str, ...]) -> str:
+    return ":".join(str(Path(ROOT, "packages", name, "src")) for name in packages)
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/load/__init__.py
@@ -0,0 +1,18 @@
+"""Open-loop load: sends a trace to the entry hosts and tallies what came back."""
+
+from ._call import Call, CallResult, Ending, Step, StepKind
+from ._client import LoadClient, LoadSettings, load_settings
+from ._tally import KindTally, tally_by_kind
+
+__all__ = [
+    "Call",
+    "CallResult",
+    "Ending",
+    "KindTally",
+    "LoadClient",
+    "LoadSettings",
+    "Step",
+    "StepKind",
+    "load_settings",
+    "tally_by_kind",
+]
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/load/_call.py
@@ -0,0 +1,173 @@
+"""What a caller does about one request; no input or output."""
+
+import hashlib
+from enum import StrEnum
+from typing import Any, NamedTuple
+
+from marigoldpath_core.requests import RequestPayload
+
+RETRY_MS = 100
+POLL_MS = 200
+ASK_LIMIT_MS = 40_000
+
+
+class Ending(StrEnum):
+    """How a request ended for its caller; `accepted` is for standing requests."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    WRONG = "wrong"
+    ACCEPTED = "accepted"
+
+
+class StepKind(StrEnum):
+    """What the caller does next."""
+
+    SUBMIT = "submit"
+    ASK = "ask"
+    FINISH = "finish"
+
+
+class Step(NamedTuple):
+    """The next step and the time to wait before it."""
+
+    kind: StepKind
+    delay_ms: int = 0
+
+
+class CallResult(NamedTuple):
+    """The end of one request; `latency_ms` counts from its first sending."""
+
+    name: str
+    request: RequestPayload
+    ending: Ending
+    latency_ms: int
+    attempts: int
+    code: str = ""
+
+    @property
+    def wait_ms(self) -> int:
+        """The latency without the run time of the task."""
+        return max(0, self.latency_ms - (self.request["work"].get("run_ms") or 0))
+
+
+class Call:
+    """A caller's view of one request.
+
+    The caller repeats the same id within the request's deadline when an attempt was
+    lost or was answered 503. When the last answer leaves open whether an attempt ran,
+    it asks for the state until `ASK_LIMIT_MS` after the deadline.
+    """
+
+    def __init__(self, request: RequestPayload, now_ms: int, standing: bool) -> None:
+        self._request = request
+        self._standing = standing
+        self._started_ms = now_ms
+        self._deadline_ms = now_ms + request["deadline_ms"]
+        self._ambiguous = False
+        self._accepted = False
+        self._attempts = 0
+        self._ending: Ending | None = None
+        self._ended_ms = now_ms
+        self._code = ""
+
+    @property
+    def name(self) -> str:
+        """The identity `team/zone/id`."""
+        request = self._request
+        return f"{request['team']}/{request['availability_zone']}/{request['id']}"
+
+    @property
+    def deadline_ms(self) -> int:
+        """The end of the request's deadline on the caller's clock."""
+        return self._deadline_ms
+
+    def result(self) -> CallResult:
+        """Return the end; raises ValueError while there is none."""
+        if self._ending is None:
+            raise ValueError(f"{self.name} has not ended")
+        latency_ms = self._ended_ms - self._started_ms
+        return CallResult(
+            self.name,
+            self._request,
+            self._ending,
+            latency_ms,
+            self._attempts,
+            self._code,
+        )
+
+    def on_not_sent(self, now_ms: int) -> Step:
+        """Note that no connection could be made."""
+        return self._retry(now_ms, RETRY_MS, "not_sent")
+
+    def on_lost(self, now_ms: int) -> Step:
+        """Note that a submission was sent and its answer lost."""
+        self._attempts += 1
+        self._ambiguous = True
+        return self._retry(now_ms, RETRY_MS, "reply_lost")
+
+    def on_reply(self, now_ms: int, status: int, payload: dict[str, Any]) -> Step:
+        """Note the reply to a submission."""
+        self._attempts += 1
+        if status == 200:
+            return self._finish_answered(now_ms, payload.get("answer"))
+        if status == 202:
+            self._accepted = True
+            if self._standing:
+                return self._finish(now_ms, Ending.ACCEPTED)
+            return Step(StepKind.ASK, POLL_MS)
+        if payload.get("outcome") == "unknown":
+            self._ambiguous = True
+        code = str(payload.get("code", status))
+        if status == 503:
+            pause_ms = max(RETRY_MS, int(payload.get("retry_after_ms") or 0))
+            return self._retry(now_ms, pause_ms, code)
+        return self._close(now_ms, code)
+
+    def on_state(self, now_ms: int, status: int, payload: dict[str, Any]) -> Step:
+        """Note the reply to a question for the state; status 0 is no reply."""
+        if status == 200 and payload.get("outcome") == "done":
+            return self._finish_answered(now_ms, payload.get("answer"))
+        is_refused = status == 200 and payload.get("outcome") == "not_run"
+        is_absent = status == 404 and not self._accepted
+        if is_refused or is_absent:
+            return self._finish(now_ms, Ending.NOT_RUN)
+        if now_ms >= self._deadline_ms + ASK_LIMIT_MS:
+            return self._finish(now_ms, Ending.UNKNOWN)
+        return Step(StepKind.ASK, POLL_MS)
+
+    def _retry(self, now_ms: int, pause_ms: int, code: str) -> Step:
+        if now_ms + pause_ms < self._deadline_ms:
+            self._code = code
+            return Step(StepKind.SUBMIT, pause_ms)
+        return self._close(now_ms, code)
+
+    def _close(self, now_ms: int, code: str) -> Step:
+        self._code = code
+        if self._ambiguous:
+            return Step(StepKind.ASK, 0)
+        return self._finish(now_ms, Ending.NOT_RUN)
+
+    def _finish_answered(self, now_ms: int, answer: Any) -> Step:
+        whole = is_own_answer(self.name, answer)
+        return self._finish(now_ms, Ending.DONE if whole else Ending.WRONG)
+
+    def _finish(self, now_ms: int, ending: Ending) -> Step:
+        self._ending = ending
+        self._ended_ms = now_ms
+        return Step(StepKind.FINISH)
+
+
+def is_own_answer(name: str, answer: Any) -> bool:
+    """Return whether an answer is whole and carries the request's identity."""
+    if not isinstance(answer, dict):
+        return False
+    text = answer.get("text")
+    if not isinstance(text, str) or f"{name}#" not in text:
+        return False
+    data = text.encode()
+    return (
+        answer.get("length") == len(data)
+        and answer.get("digest") == hashlib.sha256(data).hexdigest()
+    )
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/load/_client.py
@@ -0,0 +1,131 @@
+"""Sends a trace to the entry hosts in turn, as the platform's balancer would."""
+
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import curio
+
+from marigoldpath_bench.deployment import Deployment
+from marigoldpath_bench.server import now_ms
+from marigoldpath_bench.trace import TraceItem
+from marigoldpath_node.http import (
+    HttpClient,
+    HttpClientSettings,
+    HttpError,
+    NotSentError,
+)
+
+from ._call import Call, CallResult, Step, StepKind
+
+REPLY_MARGIN_S = 2.0
+ASK_REPLY_S = 2.0
+
+
+class LoadSettings(NamedTuple):
+    """Entry hosts' addresses, each team's key and the kinds that run on for ever."""
+
+    addresses: tuple[str, ...]
+    keys: dict[str, str]
+    standing_kinds: frozenset[str] = frozenset()
+
+
+def load_settings(deployment: Deployment, addresses: list[str]) -> LoadSettings:
+    """Return the settings for the callers of a deployment."""
+    return LoadSettings(
+        tuple(addresses),
+        {key.team: key.key for key in deployment.keys if key.team},
+        frozenset(kind.name for kind in deployment.kinds if kind.standing),
+    )
+
+
+class LoadClient:
+    """An open-loop client: a request is sent at its time, whatever became of others."""
+
+    def __init__(self, settings: LoadSettings) -> None:
+        self._settings = settings
+        self._client = HttpClient(HttpClientSettings(connect_s=1.0, max_kept=64))
+        self._next_address = 0
+        self._results: list[CallResult] = []
+
+    @property
+    def results(self) -> list[CallResult]:
+        """The requests that have ended so far."""
+        return self._results
+
+    async def run(self, trace: Iterable[TraceItem]) -> list[CallResult]:
+        """Send all requests and return their ends."""
+        started_ms = now_ms()
+        async with curio.TaskGroup() as tasks:
+            for item in trace:
+                left_ms = started_ms + item.at_ms - now_ms()
+                if left_ms > 0:
+                    await curio.sleep(left_ms / 1_000)
+                await tasks.spawn(self._follow, item)
+        return self._results
+
+    async def cancel(self, result: CallResult) -> bool:
+        """Cancel a request; return whether an entry host confirmed it."""
+        for _ in self._settings.addresses:
+            status, _ = await self._exchange("DELETE", result.name, result.request)
+            if status in (200, 202, 204):
+                return True
+        return False
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    async def _follow(self, item: TraceItem) -> None:
+        standing = item.request["kind"] in self._settings.standing_kinds
+        call = Call(item.request, now_ms(), standing)
+        step = Step(StepKind.SUBMIT)
+        while step.kind is not StepKind.FINISH:
+            if step.delay_ms:
+                await curio.sleep(step.delay_ms / 1_000)
+            if step.kind is StepKind.SUBMIT:
+                step = await self._submit(call, item.request)
+            else:
+                reply = await self._exchange("GET", call.name, item.request)
+                step = call.on_state(now_ms(), *reply)
+        self._results.append(call.result())
+
+    async def _submit(self, call: Call, request: Any) -> Step:
+        left_s = max(0, call.deadline_ms - now_ms()) / 1_000
+        try:
+            response = await self._client.request(
+                "POST",
+                self._address(),
+                "/v1/requests",
+                value=request,
+                headers=self._headers(request),
+                reply_s=left_s + REPLY_MARGIN_S,
+            )
+            return call.on_reply(now_ms(), response.status, response.json())
+        except NotSentError:
+            return call.on_not_sent(now_ms())
+        except (HttpError, ValueError):
+            return call.on_lost(now_ms())
+
+    async def _exchange(
+        self, method: str, name: str, request: Any
+    ) -> tuple[int, dict[str, Any]]:
+        """Return the status and body of a reply about a request; 0 for no reply."""
+        try:
+            response = await self._client.request(
+                method,
+                self._address(),
+                f"/v1/requests/{name}",
+                headers=self._headers(request),
+                reply_s=ASK_REPLY_S,
+            )
+            return response.status, response.json() if response.body else {}
+        except (HttpError, ValueError):
+            return 0, {}
+
+    def _address(self) -> str:
+        addresses = self._settings.addresses
+        self._next_address = (self._next_address + 1) % len(addresses)
+        return addresses[self._next_address]
+
+    def _headers(self, request: Any) -> dict[str, str]:
+        return {"authorization": f"Bearer {self._settings.keys[request['team']]}"}
--- /dev/null
+++ b/tests/bench/test_demo.py
@@ -0,0 +1,44 @@
+"""Tests of how a run is summed up."""
+
+import unittest
+
+from marigoldpath_bench.demo import Summary, summarise
+from marigoldpath_bench.load import CallResult, Ending
+from marigoldpath_bench.oracle import Interval, Verdict
+
+
+def result(ending: Ending) -> CallResult:
+    work = {"team": "t", "availability_zone": "z", "id": "1", "kind": "k", "size": {}}
+    return CallResult("t/z/1", work, ending, 5, 1)  # type: ignore[arg-type]
+
+
+def run(status: str = "done", end_ms: int | None = 5) -> Interval:
+    return Interval("w1", "t/z/1#1.0", 0, end_ms, True, status)
+
+
+class SummaryTests(unittest.TestCase):
+    def summarise(self, ending: Ending | None, *runs: Interval) -> Summary:
+        verdict = Verdict(0, 0, 0, (), {"t/z/1": list(runs)} if runs else {})
+        results = [] if ending is None else [result(ending)]
+        return summarise(["t/z/1"], results, verdict)
+
+    def test_an_answer_that_a_worker_gave_counts(self) -> None:
+        summary = self.summarise(Ending.DONE, run())
+        self.assertEqual(
+            summary.line(),
+            "demo: requests=1 answered=1 refused=0 lost=0 duplicated=0 overcommitted=0",
+        )
+        self.assertTrue(summary.passed)
+
+    def test_a_refusal_of_what_ran_does_not_pass(self) -> None:
+        self.assertEqual(self.summarise(Ending.NOT_RUN).refused, 1)
+        self.assertFalse(self.summarise(Ending.NOT_RUN, run()).passed)
+
+    def test_a_request_without_an_end_is_lost(self) -> None:
+        for ending in (None, Ending.UNKNOWN, Ending.WRONG):
+            self.assertEqual(self.summarise(ending, run()).lost, 1)
+
+    def test_a_standing_request_must_have_run_and_ended(self) -> None:
+        self.assertEqual(self.summarise(Ending.ACCEPTED, run("stopped")).answered, 1)
+        self.assertEqual(self.summarise(Ending.ACCEPTED, run("", None)).lost, 1)
+        self.assertEqual(self.summarise(Ending.ACCEPTED).lost, 1)
--- /dev/null
+++ b/tests/bench/test_deployment.py
@@ -0,0 +1,69 @@
+"""Tests of the deployments, their settings files and their traces."""
+
+import json
+import tempfile
+import unittest
+from collections import Counter
+from pathlib import Path
+
+from marigoldpath_bench.deployment import (
+    Deployment,
+    count_ports,
+    find_deployment,
+    load_deployment,
+    plan_run,
+    write_run,
+)
+from marigoldpath_bench.trace import TraceSettings, generate_trace, read_trace
+from marigoldpath_core.requests import parse_request
+from marigoldpath_core.settings import DaemonSettings
+
+
+def load(name: str) -> Deployment:
+    return load_deployment(find_deployment(name) / "deployment.json")
+
+
+class DeploymentTests(unittest.TestCase):
+    def test_the_hosts_are_those_of_the_design_page(self) -> None:
+        for name, entry_hosts, in_rack, cores in (
+            ("skala", 6, 6, 64),
+            ("sfax", 7, 8, 32),
+        ):
+            deployment = load(name)
+            workers = deployment.workers()
+            self.assertEqual(len(workers), 24)
+            self.assertEqual(len(deployment.entry_hosts), entry_hosts)
+            racks = Counter(worker.rack for worker in workers)
+            self.assertEqual(set(racks.values()), {in_rack})
+            self.assertEqual({w.capacity.cpu_millis for w in workers}, {cores * 1_000})
+
+    def test_no_two_sockets_of_a_run_share_a_port(self) -> None:
+        deployment = load("sfax")
+        plan = plan_run(deployment, 20_000, Path("run"))
+        addresses = [host.address for host in (*plan.worker_hosts, *plan.daemons)]
+        addresses.append(plan.platform.address)
+        self.assertEqual(len(set(addresses)), count_ports(deployment))
+
+    def test_settings_files_hold_the_fields_of_the_daemon_settings(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            plan = plan_run(load("skala"), 20_000, Path(folder))
+            write_run(plan)
+            path = plan.daemons[0].settings_path(Path(folder))
+            settings = json.loads(path.read_text())
+        self.assertEqual(set(settings), set(DaemonSettings._fields))
+        self.assertEqual(settings["listen"]["port"], 20_001)
+
+
+class TraceTests(unittest.TestCase):
+    def test_the_kept_traces_are_those_of_seed_1(self) -> None:
+        for name in ("skala", "sfax"):
+            kept = read_trace(find_deployment(name) / "trace.jsonl")
+            self.assertEqual(kept, generate_trace(load(name), TraceSettings(1)))
+
+    def test_every_request_is_valid_and_all_kinds_occur(self) -> None:
+        for name in ("skala", "sfax"):
+            deployment = load(name)
+            trace = generate_trace(deployment, TraceSettings(7))
+            self.assertTrue(all(parse_request(item.request).is_ok() for item in trace))
+            kinds = {item.request["kind"] for item in trace}
+            self.assertEqual(kinds, {kind.name for kind in deployment.kinds})
--- /dev/null
+++ b/tests/bench/test_fleet.py
@@ -0,0 +1,64 @@
+"""Tests of the process manager, with the stand-ins only."""
+
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+import curio
+
+from marigoldpath_bench.deployment import (
+    count_ports,
+    find_deployment,
+    load_deployment,
+    plan_run,
+)
+from marigoldpath_bench.fleet import Fleet, free_base_port
+from marigoldpath_bench.fleet._fleet import serving_zones
+
+
+def is_alive(pid: int) -> bool:
+    try:
+        os.kill(pid, 0)
+    except ProcessLookupError:
+        return False
+    return True
+
+
+class FleetTests(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        deployment = load_deployment(find_deployment("sfax") / "deployment.json")
+        port = free_base_port(count_ports(deployment))
+        self.plan = plan_run(deployment, port, Path(folder.name))
+
+    def test_no_process_is_left_after_an_exception_even_if_stopped(self) -> None:
+        pids: list[int] = []
+        with self.assertRaises(KeyboardInterrupt), Fleet(self.plan, "") as fleet:
+            curio.run(fleet.start_surroundings)
+            pids = [process.pid for process in fleet.processes.values()]
+            fleet.pause("workers-thyna")
+            raise KeyboardInterrupt
+        self.assertEqual(len(pids), 4)
+        self.assertEqual([pid for pid in pids if is_alive(pid)], [])
+
+    def test_the_host_list_names_workers_that_answer(self) -> None:
+        async def run(fleet: Fleet) -> None:
+            await fleet.start_surroundings()
+            reply = await fleet.control(self.plan.worker_hosts[5].address, {})
+            self.assertEqual(reply["mode"], "ok")
+            fleet.kill("workers-thyna")
+            process = fleet.processes["workers-thyna"]
+            self.assertEqual(await process.wait(5), -9)
+            await fleet.close()
+
+        with Fleet(self.plan, "") as fleet:
+            curio.run(run, fleet)
+        self.assertEqual(len(self.plan.record_paths), 3)
+        for path in self.plan.record_paths:
+            self.assertIn('"up"', path.read_text())
+
+    def test_a_leader_that_does_not_serve_yet_is_not_ready(self) -> None:
+        health = {"leaders": {"thyna": {"serving": False}, "zadar": {"serving": True}}}
+        self.assertEqual(serving_zones(health), {"zadar"})
--- /dev/null
+++ b/tests/bench/test_load.py
@@ -0,0 +1,134 @@
+"""Tests of the callers' side and of its tallies."""
+
+import unittest
+from typing import Any
+
+import curio
+
+from marigoldpath_bench.load import (
+    Call,
+    Ending,
+    LoadClient,
+    LoadSettings,
+    Step,
+    StepKind,
+    tally_by_kind,
+)
+from marigoldpath_bench.trace import TraceItem
+from marigoldpath_bench.worker._messages import make_answer
+from marigoldpath_core.requests import RequestPayload
+from marigoldpath_node.http import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    HttpServerSettings,
+    json_response,
+)
+
+UNAVAILABLE = {"code": "no_leader", "outcome": "not_run", "retry_after_ms": 300}
+
+
+def request(name: str = "7") -> RequestPayload:
+    return {
+        "id": name,
+        "team": "t",
+        "availability_zone": "z",
+        "kind": "k",
+        "size": {},
+        "deadline_ms": 1_000,
+        "work": {"run_ms": 50},
+    }
+
+
+def done(text: str) -> dict[str, Any]:
+    return {"outcome": "done", "answer": make_answer(text)._asdict()}
+
+
+class CallTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.call = Call(request(), 0, False)
+
+    def ending(self) -> str:
+        return self.call.result().ending
+
+    def test_a_whole_answer_ends_it(self) -> None:
+        self.call.on_reply(80, 200, done("answer of t/z/7#1.0"))
+        self.assertEqual(self.ending(), Ending.DONE)
+        self.assertEqual(self.call.result().wait_ms, 30)
+
+    def test_the_answer_of_another_request_is_wrong(self) -> None:
+        self.call.on_reply(80, 200, done("answer of t/z/77#1.0"))
+        self.assertEqual(self.ending(), Ending.WRONG)
+
+    def test_an_answer_that_was_cut_off_is_wrong(self) -> None:
+        answer = done("answer of t/z/7#1.0 and more")
+        answer["answer"]["text"] = "answer of t/z/7#1.0"
+        self.call.on_reply(80, 200, answer)
+        self.assertEqual(self.ending(), Ending.WRONG)
+
+    def test_not_run_is_retried_until_the_deadline_and_then_final(self) -> None:
+        step = self.call.on_reply(100, 503, UNAVAILABLE)
+        self.assertEqual(step, Step(StepKind.SUBMIT, 300))
+        self.call.on_reply(800, 503, UNAVAILABLE)
+        self.assertEqual(self.ending(), Ending.NOT_RUN)
+
+    def test_not_run_after_a_lost_answer_is_asked_about(self) -> None:
+        self.call.on_lost(100)
+        self.assertEqual(self.call.on_reply(950, 503, UNAVAILABLE).kind, StepKind.ASK)
+        self.call.on_state(1_200, 200, done("answer of t/z/7#1.0"))
+        self.assertEqual(self.ending(), Ending.DONE)
+
+    def test_an_accepted_request_that_is_not_found_is_no_refusal(self) -> None:
+        self.call.on_reply(10, 202, {"outcome": "accepted"})
+        self.assertEqual(self.call.on_state(20, 404, {}).kind, StepKind.ASK)
+        self.call.on_state(1_000 + 40_000, 404, {})
+        self.assertEqual(self.ending(), Ending.UNKNOWN)
+
+    def test_a_fault_of_the_request_is_not_retried(self) -> None:
+        self.call.on_reply(10, 400, {"code": "bad_field", "outcome": "not_run"})
+        self.assertEqual(self.ending(), Ending.NOT_RUN)
+
+
+class TallyTests(unittest.TestCase):
+    def test_waiting_times_leave_out_the_run_time(self) -> None:
+        results = []
+        for latency_ms in (60, 70, 80):
+            call = Call(request(), 0, False)
+            call.on_reply(latency_ms, 200, done("t/z/7#1.0"))
+            results.append(call.result())
+        tally = tally_by_kind(results)[0]
+        self.assertEqual((tally.wait_p50_ms, tally.wait_p99_ms), (20, 30))
+        self.assertEqual(tally.endings, {"done": 3})
+
+
+class LoadClientTests(unittest.TestCase):
+    def test_a_lost_connection_is_repeated_through_another_entry_host(self) -> None:
+        seen: list[str] = []
+
+        async def losing(_request: HttpRequest) -> HttpResponse:
+            seen.append("losing")
+            raise ConnectionAbortedError
+
+        async def answering(message: HttpRequest) -> HttpResponse:
+            seen.append(message.headers["authorization"])
+            return json_response(200, done("t/z/7#1.0"))
+
+        async def run() -> Any:
+            servers = [
+                HttpServer(HttpServerSettings("127.0.0.1", 0), handler)
+                for handler in (answering, losing)
+            ]
+            for server in servers:
+                server.listen()
+            tasks = [await curio.spawn(server.run) for server in servers]
+            addresses = tuple(f"127.0.0.1:{server.port}" for server in servers)
+            client = LoadClient(LoadSettings(addresses, {"t": "secret"}))
+            results = await client.run([TraceItem(0, request())])
+            await client.close()
+            for task in tasks:
+                await task.cancel()
+            return results
+
+        results = curio.run(run)
+        self.assertEqual(seen, ["losing", "Bearer secret"])
+        self.assertEqual((results[0].ending, results[0].attempts), (Ending.DONE, 2))
