--- a/packages/bench/src/marigoldpath_bench/demo/_judge.py
+++ b/packages/bench/src/marigoldpath_bench/demo/_judge.py
@@ -77,6 +77,8 @@
 def _is_answered(result: CallResult, runs: list[Interval]) -> bool:
     if result.ending is Ending.DONE:
         return any(run.status == "done" for run in runs)
+    if result.ending is Ending.FAILED:
+        return any(run.status == "failed" for run in runs)
     if result.ending is Ending.ACCEPTED:
         return bool(runs) and all(run.end_ms is not None for run in runs)
     return False
--- a/packages/bench/src/marigoldpath_bench/deployment/_settings.py
+++ b/packages/bench/src/marigoldpath_bench/deployment/_settings.py
@@ -99,7 +99,7 @@
     deployment: Deployment, host: EntryHostPlan, port: int, platform_address: str
 ) -> ProcessPlan:
     settings = daemon_settings(deployment, host, port, platform_address)
-    payload = _merge(_plain(settings), deployment.daemon)
+    payload = _merge(_changed(settings), deployment.daemon)
     return ProcessPlan(host.name, "marigoldpath_node", payload, settings.address)
 
 
@@ -166,6 +166,16 @@
     return value
 
 
+def _changed(settings: DaemonSettings) -> dict[str, Any]:
+    """Return the fields that differ from their defaults, as a settings file has them."""
+    defaults = DaemonSettings._field_defaults
+    return {
+        name: _plain(value)
+        for name, value in settings._asdict().items()
+        if name not in defaults or value != defaults[name]
+    }
+
+
 def _merge(settings: dict[str, Any], changes: dict[str, Any]) -> dict[str, Any]:
     """Return settings with the named fields of nested objects replaced."""
     merged = dict(settings)
--- a/packages/bench/src/marigoldpath_bench/worker/_machine.py
+++ b/packages/bench/src/marigoldpath_bench/worker/_machine.py
@@ -34,6 +34,8 @@
         self.size = item.size
         self.lease_until_ms = item.lease_until_ms
         self.work = item.work
+        use = item.work.get("use")
+        self.real_size = item.size if use is None else Size(**use)
         self.started_ms = now
         self.percent = 100
         run_ms = item.work.get("run_ms", None if item.task.startswith(CLAIM) else 0)
@@ -52,8 +54,7 @@
         self.percent = percent
 
     def used(self) -> Size:
-        use = self.work.get("use")
-        size = self.size if use is None else Size(**use)
+        size = self.real_size
         return size._replace(cpu_millis=size.cpu_millis * self.percent // 100)
 
 
@@ -70,6 +71,7 @@
         self._behaviour = Behaviour()
         self._runs: dict[int, _Run] = {}
         self._total = Size()
+        self._used = Size()
         self._sequence = 0
         self._events: list[Event] = []
         self._hidden: list[Event] = []
@@ -124,6 +126,7 @@
                 run.finish_ms = now_ms
             self._runs[run.sequence] = run
             self._total = self._total.plus(run.size)
+            self._used = self._used.plus(run.real_size)
             self._record(now_ms, "started", item, holder, run=run.sequence)
         self.advance(now_ms)
         return statuses
@@ -231,6 +234,7 @@
     def _remove(self, run: _Run, at_ms: int, status: str) -> None:
         del self._runs[run.sequence]
         self._total = self._total.minus(run.size)
+        self._used = self._used.minus(run.real_size)
         item = StartItem(run.task, run.size, 0, 0, run.work)
         self._record(at_ms, "ended", item, run.holder, run=run.sequence, status=status)
 
@@ -255,6 +259,7 @@
                 event=event,
                 size=item.size,
                 total=self._total,
+                used=self._used,
                 task=item.task,
                 holder=holder,
                 run=run,
--- a/packages/bench/src/marigoldpath_bench/worker/_messages.py
+++ b/packages/bench/src/marigoldpath_bench/worker/_messages.py
@@ -28,10 +28,11 @@
 
 
 class Record(NamedTuple):
-    """A line of the record file; `total` is what runs on the worker after it.
+    """A line of the record file; `total` is the size of what runs after it.
 
     `event` is `up`, `started`, `ended` or `expired`. `size` is the worker's capacity
-    in an `up` record, which also says that nothing runs any more.
+    in an `up` record, which also says that nothing runs any more. `used` is what the
+    runs really use, which may be more or less than the sizes they were started with.
     """
 
     clock_ms: int
@@ -39,6 +40,7 @@
     event: str
     size: Size
     total: Size
+    used: Size = Size()
     task: str = ""
     holder: str = ""
     run: int = 0
@@ -92,6 +94,7 @@
         "at_ms": record.clock_ms - offset_ms,
         "size": record.size._asdict(),
         "total": record.total._asdict(),
+        "used": record.used._asdict(),
     }
 
 
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -60,6 +60,10 @@
         self.call.on_reply(80, 200, done("answer of t/z/77#1.0"))
         self.assertEqual(self.ending(), Ending.WRONG)
 
+    def test_a_task_that_failed_is_no_wrong_answer(self) -> None:
+        self.call.on_reply(80, 200, {"outcome": "done", "code": "task_failed"})
+        self.assertEqual(self.ending(), Ending.FAILED)
+
     def test_an_answer_that_was_cut_off_is_wrong(self) -> None:
         answer = done("answer of t/z/7#1.0 and more")
         answer["answer"]["text"] = "answer of t/z/7#1.0"
--- a/tests/bench/test_oracle.py
+++ b/tests/bench/test_oracle.py
@@ -40,6 +40,10 @@
         self.workers[0].start(0, "h", [start("t/z/1#1.0", slots=3)])
         self.assertEqual(self.counts(), (1, 0, 0))
 
+    def test_real_use_above_the_capacity_is_counted_apart(self) -> None:
+        self.workers[0].start(0, "h", [start("t/z/1#1.0", use={"memory_mb": 101})])
+        self.assertEqual(self.judge()[:4], (0, 0, 0, 1))
+
     def test_two_attempts_at_once_on_two_workers_are_counted(self) -> None:
         self.workers[0].start(0, "h", [start("t/z/1#1.0")])
         self.workers[1].start(99, "h", [start("t/z/1#2.0")])
