--- /dev/null
+++ b/tests/core/test_report.py
@@ -0,0 +1,118 @@
+"""Tests of the day's report."""
+
+import json
+import unittest
+
+from marigoldpath_core.configuration import Configuration, WorkKind
+from marigoldpath_core.report import (
+    REPORT_SECTIONS,
+    WAIT_BOUNDS_MS,
+    WAIT_CLASSES,
+    DayRecord,
+    Flood,
+    FloodShare,
+    HostRemoval,
+    KindDay,
+    Refusal,
+    TeamDay,
+    WaitCause,
+    decode_day,
+    encode_day,
+    encode_report,
+    make_report,
+    merge_days,
+    wait_at,
+    wait_class,
+)
+
+
+def waits(**by_ms: int) -> tuple[int, ...]:
+    counts = [0] * WAIT_CLASSES
+    for name, count in by_ms.items():
+        counts[wait_class(int(name[1:]))] += count
+    return tuple(counts)
+
+
+def sample_day(zone: str = "zadar") -> DayRecord:
+    return DayRecord(
+        day="2031-05-07",
+        availability_zones=(zone,),
+        kinds=(
+            KindDay("plan", 110, 90, 12, 1, 2, 3, 2, 7_200, waits=waits(_4=97, _900=3)),
+            KindDay("watch"),
+        ),
+        teams=(TeamDay("workshop", 90, 12, 7_200),),
+        wait_causes=(WaitCause("plan", "capacity", 30, 60_000),),
+        refusals=(
+            Refusal("plan", "workshop", "over_quota", "cpu_millis", 9, 8_000, 4_500),
+            Refusal("plan", "workshop", "strange", requests=3, message="Call us."),
+        ),
+        floods=(Flood("plan", "10:15", 20, (FloodShare("watch", 10.0, 5.0),)),),
+        hosts=(HostRemoval("worker-3", zone, "failing", "11:02", "", 4),),
+    )
+
+
+CONFIGURATION = Configuration(1, (WorkKind("plan"), WorkKind("watch", floor=0.1)))
+
+
+class ReportTests(unittest.TestCase):
+    def section(self, name: str, record: DayRecord | None = None) -> str:
+        """Return the JSON text of one section."""
+        report = make_report(record or sample_day(), CONFIGURATION)
+        found = next(s for s in encode_report(report)["sections"] if s["name"] == name)
+        return json.dumps(found)
+
+    def test_every_section_says_so_when_there_is_nothing_to_tell(self) -> None:
+        report = make_report(DayRecord("2031-05-07", ("zadar",)), CONFIGURATION)
+        self.assertEqual(len(report.sections), len(list(REPORT_SECTIONS)))
+        for section in report.sections:
+            self.assertTrue(section.summary[0], section.name)
+
+    def test_a_refusal_says_what_to_change_in_the_sheets_units(self) -> None:
+        text = self.section("refusals")
+        self.assertIn("from 4.5 processor cores to at least 8 processor cores", text)
+        self.assertIn("Call us.", text)
+
+    def test_the_waits_are_given_with_their_cause_in_words(self) -> None:
+        text = self.section("waits")
+        self.assertIn("no worker had room", text)
+        self.assertIn('["plan", "5 ms", "1.1 s"]', text)
+        self.assertIn('["watch", "none started", "none started"]', text)
+
+    def test_a_kind_that_lost_work_in_a_flood_gets_advice(self) -> None:
+        self.assertIn('"50%", "10%", "raise the floor', self.section("floods"))
+
+    def test_unknown_outcomes_are_pointed_out(self) -> None:
+        self.assertIn("nobody can say whether they ran", self.section("work"))
+
+    def test_a_host_that_is_still_out_is_named_as_such(self) -> None:
+        self.assertIn("still out", self.section("hosts"))
+
+
+class DayRecordTests(unittest.TestCase):
+    def test_the_json_form_keeps_everything(self) -> None:
+        payload = json.loads(json.dumps(encode_day(sample_day())))
+        self.assertEqual(decode_day(payload).unwrap(), sample_day())
+
+    def test_json_that_is_no_record_is_an_error(self) -> None:
+        short = {**encode_day(sample_day()), "kinds": [{"kind": "a", "waits": [1]}]}
+        for payload in (None, [], {}, short):
+            self.assertTrue(decode_day(payload).is_err())
+
+    def test_zones_are_added_up(self) -> None:
+        merged = merge_days([sample_day("zadar"), sample_day("rijeka")])
+        self.assertEqual(merged.availability_zones, ("zadar", "rijeka"))
+        self.assertEqual(merged.kinds[0].done, 180)
+        self.assertEqual(wait_at(merged.kinds[0].waits, 0.5), 5)
+        self.assertEqual(merged.refusals[0].requests, 18)
+        self.assertEqual(len(merged.hosts), 2)
+
+    def test_each_wait_is_counted_in_its_class(self) -> None:
+        for index, bound in enumerate(WAIT_BOUNDS_MS):
+            self.assertEqual(
+                (wait_class(bound), wait_class(bound + 1)), (index, index + 1)
+            )
+
+
+if __name__ == "__main__":
+    unittest.main()
