Speed up the choice of a worker

Change: the sum of free shares is kept in the view and updated when a task is put on or taken off; the test of a bucket is unrolled.

--- a/packages/core/src/marigoldpath_core/placement/_index.py
+++ b/packages/core/src/marigoldpath_core/placement/_index.py
@@ -34,16 +34,25 @@
         """Yield the workers that have `size` free."""
         if not size.fits(self.bound):
             return
-        bound = Size()
+        cpu, memory, accelerators, slots, connections = size
         found = False
         for view in self.members.values():
-            if size.fits(view.free):
+            free = view.free
+            if (
+                cpu <= free[0]
+                and memory <= free[1]
+                and accelerators <= free[2]
+                and slots <= free[3]
+                and connections <= free[4]
+            ):
                 found = True
                 yield view
-            elif not found:
-                bound = _maximum(bound, view.free)
         if not found:
-            self.bound = bound
+            self._tighten()
+
+    def _tighten(self) -> None:
+        free = (view.free for view in self.members.values())
+        self.bound = Size(*map(max, zip(*free)))
 
 
 BucketKey = tuple[int, int]
@@ -52,8 +61,8 @@
 class FreeIndex:
     """Open workers by free accelerators, processors and memory.
 
-    Workers without accelerators come before those with free accelerators, so that
-    tasks which need none leave these alone while there is other room.
+    Workers without free accelerators come first, so that tasks which need none leave
+    the others alone while there is other room.
     """
 
     def __init__(self) -> None:
@@ -71,8 +80,7 @@
     def put(self, view: WorkerView) -> None:
         """Add a worker or move it to where its free capacity belongs."""
         free = view.free
-        pool = 1 + max(free[2], 0) if view.capacity[2] else 0
-        place = pool, (self._level(free, 0), self._level(free, 1))
+        place = max(free[2], 0), (self._level(free, 0), self._level(free, 1))
         old = self._places.get(view.name)
         if old != place:
             if old is not None:
@@ -92,10 +100,9 @@
 
     def fitting(self, size: Size) -> Iterator[WorkerView]:
         """Yield the workers that have `size` free, nearly the fullest first."""
-        least = 1 + size[2] if size[2] else 0
         order = _search_order(self._level(size, 0), self._level(size, 1))
         for pool in sorted(self._pools):
-            if pool < least:
+            if pool < size[2]:
                 continue
             buckets = self._pools[pool]
             for key in order:
--- a/packages/core/src/marigoldpath_core/placement/_model.py
+++ b/packages/core/src/marigoldpath_core/placement/_model.py
@@ -1,5 +1,6 @@
 """Data types of placement."""
 
+from functools import lru_cache
 from typing import NamedTuple
 
 from marigoldpath_core.requests import Size
@@ -21,9 +22,9 @@
 class WorkerView(NamedTuple):
     """The leader's view of one worker.
 
-    `free` is negative in a dimension where adopted tasks exceed the capacity.
-    `removed` means taken out of service for its failures, `placeable` that the
-    leader's claim allows starts.
+    `free` is negative in a dimension where adopted tasks exceed the capacity, and
+    `slack` is the sum of the free shares over the dimensions. `removed` means taken
+    out of service for its failures, `placeable` that the leader's claim allows starts.
     """
 
     name: str
@@ -31,6 +32,7 @@
     capacity: Size
     used: Size = Size()
     free: Size = Size()
+    slack: float = 0.0
     leaving: bool = False
     removed: bool = False
     placeable: bool = False
@@ -41,6 +43,29 @@
         """Return whether new tasks may be placed on the worker at all."""
         return self.placeable and not self.leaving and not self.removed
 
+    def with_used(self, used: Size) -> "WorkerView":
+        """Return the view with other use and what follows from it."""
+        free = self.capacity.minus(used)
+        slack = share_sum(free, self.capacity)
+        return WorkerView(*self[:3], used, free, slack, *self[6:])  # type: ignore
+
+
+def share_sum(size: Size, capacity: Size) -> float:
+    """Return the sum over the dimensions of the part of the capacity in `size`."""
+    cpu, memory, accelerators, slots, connections = _weights(capacity)
+    return (
+        size[0] * cpu
+        + size[1] * memory
+        + size[2] * accelerators
+        + size[3] * slots
+        + size[4] * connections
+    )
+
+
+@lru_cache(maxsize=1_000)
+def _weights(capacity: Size) -> tuple[float, ...]:
+    return tuple(1.0 / whole if whole else 0.0 for whole in capacity)
+
 
 class RunningWork(NamedTuple):
     """A running task with what decides whether it may make room for another.
--- a/packages/core/src/marigoldpath_core/placement/_policies.py
+++ b/packages/core/src/marigoldpath_core/placement/_policies.py
@@ -7,7 +7,7 @@
 from marigoldpath_core.registry import Registry
 from marigoldpath_core.requests import Size
 
-from ._model import WorkerView
+from ._model import WorkerView, share_sum
 
 # Sixteen fitting workers from the fullest buckets are compared: more cost time in
 # proportion and the packing of the mixed trace did not improve.
@@ -49,14 +49,22 @@
 
 @placement_policy("best_fit")
 def best_fit(workers: Candidates, size: Size, kind: str, team: str) -> str | None:
-    """Choose the worker that the task fills most in all dimensions."""
+    """Choose the worker that the task fills most in all dimensions.
+
+    Workers with more free accelerators come into question only when those with fewer
+    have no room.
+    """
     best = None
     least = 0.0
     for view in islice(workers.fitting(size), SAMPLE):
-        left = remaining(view, size)
-        if best is None or left < least:
-            best, least = view.name, left
-    return best
+        left = view.slack - share_sum(size, view.capacity)
+        if best is None:
+            best, least = view, left
+        elif view.free[2] > best.free[2]:
+            break
+        elif left < least:
+            best, least = view, left
+    return None if best is None else best.name
 
 
 @placement_policy("spread")
@@ -64,23 +72,14 @@
     """Choose a worker in the rack with the fewest tasks of the kind and team."""
     for rack in workers.racks(kind, team):
         found = [
-            (workers.group_count(view.name, kind, team), remaining(view, size), view)
+            (
+                workers.group_count(view.name, kind, team),
+                view.free[2] if not size[2] else 0,
+                view.slack - share_sum(size, view.capacity),
+                view.name,
+            )
             for view in workers.fitting_in_rack(rack, size)
         ]
         if found:
-            return min(found)[2].name
+            return min(found)[-1]
     return None
-
-
-def remaining(view: WorkerView, size: Size) -> float:
-    """Return the sum of the shares that would stay free on a worker.
-
-    Free accelerators count threefold when the task needs none of them.
-    """
-    total = 0.0
-    for free, needed, capacity in zip(view.free, size, view.capacity):
-        if capacity:
-            total += (free - needed) / capacity
-    if view.free[2] > 0 and not size[2]:
-        total += 2.0 * view.free[2] / view.capacity[2]
-    return total
--- a/packages/core/src/marigoldpath_core/placement/_workers.py
+++ b/packages/core/src/marigoldpath_core/placement/_workers.py
@@ -13,7 +13,8 @@
 from ._policies import placement_policies
 
 Group = tuple[str, str]
-NO_COUNTS: Counter[str] = Counter()
+Counts = dict[str, int]
+NO_COUNTS: Counts = {}
 
 
 class Workers:
@@ -27,8 +28,8 @@
         self._tasks: dict[str, dict[str, HeldTask]] = {}
         self._index = FreeIndex()
         self._racks: dict[str, Bucket] = {}
-        self._rack_groups: dict[Group, Counter[str]] = {}
-        self._worker_groups: dict[Group, Counter[str]] = {}
+        self._rack_groups: dict[Group, Counts] = {}
+        self._worker_groups: dict[Group, Counts] = {}
         self._reserved: dict[str, tuple[str, ...]] = {}
         self._capacities: Counter[Size] = Counter()
         self._capacity = Size()
@@ -90,7 +91,7 @@
             self._tasks[worker.name] = {}
             for task in tasks:
                 self._hold(view, task)
-        view = view._replace(leaving=leaving, free=view.capacity.minus(view.used))
+        view = view._replace(leaving=leaving).with_used(view.used)
         self._capacities[view.capacity] += 1
         self._freed += 1
         if self._index.grow(view.capacity):
@@ -125,8 +126,7 @@
             self.release(name, task)
             view = self._views[name]
         self._hold(view, HeldTask(task, size, kind, team))
-        used = view.used.plus(size)
-        self._change(view, used=used, free=view.capacity.minus(used))
+        self._store(view, view.with_used(view.used.plus(size)))
 
     def release(self, name: str, task: str) -> HeldTask | None:
         """Free what a task holds; None if the worker does not hold it."""
@@ -135,8 +135,7 @@
             return None
         view = self._views[name]
         self._count(view, held, -1)
-        used = view.used.minus(held.size)
-        self._change(view, used=used, free=view.capacity.minus(used))
+        self._store(view, view.with_used(view.used.minus(held.size)))
         self._freed += 1
         return held
 
@@ -239,7 +238,7 @@
     def racks(self, kind: str, team: str) -> list[str]:
         """Return the racks, those with the fewest tasks of the kind and team first."""
         counts = self._rack_groups.get((kind, team), NO_COUNTS)
-        return sorted(self._racks, key=lambda rack: (counts[rack], rack))
+        return sorted(self._racks, key=lambda rack: (counts.get(rack, 0), rack))
 
     def fitting_in_rack(self, rack: str, size: Size) -> Iterable[WorkerView]:
         """Return the open workers of a rack with room."""
@@ -247,7 +246,7 @@
 
     def group_count(self, name: str, kind: str, team: str) -> int:
         """Return the number of the kind's and team's tasks on a worker."""
-        return self._worker_groups.get((kind, team), NO_COUNTS)[name]
+        return self._worker_groups.get((kind, team), NO_COUNTS).get(name, 0)
 
     def _place_gang(
         self, size: Size, count: int, choose: Callable[[], str | None], group: Group
@@ -287,10 +286,14 @@
             (self._rack_groups, view.rack),
             (self._worker_groups, view.name),
         ):
-            counts: Counter[str] = groups.setdefault(group, Counter())
-            counts[name] += change
-            if not counts[name]:
-                del counts[name]
+            counts = groups.get(group)
+            if counts is None:
+                counts = groups[group] = {}
+            count = counts.get(name, 0) + change
+            if count:
+                counts[name] = count
+                continue
+            del counts[name]
             if not counts:
                 del groups[group]
 
@@ -298,28 +301,27 @@
         view = self.view(name)
         if any(getattr(view, field) != value for field, value in flags.items()):
             self._freed += 1
-            self._change(view, **flags)
-
-    def _change(self, view: WorkerView, **fields: Size | bool | str) -> None:
-        self._store(view, view._replace(**fields))  # type: ignore[arg-type]
+            self._store(view, view._replace(**flags))  # type: ignore[arg-type]
 
     def _store(self, old: WorkerView | None, new: WorkerView | None) -> None:
-        if old is not None and old.is_open:
+        was_open = old is not None and old.is_open
+        if old is not None and was_open:
             self._capacity = self._capacity.minus(old.capacity)
             self._used = self._used.minus(old.used)
-        if old is not None and (new is None or not new.is_open):
-            self._index.discard(old.name)
-            self._leave_rack(old)
-        if new is None:
-            assert old is not None
-            del self._views[old.name]
-            return
-        self._views[new.name] = new
-        if new.is_open:
-            self._capacity = self._capacity.plus(new.capacity)
-            self._used = self._used.plus(new.used)
-            self._index.put(new)
-            self._racks.setdefault(new.rack, Bucket()).put(new)
+        if new is not None:
+            self._views[new.name] = new
+            if new.is_open:
+                self._capacity = self._capacity.plus(new.capacity)
+                self._used = self._used.plus(new.used)
+                self._index.put(new)
+                self._racks.setdefault(new.rack, Bucket()).put(new)
+                return
+        if old is not None:
+            if new is None:
+                del self._views[old.name]
+            if was_open:
+                self._index.discard(old.name)
+                self._leave_rack(old)
 
     def _leave_rack(self, view: WorkerView) -> None:
         rack = self._racks.get(view.rack)
