--- /dev/null
+++ b/packages/core/src/marigoldpath_core/health/__init__.py
@@ -0,0 +1,15 @@
+"""Workers that fail what they start, and requests that fail wherever they run."""
+
+from ._health import Health
+from ._model import Failure, Verdict, WorkerRecord
+from ._rules import UNPROVEN_STARTS, health_rule, health_rules
+
+__all__ = [
+    "UNPROVEN_STARTS",
+    "Failure",
+    "Health",
+    "Verdict",
+    "WorkerRecord",
+    "health_rule",
+    "health_rules",
+]
