--- a/packages/bench/src/marigoldpath_bench/deployment/_settings.py
+++ b/packages/bench/src/marigoldpath_bench/deployment/_settings.py
@@ -167,7 +167,7 @@
 
 
 def _changed(settings: DaemonSettings) -> dict[str, Any]:
-    """Return the fields that differ from their defaults, as a settings file has them."""
+    """Return the fields that differ from their defaults."""
     defaults = DaemonSettings._field_defaults
     return {
         name: _plain(value)
