--- a/packages/bench/src/marigoldpath_bench/platform/_server.py
+++ b/packages/bench/src/marigoldpath_bench/platform/_server.py
@@ -1,5 +1,6 @@
 """The routes of the platform stand-in."""
 
+import hashlib
 import json
 from collections import Counter
 from collections.abc import Callable
@@ -156,8 +157,13 @@
 
 
 @routes.register(("GET", "/v1/hosts"))
-def _hosts(state: PlatformState, _request: HttpRequest, _key: str) -> HttpResponse:
-    return json_response(200, state.hosts.shown(now_ms()))
+def _hosts(state: PlatformState, request: HttpRequest, _key: str) -> HttpResponse:
+    """Return the host list, or 304 to a caller that has it already."""
+    response = json_response(200, state.hosts.shown(now_ms()))
+    tag = f'"{hashlib.sha256(response.body).hexdigest()[:16]}"'
+    if request.headers.get("if-none-match") == tag:
+        return HttpResponse(304, b"", {"etag": tag})
+    return response._replace(headers={**response.headers, "etag": tag})
 
 
 def _expected(request: HttpRequest) -> int | None:
--- a/tests/bench/test_platform.py
+++ b/tests/bench/test_platform.py
@@ -97,6 +97,14 @@
 
         self.run_with_server(use)
 
+    def test_an_unchanged_host_list_is_not_sent_again(self) -> None:
+        async def use(send: Any) -> None:
+            tag = (await send("GET", "/v1/hosts", None)).headers["etag"]
+            again = await send("GET", "/v1/hosts", None, if_none_match=tag)
+            self.assertEqual((again.status, again.body), (304, b""))
+
+        self.run_with_server(use)
+
     def test_a_cut_touches_the_named_hosts_only(self) -> None:
         async def use(send: Any) -> None:
             await send("POST", "/control", {"mode": "cut", "cut": ["zadar-e1"]})
