--- a/packages/bench/src/marigoldpath_bench/fleet/_fleet.py
+++ b/packages/bench/src/marigoldpath_bench/fleet/_fleet.py
@@ -96,6 +96,14 @@
             self.start_daemon(daemon.name)
         await self.wait_ready(timeout_s)
 
+    def ended(self) -> list[str]:
+        """Return the processes that have ended, each with its exit status."""
+        return [
+            f"{process.name} (status {process.exit_status})"
+            for process in self._processes.values()
+            if process.exit_status is not None
+        ]
+
     async def start_surroundings(self, timeout_s: float = 15.0) -> None:
         """Start the platform and the workers and wait until they answer."""
         stand_ins = (self._plan.platform, *self._plan.workers)
@@ -150,6 +158,8 @@
             missing = await self._missing()
             if not missing:
                 return
+            if not self._running_daemons():
+                raise FleetError(f"ended early, see the logs: {self.ended()}")
             if time.monotonic() >= until_s:
                 raise FleetError(f"not ready in {timeout_s:g} s: {', '.join(missing)}")
             await curio.sleep(POLL_S)
@@ -193,17 +203,22 @@
                 return daemon
         raise FleetError(f"no entry host {name!r}")
 
+    def _running_daemons(self) -> list[str]:
+        names = {daemon.name for daemon in self._plan.daemons}
+        return [
+            name
+            for name, process in self._processes.items()
+            if name in names and process.exit_status is None
+        ]
+
     async def _missing(self) -> list[str]:
         """Return the daemons that are not well and the zones without a leader."""
         missing = []
         served: set[str] = set()
-        for daemon in self._plan.daemons:
-            process = self._processes.get(daemon.name)
-            if process is None or process.exit_status is not None:
-                continue
-            health = await self.health(daemon.name)
+        for name in self._running_daemons():
+            health = await self.health(name)
             if health.get("status") != "ok":
-                missing.append(daemon.name)
+                missing.append(name)
             served.update(serving_zones(health))
         zones = self._plan.deployment.availability_zones
         return missing + [zone for zone in zones if zone not in served]
