--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,221 @@
+"""Tests of commands against entry hosts that the test answers for."""
+
+import io
+import json
+import unittest
+from collections.abc import Awaitable, Callable
+from html.parser import HTMLParser
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import curio
+
+from marigoldpath_cli import _requests, _sheet
+from marigoldpath_cli._client import EntryClient
+from marigoldpath_cli._config import ClientConfig
+from marigoldpath_cli._errors import CommandError
+from marigoldpath_cli._exit_codes import ExitCode
+from marigoldpath_cli._progress import Progress
+from marigoldpath_cli._render import printable, render
+from marigoldpath_cli._report import show_report
+from marigoldpath_cli._view import Document, View
+from marigoldpath_core.configuration import Configuration, encode_configuration
+from marigoldpath_core.report import encode_day
+from marigoldpath_node.http import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    HttpServerSettings,
+    json_response,
+)
+from tests.core.test_report import sample_day
+
+ROOT = Path(__file__).resolve().parents[2]
+SHEET = str(ROOT / "deploy/skala/sheet.csv")
+GONE = "127.0.0.1:1"
+
+
+class EntryHost:
+    """Answers by method and path; None loses the answer."""
+
+    def __init__(self, **answers: tuple[int, Any] | None) -> None:
+        self.answers = answers
+        self.asked: list[HttpRequest] = []
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        self.asked.append(request)
+        name = request.method + request.path.replace("/v1/", "_").replace("/", "_")
+        answer = self.answers[name]
+        if answer is None:
+            await curio.sleep(60)
+        assert answer is not None
+        return json_response(*answer)
+
+
+def run(host: EntryHost, use: Callable[[EntryClient], Awaitable[View]]) -> View:
+    """Run a command with a list of entry hosts of which the first is gone."""
+
+    async def serve() -> View:
+        server = HttpServer(HttpServerSettings("127.0.0.1", 0), host.handle)
+        server.listen()
+        task = await curio.spawn(server.run)
+        entries = (GONE, f"127.0.0.1:{server.port}")
+        try:
+            config = ClientConfig(entries, key="secret", reply_s=0.3)
+            async with EntryClient(config) as client:
+                return await use(client)
+        finally:
+            await task.cancel()
+
+    return curio.run(serve)
+
+
+def zones(**versions: int | None) -> list[dict[str, Any]]:
+    return [
+        {
+            "availability_zone": zone,
+            "hosts": [{"host": f"{zone}-1", "version": version}],
+        }
+        for zone, version in versions.items()
+    ]
+
+
+class EntryClientTests(unittest.TestCase):
+    def test_the_next_entry_host_is_tried_with_the_key(self) -> None:
+        host = EntryHost(GET_status=(200, {"leaders": [{"zone": "zadar", "epoch": 3}]}))
+        view = run(host, _requests.show_status)
+        self.assertEqual(view.payload["leaders"][0]["epoch"], 3)
+        self.assertEqual(host.asked[0].headers["authorization"], "Bearer secret")
+
+    def test_error_answers_have_their_exit_codes(self) -> None:
+        for status, outcome, code in (
+            (403, "not_run", ExitCode.DENIED),
+            (404, "not_run", ExitCode.NOT_FOUND),
+            (503, "not_run", ExitCode.FAILED),
+            (503, "unknown", ExitCode.UNKNOWN),
+        ):
+            payload = {"message": "no", "outcome": outcome}
+            host = EntryHost(POST_drain=(status, payload))
+            with self.assertRaises(CommandError) as caught:
+                run(host, lambda client: _requests.drain_host(client, "worker-1"))
+            self.assertIs(caught.exception.exit_code, code)
+
+    def test_a_cancel_without_an_answer_is_not_reported_as_not_done(self) -> None:
+        host = EntryHost(DELETE_requests_a_z_1=None)
+        with self.assertRaises(CommandError) as caught:
+            run(host, lambda client: _requests.cancel_request(client, "a/z/1"))
+        self.assertIs(caught.exception.exit_code, ExitCode.UNKNOWN)
+
+    def test_an_answer_that_is_no_object_is_a_failure(self) -> None:
+        with self.assertRaises(CommandError) as caught:
+            run(EntryHost(GET_status=(200, [1])), _requests.show_status)
+        self.assertIs(caught.exception.exit_code, ExitCode.FAILED)
+
+
+class SheetCommandTests(unittest.TestCase):
+    def apply(self, host: EntryHost) -> tuple[View, str]:
+        stream = io.StringIO()
+        progress = Progress(stream)
+        with mock.patch.object(_sheet, "IN_FORCE_S", 0.5):
+            view = run(
+                host,
+                lambda client: _sheet.apply_sheet(client, SHEET, 4, "ana", progress),
+            )
+        return view, stream.getvalue()
+
+    def test_an_apply_waits_until_all_zones_have_it(self) -> None:
+        held = {"version": 5, "zones": zones(zadar=5, rijeka=6)}
+        host = EntryHost(PUT_config=(200, {"version": 5}), GET_config=(200, held))
+        view, shown = self.apply(host)
+        self.assertIs(view.exit_code, ExitCode.OK)
+        self.assertIn("in force in all zones", shown)
+        body = json.loads(host.asked[0].body)
+        self.assertEqual((body["base_version"], body["author"]), (4, "ana"))
+
+    def test_a_zone_that_is_cut_off_is_named_and_not_claimed(self) -> None:
+        held = {"version": 5, "zones": zones(zadar=5, rijeka=None, sibenik=4)}
+        host = EntryHost(PUT_config=(200, {"version": 5}), GET_config=(200, held))
+        view, shown = self.apply(host)
+        self.assertIs(view.exit_code, ExitCode.PARTIAL)
+        self.assertIn("waiting for rijeka cut off, sibenik behind", shown)
+
+    def test_a_refusal_shows_what_the_other_operator_changed(self) -> None:
+        change = "kind plan changed: weight from 5 to 6"
+        answer = {"message": "eva came first", "outcome": "not_run"}
+        host = EntryHost(PUT_config=(409, {**answer, "changes": [change]}))
+        view, _ = self.apply(host)
+        self.assertIs(view.exit_code, ExitCode.CONFLICT)
+        self.assertIn(change, str(view.blocks))
+
+    def test_a_lost_answer_is_settled_by_reading_the_version(self) -> None:
+        text = Path(SHEET).read_text(encoding="utf-8")
+        held = {"version": 5, "author": "ana", "text": text, "zones": zones(zadar=5)}
+        view, _ = self.apply(EntryHost(PUT_config=None, GET_config=(200, held)))
+        self.assertIs(view.exit_code, ExitCode.OK)
+        for version, author, code in (
+            (5, "eva", ExitCode.CONFLICT),
+            (4, "ana", ExitCode.UNKNOWN),
+        ):
+            other = {**held, "version": version, "author": author}
+            with self.assertRaises(CommandError) as caught:
+                self.apply(EntryHost(PUT_config=None, GET_config=(200, other)))
+            self.assertIs(caught.exception.exit_code, code)
+
+    def test_the_difference_is_against_the_version_in_force(self) -> None:
+        text = Path(SHEET).read_text(encoding="utf-8").replace(";2000;", ";3000;")
+        host = EntryHost(GET_config=(200, {"version": 4, "text": text}))
+        view = run(host, lambda client: _sheet.diff_sheet(client, SHEET))
+        self.assertEqual(view.payload["base_version"], 4)
+        self.assertEqual(view.payload["changes"][0]["before"], "3000")
+
+
+class ReportCommandTests(unittest.TestCase):
+    def view(self, form: str) -> View:
+        answer = {
+            "days": [encode_day(sample_day())],
+            "configuration": encode_configuration(Configuration()),
+        }
+        host = EntryHost(GET_report=(200, answer))
+        return run(host, lambda client: show_report(client, form, ""))
+
+    def test_the_page_is_well_formed_and_loads_nothing(self) -> None:
+        block = self.view("html").blocks[0]
+        assert isinstance(block, Document)
+        opened: list[str] = []
+        links: list[str] = []
+
+        class Checker(HTMLParser):
+            def handle_starttag(self, tag: str, attrs: list) -> None:
+                links.extend(n for n, _ in attrs if n in ("src", "href"))
+                if tag not in ("meta",):
+                    opened.append(tag)
+
+            def handle_startendtag(self, tag: str, attrs: list) -> None:
+                pass
+
+            def handle_endtag(self, tag: str) -> None:
+                if tag != "br":
+                    while opened and opened[-1] == "br":
+                        opened.pop()
+                    assert opened.pop() == tag, tag
+
+        Checker().feed(block.text)
+        self.assertEqual((opened, links), ([], []))
+        self.assertIn("<svg", block.text)
+        self.assertNotIn("url(", block.text)
+
+    def test_the_text_has_every_section(self) -> None:
+        stream = io.StringIO()
+        render(self.view("text"), False, stream)
+        for title in ("What ran", "and why", "what to change"):
+            self.assertIn(title, stream.getvalue())
+
+
+class RenderTests(unittest.TestCase):
+    def test_values_cannot_steer_the_terminal(self) -> None:
+        self.assertEqual(printable("a\x1b[2Jb\nc"), "a [2Jb c")
+
+
+if __name__ == "__main__":
+    unittest.main()
