Show each zone's leader, drain only the named host, check policy names

POST /v1/drain stops the entry host that receives it, so the program now finds the named host by /v1/health and sends it there alone. hosts and requests ask all entry hosts and show what each zone's leader knows.

--- a/packages/cli/src/marigoldpath_cli/_app.py
+++ b/packages/cli/src/marigoldpath_cli/_app.py
@@ -86,13 +86,13 @@
 
 @app.command
 def requests(*, config: Config) -> View:
-    """Show queues and running requests."""
+    """Show waiting requests and counters of each zone."""
     return _with_client(config, _requests.show_requests)
 
 
 @app.command
 def hosts(*, config: Config) -> View:
-    """Show workers and entry hosts."""
+    """Show the workers of each zone."""
     return _with_client(config, _requests.show_hosts)
 
 
@@ -122,7 +122,13 @@
 
 @app.command
 def drain(host: str, /, *, config: Config) -> View:
-    """Give a host no new work."""
+    """Stop an entry host gracefully.
+
+    Parameters
+    ----------
+    host
+        Its name, or its address as given by --entry.
+    """
     return _with_client(config, lambda c: _requests.drain_host(c, host))
 
 
--- a/packages/cli/src/marigoldpath_cli/_client.py
+++ b/packages/cli/src/marigoldpath_cli/_client.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+import curio
+
 from marigoldpath_node.http import (
     HttpClient,
     HttpClientSettings,
@@ -79,6 +81,48 @@
             raise refusal
         raise CommandError(ExitCode.UNREACHABLE, "; ".join(causes))
 
+    async def call_all(
+        self, method: str, target: str
+    ) -> dict[str, dict[str, Any] | CommandError]:
+        """Return the answer or the error of each entry host by address.
+
+        Raises CommandError when none answers.
+        """
+        answers: dict[str, dict[str, Any] | CommandError] = {}
+
+        async def ask(address: str) -> None:
+            try:
+                response = await self._send(method, address, target, None)
+                answers[address] = _payload(address, response)
+            except NotSentError:
+                message = f"{address} cannot be reached"
+                answers[address] = CommandError(ExitCode.UNREACHABLE, message)
+            except ReplyLostError:
+                message = f"{address} did not answer"
+                answers[address] = CommandError(ExitCode.UNREACHABLE, message)
+            except CommandError as fault:
+                answers[address] = fault
+
+        async with curio.TaskGroup() as tasks:
+            for address in self._config.entries:
+                await tasks.spawn(ask, address)
+        faults = [a for a in answers.values() if isinstance(a, CommandError)]
+        if len(faults) == len(answers):
+            raise CommandError(faults[0].exit_code, "; ".join(map(str, faults)))
+        return {address: answers[address] for address in self._config.entries}
+
+    async def call_one(
+        self, method: str, address: str, target: str, value: Any = None
+    ) -> dict[str, Any]:
+        """Return the answer of one entry host and no other; raises CommandError."""
+        try:
+            return _payload(address, await self._send(method, address, target, value))
+        except NotSentError:
+            message = f"{address} cannot be reached"
+            raise CommandError(ExitCode.UNREACHABLE, message) from None
+        except ReplyLostError:
+            raise AnswerLostError(f"{address} did not answer") from None
+
     async def _send(
         self, method: str, address: str, target: str, value: Any
     ) -> HttpResponse:
--- a/packages/cli/src/marigoldpath_cli/_requests.py
+++ b/packages/cli/src/marigoldpath_cli/_requests.py
@@ -1,15 +1,13 @@
 """Commands on the fleet and on requests."""
 
+from datetime import UTC, datetime
 from typing import Any
 from urllib.parse import quote
 
 from ._client import EntryClient
 from ._errors import CommandError
 from ._exit_codes import ExitCode
-from ._view import Block, Fields, Lines, View, generic_blocks, table_of
-
-HOST_KEYS = ("hosts", "workers", "entry_hosts")
-REQUEST_KEYS = ("requests", "queues", "running", "waiting")
+from ._view import Block, Fields, Lines, Table, View, generic_blocks, table_of
 
 
 async def show_status(client: EntryClient) -> View:
@@ -19,19 +17,104 @@
 
 
 async def show_requests(client: EntryClient) -> View:
-    """Return the requests and queues of the zones."""
-    return _part(await client.call("GET", "/v1/status"), REQUEST_KEYS)
+    """Return the waiting requests and the counters of each zone's leader."""
+    leaders, lines = await _leaders(client)
+    rows = tuple(
+        (zone, kind, waiting)
+        for zone, scheduler in leaders.items()
+        for kind, waiting in _object(scheduler, "waiting").items()
+    )
+    blocks: list[Block] = [Table("waiting", ("zone", "kind", "requests"), rows)]
+    for zone, scheduler in leaders.items():
+        counts = _object(scheduler, "counts")
+        held = {"held by the leader": scheduler.get("requests"), **counts}
+        blocks.append(Fields(f"zone {zone}", held))
+    names = ("waiting", "requests", "counts")
+    payload = {
+        zone: {name: scheduler.get(name) for name in names}
+        for zone, scheduler in leaders.items()
+    }
+    return View(payload, (*blocks, *lines))
 
 
 async def show_hosts(client: EntryClient) -> View:
-    """Return the workers and entry hosts."""
-    return _part(await client.call("GET", "/v1/status"), HOST_KEYS)
+    """Return the workers of each zone and the entry hosts that were asked."""
+    leaders, lines = await _leaders(client)
+    rows = []
+    for zone, scheduler in leaders.items():
+        removed = _object(scheduler, "removed")
+        for name, worker in _object(scheduler, "workers").items():
+            if isinstance(worker, dict):
+                rows.append(_worker_row(zone, name, worker, removed))
+    columns = ("zone", "worker", "rack", "state", "cores", "memory GB", "slots")
+    payload = {
+        zone: {name: scheduler.get(name) for name in ("workers", "removed")}
+        for zone, scheduler in leaders.items()
+    }
+    return View(payload, (Table("workers (used/all)", columns, tuple(rows)), *lines))
+
+
+async def _leaders(
+    client: EntryClient,
+) -> tuple[dict[str, dict[str, Any]], tuple[Block, ...]]:
+    """Return what each zone's leader knows, and lines on what is missing."""
+    answers = await client.call_all("GET", "/v1/status")
+    leaders: dict[str, dict[str, Any]] = {}
+    zones: set[str] = set()
+    lines = []
+    for answer in answers.values():
+        if isinstance(answer, CommandError):
+            lines.append(str(answer))
+            continue
+        zone = str(answer.get("availability_zone", ""))
+        zones.add(zone)
+        scheduler = _object(answer, "scheduler")
+        if scheduler.get("serving"):
+            leaders[zone] = scheduler
+    for zone in sorted(zones - set(leaders)):
+        lines.append(f"no entry host that answered leads zone {zone}")
+    return leaders, (Lines(tuple(lines)),) if lines else ()
+
+
+def _worker_row(
+    zone: str, name: str, worker: dict[str, Any], removed: dict[str, Any]
+) -> tuple[Any, ...]:
+    state = "ready" if worker.get("ready") else "not ready"
+    if worker.get("leaving"):
+        state = "leaving"
+    if name in removed:
+        state = f"out of service: {removed[name]}"
+    used, capacity = _object(worker, "used"), _object(worker, "capacity")
+
+    def part(dimension: str, divisor: int) -> str:
+        amounts = [side.get(dimension) for side in (used, capacity)]
+        return "/".join(
+            f"{amount / divisor:g}" if isinstance(amount, int) else "?"
+            for amount in amounts
+        )
+
+    return (
+        zone,
+        name,
+        worker.get("rack", ""),
+        state,
+        part("cpu_millis", 1_000),
+        part("memory_mb", 1_000),
+        part("slots", 1),
+    )
+
+
+def _object(payload: dict[str, Any], name: str) -> dict[str, Any]:
+    value = payload.get(name)
+    return value if isinstance(value, dict) else {}
 
 
 async def explain_request(client: EntryClient, name: str) -> View:
     """Return the state, the answer and the history of a request."""
     payload = await client.call("GET", _request_target(name))
     history = payload.get("history")
+    if isinstance(history, list):
+        history = [_with_time(entry) for entry in history]
     fields = {key: value for key, value in payload.items() if key != "history"}
     blocks: list[Block] = [Fields(name, fields)]
     if isinstance(history, list) and all(isinstance(h, dict) for h in history):
@@ -48,16 +131,32 @@
 
 
 async def drain_host(client: EntryClient, host: str) -> View:
-    """Ask that a host gets no new work."""
-    payload = await client.call("POST", "/v1/drain", {"host": host})
-    return View(payload, (Fields(f"drain {host}", payload),))
-
-
-def _part(payload: dict[str, Any], keys: tuple[str, ...]) -> View:
-    part = {key: payload[key] for key in keys if key in payload}
-    if not part:
-        return View(part, (Lines(("this entry host knows of none",)),))
-    return View(part, generic_blocks(part))
+    """Drain the entry host of a name or address, and no other."""
+    answers = await client.call_all("GET", "/v1/health")
+    names = []
+    for address, answer in answers.items():
+        if isinstance(answer, CommandError):
+            names.append(str(answer))
+            continue
+        name = str(answer.get("host", ""))
+        if host in (name, address):
+            payload = await client.call_one("POST", address, "/v1/drain", {})
+            return View(payload, (Fields(f"drain {host}", payload),))
+        names.append(f"{address} is {name}")
+    message = f"no entry host {host!r} among those given: {'; '.join(names)}"
+    raise CommandError(ExitCode.NOT_FOUND, message)
+
+
+def _with_time(entry: Any) -> Any:
+    """Return a step of the history with its time as people read it."""
+    if not isinstance(entry, dict) or not isinstance(entry.get("at_ms"), int):
+        return entry
+    rest = {name: value for name, value in entry.items() if name != "at_ms"}
+    try:
+        at = datetime.fromtimestamp(entry["at_ms"] / 1_000, tz=UTC)
+    except (OverflowError, ValueError, OSError):
+        return entry
+    return {"at": at.strftime("%Y-%m-%d %H:%M:%S.%f")[:-3] + "Z", **rest}
 
 
 def _request_target(name: str) -> str:
--- a/packages/core/src/marigoldpath_core/report/_words.py
+++ b/packages/core/src/marigoldpath_core/report/_words.py
@@ -32,6 +32,7 @@
 MINUTE_MS = 60_000
 HOUR_MS = 60 * MINUTE_MS
 
+# An adviser returns an empty text when the record does not hold the figures it needs.
 Adviser = Callable[[Refusal], str]
 ADVICE: Registry[str, Adviser] = Registry("advice on a refusal")
 advises = ADVICE.register
@@ -39,8 +40,9 @@
 
 def advice(refusal: Refusal) -> str:
     """Return what to change so that the refused work fits."""
-    if refusal.code in ADVICE:
-        return ADVICE.get(refusal.code)(refusal)
+    text = ADVICE.get(refusal.code)(refusal) if refusal.code in ADVICE else ""
+    if text:
+        return text
     return refusal.message or f"Ask the operators about the code {refusal.code}."
 
 
@@ -79,6 +81,8 @@
 @advises("too_large")
 @advises("never_fits")
 def _too_large(refusal: Refusal) -> str:
+    if not refusal.needed:
+        return ""
     return (
         f"No worker is that large. Ask for at most "
         f"{amount(refusal.field, refusal.limit)} a task instead of "
@@ -88,6 +92,8 @@
 
 @advises("over_quota")
 def _over_quota(refusal: Refusal) -> str:
+    if not refusal.needed:
+        return f"Raise the quota of team {refusal.team} in the sheet, or ask for less."
     return (
         f"Raise the quota of team {refusal.team} in the sheet from "
         f"{amount(refusal.field, refusal.limit)} to at least "
@@ -104,8 +110,8 @@
     )
 
 
-@advises("deadline")
 @advises("deadline_passed")
+@advises("too_late")
 def _deadline(refusal: Refusal) -> str:
     return (
         f"The work could not start in time. Give {refusal.kind} a longer deadline, a "
@@ -118,6 +124,18 @@
     return f"Add a kind row for {refusal.kind} to the sheet, or correct the name."
 
 
+@advises("too_many_failures")
+def _failures(refusal: Refusal) -> str:
+    return f"The work of {refusal.kind} fails wherever it starts: correct the work."
+
+
+@advises("draining")
+@advises("leader_changed")
+@advises("zone_recovering")
+def _passing(refusal: Refusal) -> str:
+    return "An entry host was being replaced. Nothing was run: send the work again."
+
+
 @advises("platform_unavailable")
 def _platform(refusal: Refusal) -> str:
     return "The platform's store was down. Nothing was run: send the work again."
--- a/packages/core/src/marigoldpath_core/settings/_checks.py
+++ b/packages/core/src/marigoldpath_core/settings/_checks.py
@@ -55,6 +55,13 @@
             f"must be at most half of slots ({journal.slots}), so that a snapshot "
             "covers a slot before it is overwritten",
         )
+    if settings.scheduler.finished_retention_ms > journal.retention_ms:
+        yield SettingsFault(
+            "scheduler.finished_retention_ms",
+            str(settings.scheduler.finished_retention_ms),
+            f"must be at most journal.retention_ms ({journal.retention_ms}), so that "
+            "a new leader knows every answer that the last one knew",
+        )
 
 
 @SETTINGS_CHECKS.register("kinds")
@@ -74,6 +81,24 @@
         )
 
 
+@SETTINGS_CHECKS.register("policies")
+def _policies(settings: DaemonSettings) -> Iterator[SettingsFault]:
+    # Imported here because the queue itself imports the settings.
+    from marigoldpath_core.admission import queue_policies
+    from marigoldpath_core.placement import placement_policies
+
+    policy = settings.scheduler.queue_policy
+    if policy not in queue_policies:
+        expected = f"must be one of {', '.join(queue_policies)}"
+        yield SettingsFault("scheduler.queue_policy", f'"{policy}"', expected)
+    for index, kind in enumerate(settings.kinds):
+        if kind.placement not in placement_policies:
+            expected = f"must be one of {', '.join(placement_policies)}"
+            yield SettingsFault(
+                f"kinds[{index}].placement", f'"{kind.placement}"', expected
+            )
+
+
 @SETTINGS_CHECKS.register("keys")
 def _keys(settings: DaemonSettings) -> Iterator[SettingsFault]:
     for fault in _repeated("keys", "key", [key.key for key in settings.keys]):
--- a/packages/core/src/marigoldpath_core/settings/_definitions.py
+++ b/packages/core/src/marigoldpath_core/settings/_definitions.py
@@ -132,6 +132,14 @@
             least=1,
             most=32_768,
         ),
+        Option(
+            "retention_ms",
+            "integer",
+            "The time for which the journal keeps the outcome of a finished request.",
+            unit="ms",
+            least=1_000,
+            most=60 * MINUTE_MS,
+        ),
     ),
 )
 
@@ -162,6 +170,13 @@
             least=1_000,
             most=60 * MINUTE_MS,
         ),
+        Option(
+            "max_attempts",
+            "integer",
+            "The number of times that a repeatable request is started.",
+            least=1,
+            most=100,
+        ),
         Option(
             "max_requests",
             "integer",
--- a/packages/core/src/marigoldpath_core/sheet/_columns.py
+++ b/packages/core/src/marigoldpath_core/sheet/_columns.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from marigoldpath_core.placement import placement_policies
 from marigoldpath_core.registry import Registry
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
@@ -35,13 +36,19 @@
 @column("team")
 @column("availability zone")
 @column("kind")
-@column("placement")
 def _name(text: str) -> str:
     if not NAME_PATTERN.fullmatch(text):
         raise ValueError("must be 1 to 128 letters, digits or '._:-', without spaces")
     return text
 
 
+@column("placement")
+def _placement(text: str) -> str:
+    if text not in placement_policies:
+        raise ValueError(f"must be one of {', '.join(placement_policies)}")
+    return text
+
+
 @column("priority")
 def _priority(text: str) -> int:
     return _whole(text, 0, 9)
--- a/tests/core/test_report.py
+++ b/tests/core/test_report.py
@@ -73,6 +73,11 @@
         self.assertIn("from 4.5 processor cores to at least 8 processor cores", text)
         self.assertIn("Call us.", text)
 
+    def test_a_refusal_without_figures_gives_no_made_up_ones(self) -> None:
+        refusal = Refusal("plan", "workshop", "never_fits", requests=1, message="Why.")
+        record = sample_day()._replace(refusals=(refusal,))
+        self.assertIn("Why.", self.section("refusals", record))
+
     def test_the_waits_are_given_with_their_cause_in_words(self) -> None:
         text = self.section("waits")
         self.assertIn("no worker had room", text)
--- a/tests/core/test_settings.py
+++ b/tests/core/test_settings.py
@@ -85,6 +85,7 @@
                 journal={"slots": 100},
                 kinds=[{"name": "a", "floor": 0.7}, {"name": "a", "floor": 0.7}],
                 keys=[{"key": "k" * 16, "role": "caller"}],
+                scheduler={"queue_policy": "lifo"},
             )
         )
         self.assertEqual(
@@ -97,6 +98,7 @@
                 "kinds[1].name",
                 "kinds",
                 "keys[0].team",
+                "scheduler.queue_policy",
             },
         )
 
