Check the zones that a sheet names against those of the fleet

A sheet of the other deployment was accepted although no host of the fleet would ever run its descriptions. parse_sheet takes the known zones from its caller.

tests.core.test_sheet: 16 pass.

--- a/packages/cli/src/marigoldpath_cli/_sheet.py
+++ b/packages/cli/src/marigoldpath_cli/_sheet.py
@@ -26,6 +26,7 @@
 # A version that is accepted is in force everywhere within this time.
 IN_FORCE_S = 5.0
 POLL_S = 0.2
+MAX_CHANGES = 20
 
 
 class FaultySheetError(CommandError):
@@ -176,7 +177,10 @@
     blocks: list[Block] = [Lines((str(fault),))]
     changes = fault.payload.get("changes")
     if isinstance(changes, list) and changes:
-        blocks.append(Lines(("the other operator changed:", *map(str, changes))))
+        shown = [str(change) for change in changes[:MAX_CHANGES]]
+        if len(changes) > MAX_CHANGES:
+            shown.append(f"and {len(changes) - MAX_CHANGES} more; see 'sheet diff'")
+        blocks.append(Lines(("the other operator changed:", *shown)))
     faults = objects(fault.payload, "faults")
     if faults:
         blocks.append(table_of(name, faults))
--- a/packages/core/src/marigoldpath_core/sheet/_checks.py
+++ b/packages/core/src/marigoldpath_core/sheet/_checks.py
@@ -24,6 +24,7 @@
     descriptions: tuple[tuple[int, Description], ...]
     named_kinds: frozenset[str]
     named_teams: frozenset[str]
+    availability_zones: frozenset[str]
 
 
 SheetCheck = Callable[[Rows], Iterator[SheetFault]]
@@ -31,7 +32,10 @@
 
 
 def split_rows(
-    built: list[BuiltRow], named_kinds: frozenset[str], named_teams: frozenset[str]
+    built: list[BuiltRow],
+    named_kinds: frozenset[str],
+    named_teams: frozenset[str],
+    availability_zones: frozenset[str],
 ) -> Rows:
     """Return the rows by what they describe."""
     kinds = []
@@ -45,7 +49,12 @@
         else:
             descriptions.append((number, item))
     return Rows(
-        tuple(kinds), tuple(teams), tuple(descriptions), named_kinds, named_teams
+        tuple(kinds),
+        tuple(teams),
+        tuple(descriptions),
+        named_kinds,
+        named_teams,
+        availability_zones,
     )
 
 
@@ -134,6 +143,17 @@
             yield SheetFault(number, "team", item.team, expected)
 
 
+@SHEET_CHECKS.register("zones")
+def _zones(rows: Rows) -> Iterator[SheetFault]:
+    known = rows.availability_zones
+    for number, item in rows.descriptions:
+        if known and item.availability_zone not in known:
+            expected = f"must be one of {', '.join(sorted(known))}"
+            yield SheetFault(
+                number, "availability zone", item.availability_zone, expected
+            )
+
+
 @SHEET_CHECKS.register("sizes")
 def _sizes(rows: Rows) -> Iterator[SheetFault]:
     limits = {quota.team: quota.limit for _, quota in rows.teams}
--- a/packages/core/src/marigoldpath_core/sheet/_parse.py
+++ b/packages/core/src/marigoldpath_core/sheet/_parse.py
@@ -1,5 +1,7 @@
 """Checks a sheet as a whole."""
 
+from collections.abc import Iterable
+
 from result import Err, Ok, Result
 
 from marigoldpath_core.configuration import Configuration
@@ -11,8 +13,13 @@
 from ._table import Table, read_table
 
 
-def parse_sheet(data: bytes) -> Result[Sheet, list[SheetFault]]:
-    """Return the content of an exported sheet, or every fault in it by row."""
+def parse_sheet(
+    data: bytes, availability_zones: Iterable[str] = ()
+) -> Result[Sheet, list[SheetFault]]:
+    """Return the content of an exported sheet, or every fault in it by row.
+
+    Without `availability_zones` a description may name any zone.
+    """
     faults: list[SheetFault] = []
     table = read_table(data, faults)
     if "row" not in table.columns:
@@ -23,7 +30,8 @@
         if row is not None
     ]
     kinds = _named(table, RowSort.KIND)
-    rows = split_rows(built, kinds, _named(table, RowSort.TEAM))
+    teams = _named(table, RowSort.TEAM)
+    rows = split_rows(built, kinds, teams, frozenset(availability_zones))
     faults.extend(check_rows(rows))
     if not kinds and not faults:
         faults.append(SheetFault(0, "row", "no kind row", "must describe a kind"))
--- a/tests/core/test_sheet.py
+++ b/tests/core/test_sheet.py
@@ -122,6 +122,10 @@
             faults_of(text), {(5, "cpu cores"), (5, "memory gb"), (6, "team")}
         )
 
+    def test_a_zone_that_the_fleet_does_not_have_is_named(self) -> None:
+        found = parse_sheet(sample("skala"), ("zadar", "sibenik")).unwrap_err()
+        self.assertEqual([(f.row, f.value) for f in found], [(12, "rijeka")])
+
     def test_floors_that_add_up_to_one_exactly_are_right(self) -> None:
         rows = "".join(f"kind,k{number},0.1\n" for number in range(10))
         self.assertTrue(parse_sheet(f"row,name,floor\n{rows}".encode()).is_ok())
