--- /dev/null
+++ b/packages/node/src/marigoldpath_node/api/_api.py
@@ -0,0 +1,45 @@
+"""Answers requests by the registered routes."""
+
+from ..http import HttpRequest, HttpResponse
+from ._access import AccessError, check_access
+from ._context import ApiContext
+from ._registry import RouteCall, find_route
+from ._replies import error_reply
+
+
+class Api:
+    """The handler of the daemon's HTTP server."""
+
+    def __init__(self, context: ApiContext) -> None:
+        self._context = context
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Return the response to a request."""
+        try:
+            path = request.path
+            match = find_route(request.method, path)
+        except ValueError as fault:
+            return error_reply(400, "bad_target", str(fault))
+        if match is None:
+            return error_reply(404, "no_route", f"there is no route {path[:200]!r}")
+        if match.route is None:
+            return error_reply(
+                405, "bad_method", f"{path[:200]!r} does not take {request.method}"
+            )
+        try:
+            team = check_access(
+                self._context.settings, match.route.access, request.headers
+            )
+        except AccessError as fault:
+            return error_reply(fault.status, "no_access", str(fault))
+        try:
+            return await match.route(
+                self._context, RouteCall(request, match.values, team)
+            )
+        except Exception:
+            # A handler that fails in an unforeseen way may have submitted something.
+            self._context.observer.metrics.count("api.errors")
+            self._context.observer.log.error(
+                "handler failed", path=path[:200], exc_info=True
+            )
+            return error_reply(500, "internal", "the handler failed", outcome="unknown")
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/api/_context.py
@@ -0,0 +1,23 @@
+"""What the handlers of routes may use."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from marigoldpath_core.settings import DaemonSettings
+
+from ..observability import Observer
+from ..peers import CallTable, Forwarder, Leaders, PeerInbox
+from ..runtime import Runtime
+
+
+class ApiContext(NamedTuple):
+    """The parts of the daemon; `drain` begins a graceful stop without ending."""
+
+    settings: DaemonSettings
+    runtime: Runtime
+    forwarder: Forwarder
+    leaders: Leaders
+    calls: CallTable
+    inbox: PeerInbox
+    observer: Observer
+    drain: Callable[[], Awaitable[None]]
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/api/_operators.py
@@ -0,0 +1,52 @@
+"""Routes of operators and of the balancer."""
+
+from ..http import HttpResponse, json_response
+from ..peers import encode_view
+from ._context import ApiContext
+from ._registry import Access, RouteCall, route
+from ._replies import value_reply
+
+
+@route("GET", "/v1/health", Access.ANYONE)
+async def health(context: ApiContext, call: RouteCall) -> HttpResponse:
+    """Return whether this host is up and who leads its zone."""
+    leader = context.runtime.scheduler.leader
+    named = None
+    if leader is not None:
+        named = {"host": leader[0], "address": leader[1], "epoch": leader[2]}
+    return value_reply(
+        {
+            "status": "ok",
+            "host": context.settings.host,
+            "availability_zone": context.settings.availability_zone,
+            "serving": context.runtime.scheduler.serving,
+            "leader": named,
+            "draining": context.runtime.draining,
+        }
+    )
+
+
+@route("GET", "/v1/status", Access.OPERATOR)
+async def status(context: ApiContext, call: RouteCall) -> HttpResponse:
+    """Return what this host knows of leaders, workers and queues."""
+    return value_reply(
+        {
+            "host": context.settings.host,
+            "availability_zone": context.settings.availability_zone,
+            "draining": context.runtime.draining,
+            "drained": context.runtime.is_drained,
+            "calls": len(context.calls),
+            "configuration": context.runtime.configuration.version,
+            "leaders": [encode_view(view) for view in context.leaders.views.views],
+            "scheduler": context.runtime.scheduler.status(),
+            "counters": context.observer.metrics.counters,
+            **context.observer.status(),
+        }
+    )
+
+
+@route("POST", "/v1/drain", Access.OPERATOR)
+async def drain(context: ApiContext, call: RouteCall) -> HttpResponse:
+    """Begin a graceful stop; the process ends by SIGTERM."""
+    await context.drain()
+    return json_response(202, {"draining": True, "drained": context.runtime.is_drained})
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/api/_requests.py
@@ -0,0 +1,159 @@
+"""Routes of callers."""
+
+import json
+
+from marigoldpath_core.requests import (
+    Outcome,
+    OutcomeKind,
+    Request,
+    RequestKey,
+    parse_request,
+)
+
+from ..http import HttpResponse
+from ..peers import PeerBusyError, PeerReplyError
+from ._context import ApiContext
+from ._registry import RouteCall, route
+from ._replies import error_reply, outcome_reply, value_reply
+
+DRAINING_RETRY_MS = 500
+
+
+class _RefusedError(Exception):
+    def __init__(self, status: int, code: str, field: str, message: str) -> None:
+        super().__init__(message)
+        self.response = error_reply(status, code, message, field=field)
+
+
+@route("POST", "/v1/requests")
+async def submit(context: ApiContext, call: RouteCall) -> HttpResponse:
+    """Run a request, or accept it to wait."""
+    if context.runtime.draining:
+        return error_reply(
+            503,
+            "draining",
+            "this entry host is stopping; use another one",
+            retry_after_ms=DRAINING_RETRY_MS,
+        )
+    try:
+        request = _read(context, call)
+    except _RefusedError as fault:
+        context.observer.metrics.count("api.refused")
+        return fault.response
+    outcome = await _submit(context, call, request)
+    return outcome_reply(outcome)
+
+
+@route("GET", "/v1/requests/<team>/<zone>/<id>")
+async def show(context: ApiContext, call: RouteCall) -> HttpResponse:
+    """Return the state, answer and history of a request."""
+    try:
+        key = _key(context, call)
+        state = await context.forwarder.state(key)
+    except _RefusedError as fault:
+        return fault.response
+    except (PeerBusyError, PeerReplyError) as fault:
+        return error_reply(
+            503,
+            "no_leader",
+            f"the zone's leader does not answer: {fault}",
+            outcome="unknown",
+            retry_after_ms=DRAINING_RETRY_MS,
+        )
+    if state is None:
+        return error_reply(
+            404, "no_request", f"the request {key} is not known", outcome="unknown"
+        )
+    return value_reply(state)
+
+
+@route("DELETE", "/v1/requests/<team>/<zone>/<id>")
+async def cancel(context: ApiContext, call: RouteCall) -> HttpResponse:
+    """Cancel a request."""
+    try:
+        key = _key(context, call)
+    except _RefusedError as fault:
+        return fault.response
+    outcome = await context.forwarder.cancel(key)
+    if outcome.code == "cancelled":
+        return value_reply({"outcome": outcome.kind.value, "code": "cancelled"})
+    return outcome_reply(outcome)
+
+
+async def _submit(context: ApiContext, call: RouteCall, request: Request) -> Outcome:
+    spans = context.observer.spans
+    span = spans.start("request", call.request.headers.get("traceparent", ""))
+    outcome = await context.forwarder.submit(
+        request, span.traceparent, len(call.request.body) + 200
+    )
+    context.observer.metrics.count(f"outcome.{outcome.kind.value}")
+    failed = outcome.kind in (OutcomeKind.NOT_RUN, OutcomeKind.UNKNOWN)
+    spans.end(
+        span,
+        {
+            "request": str(request.key),
+            "kind": request.kind,
+            "outcome": outcome.kind.value,
+            "code": outcome.code,
+        },
+        outcome.message if failed else "",
+    )
+    if failed:
+        context.observer.log.info(
+            "request not done",
+            request=str(request.key),
+            span=span.span_id,
+            outcome=outcome.kind.value,
+            code=outcome.code,
+            reason=outcome.message,
+        )
+    return outcome
+
+
+def _read(context: ApiContext, call: RouteCall) -> Request:
+    limit = context.settings.listen.max_body
+    if len(call.request.body) > limit:
+        raise _RefusedError(413, "too_large", "", f"the body is over {limit} bytes")
+    try:
+        payload = json.loads(call.request.body)
+    except (ValueError, RecursionError) as fault:
+        raise _RefusedError(
+            400, "bad_json", "", f"the body is not JSON: {fault}"
+        ) from None
+    parsed = parse_request(payload)
+    if parsed.is_err():
+        error = parsed.unwrap_err()
+        raise _RefusedError(400, error.code, error.field, error.message)
+    request = parsed.unwrap()
+    _check_key(context, call, request.key)
+    kinds = sorted(kind.name for kind in context.runtime.configuration.kinds)
+    if request.kind not in kinds:
+        raise _RefusedError(
+            400,
+            "unknown_kind",
+            "kind",
+            f"{request.kind!r} is not a kind of work; use one of {', '.join(kinds)}",
+        )
+    return request
+
+
+def _key(context: ApiContext, call: RouteCall) -> RequestKey:
+    values = call.values
+    key = RequestKey(values["team"], values["zone"], values["id"])
+    _check_key(context, call, key)
+    return key
+
+
+def _check_key(context: ApiContext, call: RouteCall, key: RequestKey) -> None:
+    if call.team and call.team != key.team:
+        raise _RefusedError(
+            403, "no_access", "team", f"the key is not for the team {key.team!r}"
+        )
+    zones = context.settings.availability_zones
+    if key.availability_zone not in zones:
+        raise _RefusedError(
+            400,
+            "unknown_zone",
+            "availability_zone",
+            f"{key.availability_zone!r} is not a zone; use one of {', '.join(zones)}",
+        )
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -0,0 +1,138 @@
+"""Puts the parts of the daemon together."""
+
+import curio
+
+from marigoldpath_core.settings import DaemonSettings
+
+from ..api import Api, ApiContext
+from ..http import HttpClient, HttpClientSettings, HttpServer, HttpServerSettings
+from ..observability import Observer
+from ..peers import (
+    Beacon,
+    CallTable,
+    Forwarder,
+    Leaders,
+    OutcomeDelivery,
+    PeerInbox,
+    PeerLinks,
+)
+from ..platform import create_platform_client
+from ..runtime import HostDirectory, Runtime, Scheduler
+from ..workers import create_worker_client
+
+DRAIN_S = 30.0
+CHECK_S = 0.05
+PRUNE_S = 15.0
+PEER_PREFIX = "/v1/peer/"
+
+
+class Daemon:
+    """One entry host; `bind` comes before `run`."""
+
+    def __init__(
+        self, settings: DaemonSettings, scheduler_type: type, observer: Observer
+    ) -> None:
+        self._observer = observer
+        self._scheduler_type = scheduler_type
+        self._settings = settings
+        self._http = HttpClient(HttpClientSettings())
+        self._server = HttpServer(_server_settings(settings), self._handle)
+        self._api: Api | None = None
+        self._runtime: Runtime | None = None
+        self._calls = CallTable()
+
+    @property
+    def settings(self) -> DaemonSettings:
+        """The settings, after `bind` with the port that was bound."""
+        return self._settings
+
+    def bind(self) -> None:
+        """Bind the listening socket; raises OSError."""
+        self._server.listen()
+        listen = self._settings.listen._replace(port=self._server.port)
+        self._settings = self._settings._replace(listen=listen)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        settings, observer = self._settings, self._observer
+        directory = HostDirectory()
+        links = PeerLinks(settings, self._http)
+        delivery = OutcomeDelivery(settings, self._calls, links, directory, observer)
+        platform = create_platform_client(settings, self._http)
+        scheduler: Scheduler = self._scheduler_type(settings)
+        runtime = Runtime(
+            settings,
+            scheduler,
+            platform,
+            create_worker_client(settings, self._http),
+            delivery,
+            directory,
+            observer,
+        )
+        leaders = Leaders(settings, runtime, platform, observer)
+        calls = self._calls
+        context = ApiContext(
+            settings,
+            runtime,
+            Forwarder(settings, runtime, leaders, calls, links, observer),
+            leaders,
+            calls,
+            PeerInbox(settings, runtime, leaders, calls, delivery, observer),
+            observer,
+            self.drain,
+        )
+        self._runtime = runtime
+        self._api = Api(context)
+        observer.log.info("started", address=settings.address)
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(runtime.run)
+            await tasks.spawn(Beacon(settings, runtime, directory, links).run)
+            await tasks.spawn(self._prune)
+            await tasks.spawn(self._server.run)
+
+    async def drain(self) -> None:
+        """Begin a graceful stop: no new callers, no new work."""
+        if self._runtime is None or self._runtime.draining:
+            return
+        self._observer.log.info("draining", calls=len(self._calls))
+        await self._runtime.drain()
+        self._server.drain()
+
+    async def stop(self) -> bool:
+        """Drain and wait; return whether all ended within 30 s."""
+        await self.drain()
+        async with curio.ignore_after(DRAIN_S) as limit:
+            while not self._is_drained():
+                await curio.sleep(CHECK_S)
+        self._observer.log.info(
+            "stopped", in_time=not limit.expired, calls=len(self._calls)
+        )
+        return not limit.expired
+
+    def _is_drained(self) -> bool:
+        if self._runtime is None:
+            return True
+        if self._calls or self._server.in_flight:
+            return False
+        return self._runtime.is_drained
+
+    async def _handle(self, request):
+        assert self._api is not None
+        return await self._api.handle(request)
+
+    async def _prune(self) -> None:
+        while True:
+            await curio.sleep(PRUNE_S)
+            await self._http.prune()
+
+
+def _server_settings(settings: DaemonSettings) -> HttpServerSettings:
+    listen = settings.listen
+    return HttpServerSettings(
+        listen.ip,
+        listen.port,
+        max_body=listen.max_body,
+        max_connections=listen.max_connections,
+        read_s=listen.read_ms / 1_000,
+        large_prefix=PEER_PREFIX,
+    )
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/daemon/_main.py
@@ -0,0 +1,75 @@
+"""The command line of `marigoldpathd`."""
+
+import argparse
+import sys
+from pathlib import Path
+
+import curio
+
+from marigoldpath_core.settings import DaemonSettings
+
+from ..observability import Observer
+from ._daemon import Daemon
+from ._settings import SettingsError, load_settings
+from ._signals import StopSignals
+
+STOPPED_AT_ONCE = 1
+BAD_SETTINGS = 2
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the daemon until SIGTERM; return the exit status."""
+    parser = argparse.ArgumentParser(prog="marigoldpathd", description=__doc__)
+    parser.add_argument("--settings", type=Path, required=True, help="a JSON file")
+    path = parser.parse_args(arguments).settings
+    try:
+        settings = load_settings(path.read_text(encoding="utf-8"))
+    except (OSError, SettingsError) as fault:
+        print(f"marigoldpathd: {path}: {fault}", file=sys.stderr)
+        return BAD_SETTINGS
+    return _run(settings)
+
+
+def _run(settings: DaemonSettings) -> int:
+    from marigoldpath_core.scheduler import ZoneScheduler
+
+    daemon = Daemon(settings, ZoneScheduler, Observer(settings))
+    try:
+        daemon.bind()
+    except OSError as fault:
+        print(f"marigoldpathd: {settings.address}: {fault}", file=sys.stderr)
+        return BAD_SETTINGS
+    signals = StopSignals()
+    signals.install()
+    return curio.run(run_until_stopped, daemon, signals)
+
+
+async def run_until_stopped(daemon: Daemon, signals: StopSignals) -> int:
+    """Serve until the first signal, then drain; a second signal ends at once."""
+    serving = await curio.spawn(daemon.run)
+    await _first(serving, await curio.spawn(signals.wait))
+    if serving.terminated:
+        # Nothing but an error ends it; join raises that error.
+        await serving.join()
+        return STOPPED_AT_ONCE
+    stopping = await curio.spawn(daemon.stop)
+    again = await curio.spawn(signals.wait)
+    await _first(stopping, again)
+    status = 0 if stopping.terminated else STOPPED_AT_ONCE
+    for task in (stopping, again, serving):
+        await task.cancel()
+    return status
+
+
+async def _first(*tasks: curio.Task) -> None:
+    """Wait until one of the tasks has ended."""
+    ended = curio.Event()
+
+    async def watch(task: curio.Task) -> None:
+        await task.wait()
+        await ended.set()
+
+    watchers = [await curio.spawn(watch, task, daemon=True) for task in tasks]
+    await ended.wait()
+    for watcher in watchers:
+        await watcher.cancel()
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/effects/_platform.py
@@ -0,0 +1,78 @@
+"""Effects on the platform."""
+
+from marigoldpath_core.messages import (
+    CreateRow,
+    DeleteRow,
+    ObjectRead,
+    PutObject,
+    ReadObject,
+    ReadRow,
+    RowRead,
+    RowReadFailed,
+    RowWriteReplied,
+    WriteRow,
+)
+
+from ..platform import PlatformError
+from ._context import EffectContext
+from ._registry import performs
+
+# A new leader reads 1,024 journal slots; more at once would only queue at the table.
+READS_AT_ONCE = 64
+
+
+@performs(ReadRow, limit=READS_AT_ONCE)
+async def read_row(context: EffectContext, effect: ReadRow) -> None:
+    """Read a row."""
+    try:
+        row = await context.platform.read_row(effect.key)
+    except PlatformError as fault:
+        context.observer.metrics.count("platform.read_failed")
+        context.observer.log.debug("row not read", key=effect.key, reason=str(fault))
+        await context.feed(RowReadFailed(effect.key))
+        return
+    await context.feed(RowRead(effect.key, row))
+
+
+@performs(WriteRow, limit=2, target=lambda effect: effect.key)
+async def write_row(context: EffectContext, effect: WriteRow) -> None:
+    """Replace a row."""
+    reply = await context.platform.write_row(effect.key, effect.value, effect.version)
+    context.observer.metrics.count(f"platform.write_{reply.status}")
+    await context.feed(RowWriteReplied(effect.key, reply.status, reply.version))
+
+
+@performs(CreateRow, limit=2, target=lambda effect: effect.key)
+async def create_row(context: EffectContext, effect: CreateRow) -> None:
+    """Create a row."""
+    reply = await context.platform.create_row(effect.key, effect.value)
+    context.observer.metrics.count(f"platform.write_{reply.status}")
+    await context.feed(RowWriteReplied(effect.key, reply.status, reply.version))
+
+
+@performs(DeleteRow, limit=8)
+async def delete_row(context: EffectContext, effect: DeleteRow) -> None:
+    """Delete a row."""
+    try:
+        await context.platform.delete_row(effect.key)
+    except PlatformError as fault:
+        context.observer.log.info("row not deleted", key=effect.key, reason=str(fault))
+
+
+@performs(ReadObject, limit=8)
+async def read_object(context: EffectContext, effect: ReadObject) -> None:
+    """Read an object."""
+    try:
+        value = await context.platform.read_object(effect.key)
+    except PlatformError as fault:
+        context.observer.log.info("object not read", key=effect.key, reason=str(fault))
+        await context.feed(ObjectRead(effect.key, None, failed=True))
+        return
+    await context.feed(ObjectRead(effect.key, value))
+
+
+@performs(PutObject, limit=8)
+async def put_object(context: EffectContext, effect: PutObject) -> None:
+    """Write an object."""
+    reply = await context.platform.put_object(effect.key, effect.value)
+    await context.feed(RowWriteReplied(effect.key, reply.status, reply.version))
--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 client on h11 and curio that keeps connections."""
 
 import json
+import time
 from typing import Any, NamedTuple
 
 import curio
@@ -18,6 +19,7 @@
     connect_s: float = 1.0
     reply_s: float = 5.0
     max_kept: int = 8
+    kept_s: float = 30.0
     max_body: int = 16_777_216
 
 
@@ -25,6 +27,7 @@
     def __init__(self, socket: curio.io.Socket) -> None:
         self.socket = socket
         self.protocol = h11.Connection(h11.CLIENT)
+        self.kept_s = 0.0
 
 
 class HttpClient:
@@ -75,6 +78,18 @@
                 await connection.socket.close()
         self._kept.clear()
 
+    async def prune(self) -> None:
+        """Close kept connections that were idle for `kept_s`, as to replaced hosts."""
+        oldest_s = time.monotonic() - self._settings.kept_s
+        for address in list(self._kept):
+            connections = self._kept[address]
+            idle = [each for each in connections if each.kept_s < oldest_s]
+            connections[:] = [each for each in connections if each not in idle]
+            if not connections:
+                del self._kept[address]
+            for connection in idle:
+                await connection.socket.close()
+
     async def _connect(self, address: str) -> _Connection:
         kept = self._kept.get(address)
         while kept:
@@ -82,10 +97,9 @@
             if not _is_closed_by_peer(connection):
                 return connection
             await connection.socket.close()
-        host, _, port = address.rpartition(":")
         try:
             socket = await curio.timeout_after(
-                self._settings.connect_s, curio.open_connection, host, int(port)
+                self._settings.connect_s, _open_connection, address
             )
         except (OSError, ValueError, curio.TaskTimeout) as fault:
             raise NotSentError(f"no connection to {address}: {fault!r}") from fault
@@ -100,6 +114,7 @@
             await connection.socket.close()
             return
         protocol.start_next_cycle()
+        connection.kept_s = time.monotonic()
         kept.append(connection)
 
     async def _exchange(
@@ -133,6 +148,20 @@
                 raise h11.RemoteProtocolError("the peer closed the connection")
 
 
+async def _open_connection(address: str) -> curio.io.Socket:
+    # curio.open_connection resolves names in a thread of its own for each call;
+    # addresses here are IP numbers and need none.
+    host, _, port = address.rpartition(":")
+    family = curio.socket.AF_INET6 if ":" in host else curio.socket.AF_INET
+    socket = curio.socket.socket(family, curio.socket.SOCK_STREAM)
+    try:
+        await socket.connect((host.strip("[]"), int(port)))
+    except BaseException:
+        await socket.close()
+        raise
+    return socket
+
+
 def _encode(value: Any) -> bytes:
     return json.dumps(value, separators=(",", ":")).encode()
 
--- a/packages/node/src/marigoldpath_node/http/_server.py
+++ b/packages/node/src/marigoldpath_node/http/_server.py
@@ -9,6 +9,7 @@
 from ._messages import HttpRequest, HttpResponse, json_response
 
 READ_SIZE = 65_536
+ACCEPT_RETRY_S = 0.05
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -17,7 +18,9 @@
     """Limits of a server; times in seconds, sizes in bytes.
 
     `idle_s` bounds the wait for the next request on a kept connection and `read_s`
-    the arrival of a whole request, so that a slow sender holds nothing for long.
+    the arrival of a whole request, so that a slow sender holds nothing for long;
+    `write_s` does the same for a slow reader. Targets that start with `large_prefix`
+    may have a body of `max_large_body`.
     """
 
     host: str
@@ -26,6 +29,15 @@
     max_connections: int = 4_096
     idle_s: float = 60.0
     read_s: float = 5.0
+    write_s: float = 10.0
+    large_prefix: str = ""
+    max_large_body: int = 16_777_216
+
+    def body_limit(self, target: str) -> int:
+        """Return the limit on the body of a request to `target`."""
+        if self.large_prefix and target.startswith(self.large_prefix):
+            return self.max_large_body
+        return self.max_body
 
 
 class _BadRequestError(Exception):
@@ -75,13 +87,25 @@
         assert self._socket is not None
         async with self._socket, curio.TaskGroup(wait=object) as tasks:
             while True:
-                client, _ = await self._socket.accept()
+                client = await self._accept()
                 if self._connections >= self._settings.max_connections:
                     await client.close()
                     continue
                 self._connections += 1
                 await tasks.spawn(self._serve_connection, client, daemon=True)
 
+    async def _accept(self) -> curio.io.Socket:
+        assert self._socket is not None
+        while True:
+            try:
+                client, _ = await self._socket.accept()
+            except OSError:
+                # Out of file descriptors, or the peer left first; wait for some to
+                # come free instead of ending the server.
+                await curio.sleep(ACCEPT_RETRY_S)
+                continue
+            return client
+
     async def _serve_connection(self, client: curio.io.Socket) -> None:
         client.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
         connection = h11.Connection(h11.SERVER)
@@ -135,7 +159,8 @@
                     head = event
                 elif isinstance(event, h11.Data):
                     size += len(event.data)
-                    self._check_size(size)
+                    assert head is not None
+                    self._check_size(size, head.target.decode("latin-1"))
                     chunks.append(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
                     assert head is not None
@@ -157,13 +182,10 @@
                 fault.error_status_hint, "bad_http", str(fault)
             ) from None
 
-    def _check_size(self, size: int) -> None:
-        if size > self._settings.max_body:
-            raise _BadRequestError(
-                413,
-                "too_large",
-                f"the body is over {self._settings.max_body} bytes",
-            )
+    def _check_size(self, size: int, target: str) -> None:
+        limit = self._settings.body_limit(target)
+        if size > limit:
+            raise _BadRequestError(413, "too_large", f"the body is over {limit} bytes")
 
     async def _send(
         self,
@@ -182,7 +204,8 @@
             connection.send(h11.Data(data=response.body)),
             connection.send(h11.EndOfMessage()),
         ]
-        await client.sendall(b"".join(part for part in parts if part))
+        data = b"".join(part for part in parts if part)
+        await curio.timeout_after(self._settings.write_s, client.sendall, data)
 
 
 def _request(head: h11.Request, body: bytes) -> HttpRequest:
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/observability/_logs.py
@@ -0,0 +1,56 @@
+"""The logger: structlog with one JSON object a line."""
+
+import logging
+from typing import Any
+
+import structlog
+
+from marigoldpath_core.settings import ObservabilitySettings
+
+from ._lines import MAX_LINE, LineWriter
+
+# Leaves room for the other fields and for JSON escapes within MAX_LINE.
+MAX_VALUE = 1_000
+
+
+class _LineLogger:
+    def __init__(self, writer: LineWriter) -> None:
+        self._writer = writer
+
+    def msg(self, line: str) -> None:
+        self._writer.write(line)
+
+    debug = info = warning = error = critical = exception = msg
+
+
+def create_logger(settings: ObservabilitySettings, writer: LineWriter) -> Any:
+    """Return a logger that writes lines of at least the level in the settings."""
+    level = logging.getLevelNamesMapping().get(settings.log_level.upper(), logging.INFO)
+    return structlog.wrap_logger(
+        _LineLogger(writer),
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            _shorten,
+            structlog.processors.JSONRenderer(),
+            _fit,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        cache_logger_on_first_use=True,
+    )
+
+
+def _shorten(_logger: Any, _name: str, fields: Any) -> Any:
+    for name, value in fields.items():
+        if isinstance(value, str) and len(value) > MAX_VALUE:
+            fields[name] = value[:MAX_VALUE] + "..."
+    return fields
+
+
+def _fit(_logger: Any, _name: str, line: str) -> str:
+    if len(line) < MAX_LINE:
+        return line
+    return structlog.processors.JSONRenderer()(
+        None, "", {"event": "log line too long", "start": line[:MAX_VALUE]}
+    )  # type: ignore[return-value]
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/peers/__init__.py
@@ -0,0 +1,28 @@
+"""Forwarding of requests and outcomes between entry hosts."""
+
+from ._batches import BatchSender, Parcel, PeerBusyError, PeerLinks, PeerReplyError
+from ._beacon import Beacon
+from ._calls import Call, CallTable
+from ._codec import decode_view, encode_outcome, encode_view
+from ._delivery import OutcomeDelivery
+from ._forwarder import Forwarder
+from ._inbox import PeerInbox
+from ._leaders import Leaders
+
+__all__ = [
+    "BatchSender",
+    "Beacon",
+    "Call",
+    "CallTable",
+    "Forwarder",
+    "Leaders",
+    "OutcomeDelivery",
+    "Parcel",
+    "PeerBusyError",
+    "PeerInbox",
+    "PeerLinks",
+    "PeerReplyError",
+    "decode_view",
+    "encode_outcome",
+    "encode_view",
+]
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/peers/_forwarder.py
@@ -0,0 +1,181 @@
+"""Waits for the outcomes of requests of any zone and recovers lost ones."""
+
+from typing import Any
+
+import curio
+
+from marigoldpath_core.requests import Outcome, Request, RequestKey
+from marigoldpath_core.routing import (
+    LeaderView,
+    Recovery,
+    RecoveryFacts,
+    RetryBudget,
+    decide_recovery,
+)
+from marigoldpath_core.settings import DaemonSettings
+
+from ..observability import Observer
+from ..runtime import Runtime, monotonic_ms
+from ._batches import PeerBusyError, PeerLinks, PeerReplyError
+from ._calls import Call, CallTable
+from ._codec import outcome_of_state
+from ._leaders import Leaders
+from ._submission import Submission, not_run, unknown
+from ._submitter import NotTakenError, Submitter
+
+# A request that does not wait for its answer is accepted or refused within the time
+# of a few writes to the table.
+ACCEPT_MS = 10_000
+# How long a caller's wait goes on beyond the request's deadline, at which the leader
+# itself ends the request.
+MARGIN_MS = 2_000
+# The longest that one call is held; its caller can ask for the state afterwards.
+MAX_WAIT_MS = 600_000
+CHECK_S = 3.0
+# A lost outcome of a leader that is still there is noticed by asking at each tenth
+# check.
+ASK_EVERY = 10
+
+
+class Forwarder:
+    """Submits, cancels and asks for requests of any zone."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        runtime: Runtime,
+        leaders: Leaders,
+        calls: CallTable,
+        links: PeerLinks,
+        observer: Observer,
+    ) -> None:
+        self._calls = calls
+        self._observer = observer
+        self._budget = RetryBudget(settings.routing)
+        self._submitter = Submitter(
+            settings, runtime, leaders, links, self._budget, observer
+        )
+
+    async def submit(
+        self, request: Request, traceparent: str, weight: int = 500
+    ) -> Outcome:
+        """Return the outcome of a request, or that it is accepted to wait."""
+        wait_ms = request.deadline_ms + MARGIN_MS if request.wait else ACCEPT_MS
+        submission = Submission(request.key, request, traceparent, weight)
+        return await self._call(submission, min(wait_ms, MAX_WAIT_MS))
+
+    async def cancel(self, key: RequestKey) -> Outcome:
+        """Return what became of a request that is to be cancelled."""
+        return await self._call(Submission(key, None), ACCEPT_MS)
+
+    async def state(self, key: RequestKey) -> dict[str, Any] | None:
+        """Return the state of a request, or None when its leader knows none.
+
+        Raises PeerBusyError or PeerReplyError when no leader answers.
+        """
+        leader = await self._submitter.newest_leader(key.availability_zone)
+        if leader is None:
+            raise PeerBusyError(f"no leader of {key.availability_zone} serves now")
+        return await self._submitter.ask(leader, key)
+
+    async def _call(self, submission: Submission, wait_ms: int) -> Outcome:
+        self._budget.count_request(monotonic_ms())
+        call = self._calls.open(submission.key)
+        try:
+            return await curio.timeout_after(
+                wait_ms / 1_000, self._submit_and_wait, call, submission
+            )
+        except curio.TaskTimeout:
+            if call.outcome is not None:
+                return call.outcome
+            if call.sent:
+                return unknown(call.key, "no outcome came before the deadline")
+            return not_run(call.key, "no_leader", "no leader took the request in time")
+        finally:
+            self._calls.close(call)
+
+    async def _submit_and_wait(self, call: Call, submission: Submission) -> Outcome:
+        leader: LeaderView | None = None
+        try:
+            leader = await self._submitter.submit(call, submission)
+        except NotTakenError as fault:
+            if call.sent:
+                return unknown(call.key, str(fault))
+            return not_run(call.key, fault.code, str(fault))
+        except PeerReplyError as fault:
+            outcome = await self._recover(call, submission, None, str(fault))
+            if outcome is not None:
+                return outcome
+        checks = 0
+        while True:
+            outcome = await call.wait(CHECK_S)
+            if outcome is not None:
+                return outcome
+            checks += 1
+            zone = call.key.availability_zone
+            newest = await self._submitter.newest_leader(zone)
+            if newest is None:
+                continue
+            if leader is not None and _same(newest, leader) and checks % ASK_EVERY:
+                continue
+            outcome = await self._recover(call, submission, leader, "no outcome yet")
+            if outcome is not None:
+                return outcome
+            leader = newest
+
+    async def _recover(
+        self,
+        call: Call,
+        submission: Submission,
+        attached_to: LeaderView | None,
+        reason: str,
+    ) -> Outcome | None:
+        """Learn the fate of a submission; None means that its outcome will come."""
+        self._observer.metrics.count("peer.recoveries")
+        facts, outcome = await self._ask(call, attached_to)
+        decision = decide_recovery(facts)
+        if decision == Recovery.RESUBMIT and not self._budget.take(monotonic_ms()):
+            decision = Recovery.UNKNOWN
+        self._observer.log.info(
+            "submission recovered",
+            request=str(call.key),
+            reason=reason,
+            decision=decision.value,
+        )
+        if call.outcome is not None:
+            return call.outcome
+        if decision == Recovery.ANSWER:
+            return outcome
+        if decision == Recovery.UNKNOWN:
+            return unknown(call.key, reason)
+        if decision == Recovery.RESUBMIT:
+            try:
+                await self._submitter.submit(call, submission)
+            except (NotTakenError, PeerReplyError) as fault:
+                return unknown(call.key, str(fault))
+        return None
+
+    async def _ask(
+        self, call: Call, attached_to: LeaderView | None
+    ) -> tuple[RecoveryFacts, Outcome | None]:
+        leader = await self._submitter.newest_leader(call.key.availability_zone)
+        if leader is None:
+            return RecoveryFacts(asked=False), None
+        try:
+            state = await self._submitter.ask(leader, call.key)
+        except (PeerBusyError, PeerReplyError):
+            return RecoveryFacts(asked=False), None
+        outcome = outcome_of_state(call.key, state)
+        attached = attached_to is not None and _same(leader, attached_to)
+        facts = RecoveryFacts(
+            asked=True,
+            known=state is not None,
+            ended=outcome is not None,
+            attached=attached,
+            may_retry=True,
+        )
+        return facts, outcome
+
+
+def _same(one: LeaderView, other: LeaderView) -> bool:
+    return one[1:4] == other[1:4]
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/peers/_inbox.py
@@ -0,0 +1,118 @@
+"""Takes what other entry hosts send."""
+
+from typing import Any
+
+from marigoldpath_core.messages import CancelRequested, Event, RequestSubmitted
+from marigoldpath_core.requests import Origin, parse_request
+from marigoldpath_core.routing import MAX_HOPS
+from marigoldpath_core.settings import DaemonSettings
+
+from ..observability import Observer
+from ..runtime import Runtime, monotonic_ms
+from ._calls import CallTable
+from ._codec import decode_key, decode_outcome, decode_view, encode_view
+from ._delivery import OutcomeDelivery
+from ._leaders import Leaders
+
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
+
+
+class PeerInbox:
+    """Handles the bodies of the peers' routes; they raise ValueError if malformed."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        runtime: Runtime,
+        leaders: Leaders,
+        calls: CallTable,
+        delivery: OutcomeDelivery,
+        observer: Observer,
+    ) -> None:
+        self._settings = settings
+        self._runtime = runtime
+        self._leaders = leaders
+        self._calls = calls
+        self._delivery = delivery
+        self._observer = observer
+
+    async def submit(self, payload: Any) -> dict[str, Any]:
+        """Take requests for the zone that this host leads, or name its leader."""
+        try:
+            zone = payload["availability_zone"]
+            host = payload["origin"]["host"]
+            address = payload["origin"]["address"]
+            hops = int(payload["hops"])
+            items = list(payload["requests"])
+        except MALFORMED as fault:
+            raise ValueError(f"malformed submission: {fault!r}") from fault
+        if zone != self._settings.availability_zone or not self._runtime.leads:
+            return self._redirect(zone, hops)
+        if not self._runtime.scheduler.serving:
+            return {"redirect": None}
+        self._delivery.learn_address(host, address)
+        refused = []
+        for item in items:
+            # An item that cannot be read must not cost the others their outcome.
+            try:
+                event = self._event(item, host)
+            except MALFORMED as fault:
+                refused.append({"call": item["call"], "message": str(fault)})
+                continue
+            await self._runtime.feed(event)
+        return {"taken": len(items) - len(refused), "refused": refused}
+
+    async def outcomes(self, payload: Any) -> dict[str, Any]:
+        """Give outcomes to the calls that wait; return those that wait no more."""
+        refused = []
+        try:
+            for item in payload["outcomes"]:
+                call = int(item["call"])
+                if not await self._calls.end(call, decode_outcome(item)):
+                    refused.append(call)
+        except MALFORMED as fault:
+            raise ValueError(f"malformed outcome: {fault!r}") from fault
+        return {"refused": refused}
+
+    async def beacon(self, payload: Any) -> dict[str, Any]:
+        """Take in another leader's beacon."""
+        try:
+            view = decode_view(payload, monotonic_ms())
+        except MALFORMED as fault:
+            raise ValueError(f"malformed beacon: {fault!r}") from fault
+        self._leaders.views.learn(view)
+        return {}
+
+    async def state(self, payload: Any) -> dict[str, Any]:
+        """Return the states of requests, if this host serves as their leader."""
+        if not (self._runtime.leads and self._runtime.scheduler.serving):
+            return self._redirect(self._settings.availability_zone, MAX_HOPS - 1)
+        try:
+            keys = [decode_key(each) for each in payload["keys"]]
+        except MALFORMED as fault:
+            raise ValueError(f"malformed question: {fault!r}") from fault
+        states = {str(key): self._runtime.request_state(key) for key in keys}
+        return {"states": states}
+
+    def _redirect(self, zone: str, hops: int) -> dict[str, Any]:
+        self._leaders.learn_own()
+        view = self._leaders.views.view(zone)
+        self._observer.metrics.count("peer.redirects")
+        if view is None or not view.host or view.host == self._settings.host:
+            return {"redirect": None}
+        if hops >= MAX_HOPS:
+            return {"redirect": None}
+        return {"redirect": encode_view(view)}
+
+    def _event(self, item: Any, host: str) -> Event:
+        origin = Origin(host, int(item["call"]))
+        if "cancel" in item:
+            return CancelRequested(decode_key(item["cancel"]), origin)
+        parsed = parse_request(item["request"])
+        if parsed.is_err():
+            raise ValueError(parsed.unwrap_err().message)
+        request = parsed.unwrap()
+        spans = self._observer.spans
+        span = spans.start("submit", item.get("traceparent", ""))
+        spans.end(span, {"request": str(request.key), "origin": host})
+        return RequestSubmitted(request, origin, span.traceparent)
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/peers/_leaders.py
@@ -0,0 +1,79 @@
+"""Keeps the views of the zones' leaders from rows, beacons and the own core."""
+
+import curio
+
+from marigoldpath_core.routing import LeaderView, Route, RouteKind, ZoneViews
+from marigoldpath_core.settings import DaemonSettings
+
+from ..observability import Observer
+from ..platform import PlatformClient, PlatformError
+from ..runtime import Runtime, monotonic_ms
+
+
+class Leaders:
+    """The views of the zones, refreshed from the table when they are old."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        runtime: Runtime,
+        platform: PlatformClient,
+        observer: Observer,
+    ) -> None:
+        self._settings = settings
+        self._runtime = runtime
+        self._platform = platform
+        self._observer = observer
+        self._views = ZoneViews(settings)
+        self._reads: dict[str, curio.Event] = {}
+
+    @property
+    def views(self) -> ZoneViews:
+        """The views."""
+        return self._views
+
+    def learn_own(self) -> LeaderView | None:
+        """Take in what the own core knows of its zone's leader; return that."""
+        leader = self._runtime.scheduler.leader
+        if leader is None:
+            return None
+        host, address, epoch = leader
+        zone = self._settings.availability_zone
+        known = self._views.view(zone)
+        if known is not None and known[1:4] == (epoch, host, address):
+            return known
+        serving = host != self._settings.host or self._runtime.scheduler.serving
+        view = LeaderView(zone, epoch, host, address, serving, 0, monotonic_ms())
+        self._views.learn(view)
+        return view
+
+    async def find(self, zone: str) -> Route:
+        """Return the route to a zone's leader; the row is read when needed."""
+        if zone == self._settings.availability_zone:
+            self.learn_own()
+        route = self._views.route(zone, monotonic_ms())
+        if route.kind != RouteKind.REFRESH:
+            return route
+        await self._refresh(zone)
+        route = self._views.route(zone, monotonic_ms())
+        if route.kind == RouteKind.REFRESH:
+            return Route(RouteKind.NO_LEADER)
+        return route
+
+    async def _refresh(self, zone: str) -> None:
+        """Read the row once for all that ask for it meanwhile."""
+        reading = self._reads.get(zone)
+        if reading is not None:
+            await reading.wait()
+            return
+        reading = self._reads[zone] = curio.Event()
+        try:
+            row = await self._platform.read_row(f"leader/{zone}")
+            value = None if row is None else row.value
+            self._views.learn_row(zone, value, monotonic_ms())
+        except (PlatformError, KeyError, TypeError, ValueError) as fault:
+            self._views.mark_checked(zone, monotonic_ms())
+            self._observer.log.info("leader row not read", of=zone, reason=str(fault))
+        finally:
+            del self._reads[zone]
+            await reading.set()
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/peers/_submission.py
@@ -0,0 +1,52 @@
+"""What is sent to a zone's leader for one call."""
+
+from typing import Any, NamedTuple
+
+from marigoldpath_core.messages import CancelRequested, Event, RequestSubmitted
+from marigoldpath_core.requests import (
+    Origin,
+    Outcome,
+    OutcomeKind,
+    Request,
+    RequestKey,
+    encode_request,
+)
+
+RETRY_AFTER_MS = 500
+
+
+class Submission(NamedTuple):
+    """A request, or with `request` None the cancellation of `key`."""
+
+    key: RequestKey
+    request: Request | None
+    traceparent: str = ""
+    weight: int = 500
+
+    def event(self, origin: Origin) -> Event:
+        """Return the event for the own core."""
+        if self.request is None:
+            return CancelRequested(self.key, origin)
+        return RequestSubmitted(self.request, origin, self.traceparent)
+
+    def payload(self, call: int) -> dict[str, Any]:
+        """Return the JSON form for a peer."""
+        if self.request is None:
+            return {"call": call, "cancel": self.key._asdict(), "traceparent": ""}
+        return {
+            "call": call,
+            "request": encode_request(self.request),
+            "traceparent": self.traceparent,
+        }
+
+
+def not_run(key: RequestKey, code: str, message: str) -> Outcome:
+    """Return the outcome of a request that was never given to a leader."""
+    return Outcome(
+        key, OutcomeKind.NOT_RUN, code, message, retry_after_ms=RETRY_AFTER_MS
+    )
+
+
+def unknown(key: RequestKey, message: str) -> Outcome:
+    """Return the outcome of a request whose fate could not be learned."""
+    return Outcome(key, OutcomeKind.UNKNOWN, "no_reply", message)
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/platform/_client.py
@@ -0,0 +1,64 @@
+"""What any client of the platform offers, and the registry of clients."""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from marigoldpath_core.messages import (
+    EntryHost,
+    Row,
+    RowValue,
+    WorkerHost,
+    WriteStatus,
+)
+from marigoldpath_core.registry import Registry
+from marigoldpath_core.settings import DaemonSettings
+
+from ..http import HttpClient
+
+
+class WriteReply(NamedTuple):
+    """The end of a write; `version` is set when it is WRITTEN."""
+
+    status: WriteStatus
+    version: int = 0
+
+
+class Hosts(NamedTuple):
+    """The host list."""
+
+    workers: tuple[WorkerHost, ...]
+    entry_hosts: tuple[EntryHost, ...]
+
+
+class PlatformClient(Protocol):
+    """Reads raise PlatformError; writes tell what is known of them."""
+
+    async def read_row(self, key: str) -> Row | None:
+        """Return a row, or None when there is none."""
+
+    async def read_rows(self, prefix: str) -> tuple[Row, ...]:
+        """Return the rows whose keys start with `prefix`."""
+
+    async def write_row(self, key: str, value: RowValue, version: int) -> WriteReply:
+        """Replace a row that still has `version`."""
+
+    async def create_row(self, key: str, value: RowValue) -> WriteReply:
+        """Create a row unless there is one."""
+
+    async def delete_row(self, key: str) -> None:
+        """Delete a row."""
+
+    async def read_object(self, key: str) -> RowValue | None:
+        """Return an object, or None when there is none."""
+
+    async def put_object(self, key: str, value: RowValue) -> WriteReply:
+        """Write an object."""
+
+    async def hosts(self) -> Hosts:
+        """Return the host list."""
+
+
+PlatformFactory = Callable[[DaemonSettings, HttpClient], PlatformClient]
+
+PLATFORM_CLIENTS: Registry[str, PlatformFactory] = Registry("platform client")
+platform_client = PLATFORM_CLIENTS.register
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/platform/_codec.py
@@ -0,0 +1,51 @@
+"""JSON of the platform's replies."""
+
+from typing import Any
+
+from marigoldpath_core.messages import EntryHost, HostState, Row, WorkerHost
+from marigoldpath_core.requests import Size
+
+from ._client import Hosts
+from ._errors import PlatformReplyError
+
+
+def decode_row(key: str, payload: Any) -> Row:
+    """Return a row `{key, value, version}`; raises PlatformReplyError."""
+    try:
+        value = payload["value"]
+        if not isinstance(value, dict):
+            raise TypeError("value must be a JSON object")
+        return Row(payload.get("key", key), value, int(payload["version"]))
+    except (TypeError, KeyError, ValueError, AttributeError) as fault:
+        raise PlatformReplyError(f"the row {key!r} is malformed: {fault!r}") from fault
+
+
+def decode_hosts(payload: Any) -> Hosts:
+    """Return the host list; raises PlatformReplyError."""
+    try:
+        return Hosts(
+            tuple(_worker(each) for each in payload["workers"]),
+            tuple(_entry_host(each) for each in payload["entry_hosts"]),
+        )
+    except (TypeError, KeyError, ValueError) as fault:
+        raise PlatformReplyError(f"the host list is malformed: {fault!r}") from fault
+
+
+def _worker(payload: dict[str, Any]) -> WorkerHost:
+    return WorkerHost(
+        payload["name"],
+        payload["availability_zone"],
+        payload["rack"],
+        payload["address"],
+        Size(**payload["capacity"]),
+        HostState(payload["state"]),
+    )
+
+
+def _entry_host(payload: dict[str, Any]) -> EntryHost:
+    return EntryHost(
+        payload["name"],
+        payload["availability_zone"],
+        payload["address"],
+        HostState(payload["state"]),
+    )
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/runtime/_directory.py
@@ -0,0 +1,60 @@
+"""Addresses of hosts, from the platform's host list."""
+
+from marigoldpath_core.messages import EntryHost, HostState, WorkerHost
+
+from ..platform import Hosts
+
+# A worker that has left the list may still run tasks whose leases must be renewed.
+REMEMBERED_MS = 60_000
+
+
+class HostDirectory:
+    """The newest host list, and the workers that left it not long ago."""
+
+    def __init__(self) -> None:
+        self._hosts = Hosts((), ())
+        self._workers: dict[str, tuple[WorkerHost, int]] = {}
+        self._entry_hosts: dict[str, EntryHost] = {}
+
+    @property
+    def hosts(self) -> Hosts:
+        """The newest host list."""
+        return self._hosts
+
+    def update(self, hosts: Hosts, now_ms: int) -> None:
+        """Take in a host list."""
+        self._hosts = hosts
+        for worker in hosts.workers:
+            self._workers[worker.name] = (worker, now_ms)
+        if len(self._workers) > len(hosts.workers):
+            oldest_ms = now_ms - REMEMBERED_MS
+            self._workers = {
+                name: entry
+                for name, entry in self._workers.items()
+                if entry[1] >= oldest_ms
+            }
+        self._entry_hosts = {host.name: host for host in hosts.entry_hosts}
+
+    def worker_address(self, name: str) -> str:
+        """Return a worker's address; raises KeyError."""
+        return self._workers[name][0].address
+
+    def workers_in(self, zone: str) -> list[WorkerHost]:
+        """Return the workers of a zone."""
+        return [
+            worker
+            for worker, _ in self._workers.values()
+            if worker.availability_zone == zone
+        ]
+
+    def entry_host_address(self, name: str) -> str | None:
+        """Return the address of an entry host, or None."""
+        host = self._entry_hosts.get(name)
+        return None if host is None else host.address
+
+    def entry_hosts_in(self, zone: str) -> list[EntryHost]:
+        """Return the entry hosts of a zone, the live ones first."""
+        hosts = [
+            host for host in self._hosts.entry_hosts if host.availability_zone == zone
+        ]
+        return sorted(hosts, key=lambda host: (host.state != HostState.LIVE, host.name))
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/workers/_codec.py
@@ -0,0 +1,108 @@
+"""JSON of the workers' requests and replies."""
+
+import hashlib
+from typing import Any
+
+from marigoldpath_core.messages import (
+    EndedTask,
+    RenewLeases,
+    RunningTask,
+    StartsReplied,
+    StartStatus,
+    StartTasks,
+    TaskStatus,
+    TaskUsage,
+    WorkerReport,
+)
+from marigoldpath_core.requests import Answer, Size
+
+from ._client import WorkerEvents
+
+
+def encode_starts(effect: StartTasks) -> dict[str, Any]:
+    """Return the body of a start."""
+    starts = [
+        {**start._asdict(), "size": start.size._asdict()} for start in effect.starts
+    ]
+    return {"holder": effect.holder, "starts": starts}
+
+
+def encode_renewal(effect: RenewLeases) -> dict[str, Any]:
+    """Return the body of a renewal."""
+    return {
+        "holder": effect.holder,
+        "tasks": list(effect.tasks),
+        "lease_until_ms": effect.lease_until_ms,
+    }
+
+
+def decode_starts(worker: str, payload: Any) -> StartsReplied:
+    """Return the reply to a start."""
+    statuses = {
+        task: StartStatus(status) for task, status in payload["statuses"].items()
+    }
+    return StartsReplied(worker, int(payload["clock_ms"]), statuses)
+
+
+def decode_report(payload: Any) -> WorkerReport:
+    """Return the reply to a list or a renewal."""
+    tasks = tuple(_running_task(each) for each in payload["tasks"])
+    return WorkerReport(int(payload["clock_ms"]), payload["incarnation"], tasks)
+
+
+def decode_events(payload: Any, after: int) -> WorkerEvents:
+    """Return the events up to the first answer that is not whole."""
+    ended: list[EndedTask] = []
+    next_number = int(payload["next"])
+    damaged = None
+    for each in payload["events"]:
+        task = _ended_task(each)
+        if task.answer is not None and not is_whole(task.answer):
+            damaged = task._replace(answer=None)
+            next_number = max(after, task.sequence - 1)
+            break
+        ended.append(task)
+    return WorkerEvents(
+        int(payload["clock_ms"]),
+        payload["incarnation"],
+        next_number,
+        tuple(ended),
+        damaged,
+    )
+
+
+def decode_usages(payload: Any) -> tuple[TaskUsage, ...]:
+    """Return the usages in a reply."""
+    return tuple(
+        TaskUsage(each["task"], Size(**each["size"])) for each in payload["usages"]
+    )
+
+
+def is_whole(answer: Answer) -> bool:
+    """Return whether the text has the length in bytes and the SHA-256 digest."""
+    data = answer.text.encode("utf-8", "surrogatepass")
+    if len(data) != answer.length:
+        return False
+    return hashlib.sha256(data).hexdigest() == answer.digest
+
+
+def _running_task(payload: dict[str, Any]) -> RunningTask:
+    return RunningTask(
+        payload["task"],
+        payload["holder"],
+        int(payload["sequence"]),
+        Size(**payload["size"]),
+        int(payload["lease_until_ms"]),
+    )
+
+
+def _ended_task(payload: dict[str, Any]) -> EndedTask:
+    answer = payload.get("answer")
+    if answer is not None:
+        answer = Answer(str(answer["text"]), int(answer["length"]), answer["digest"])
+    return EndedTask(
+        payload["task"],
+        TaskStatus(payload["status"]),
+        answer,
+        int(payload["sequence"]),
+    )
--- /dev/null
+++ b/tests/core/test_routing.py
@@ -0,0 +1,112 @@
+"""Tests of the forwarding decisions."""
+
+import unittest
+
+from marigoldpath_core.routing import (
+    LeaderView,
+    Recovery,
+    RecoveryFacts,
+    RetryBudget,
+    RouteKind,
+    ZoneViews,
+    decide_recovery,
+    follow_redirect,
+)
+from marigoldpath_core.settings import DaemonSettings, RoutingSettings
+
+SETTINGS = DaemonSettings("e1", "jadran", "zadar", ("zadar", "rijeka"), "127.0.0.1:1")
+
+
+def leader(epoch: int, host: str = "r1", seen_ms: int = 0) -> LeaderView:
+    return LeaderView("rijeka", epoch, host, f"{host}:1", seen_ms=seen_ms)
+
+
+class ZoneViewsTests(unittest.TestCase):
+    def test_a_late_message_of_an_old_leader_does_not_replace_the_new(self) -> None:
+        views = ZoneViews(SETTINGS)
+        views.learn(leader(3, "r2"))
+        self.assertFalse(views.learn(leader(2, "r1")))
+        self.assertEqual(views.view("rijeka"), leader(3, "r2"))
+
+    def test_a_late_beacon_does_not_revive_a_released_leader(self) -> None:
+        views = ZoneViews(SETTINGS)
+        row = {"epoch": 3, "host": "r1", "address": "r1:1", "released": True}
+        views.learn_row("rijeka", row, 0)
+        self.assertFalse(views.learn(leader(3)))
+        self.assertEqual(views.route("rijeka", 10).kind, RouteKind.NO_LEADER)
+
+    def test_an_old_view_is_refreshed_once_and_then_used(self) -> None:
+        views = ZoneViews(SETTINGS)
+        views.learn(leader(1))
+        self.assertEqual(views.route("rijeka", 5_000).kind, RouteKind.FORWARD)
+        self.assertEqual(views.route("rijeka", 5_001).kind, RouteKind.REFRESH)
+        views.mark_checked("rijeka", 5_001)
+        self.assertEqual(views.route("rijeka", 5_002).kind, RouteKind.FORWARD)
+
+    def test_without_a_leader_the_row_is_not_read_for_each_request(self) -> None:
+        views = ZoneViews(SETTINGS)
+        self.assertEqual(views.route("rijeka", 0).kind, RouteKind.REFRESH)
+        views.learn_row("rijeka", None, 0)
+        self.assertEqual(views.route("rijeka", 999).kind, RouteKind.NO_LEADER)
+        self.assertEqual(views.route("rijeka", 1_000).kind, RouteKind.REFRESH)
+
+    def test_a_leader_that_does_not_answer_is_looked_up_before_the_next_use(
+        self,
+    ) -> None:
+        views = ZoneViews(SETTINGS)
+        views.learn(leader(1, seen_ms=9_000))
+        views.forget_address(leader(1, seen_ms=9_000))
+        self.assertEqual(views.route("rijeka", 9_001).kind, RouteKind.REFRESH)
+
+    def test_a_zone_that_is_not_in_the_settings_takes_no_memory(self) -> None:
+        views = ZoneViews(SETTINGS)
+        self.assertFalse(views.learn(leader(1)._replace(availability_zone="x")))
+        self.assertEqual(views.views, ())
+
+
+class RedirectTests(unittest.TestCase):
+    def test_a_second_redirect_is_not_followed(self) -> None:
+        self.assertEqual(follow_redirect(leader(1), "r9:1", 1).kind, RouteKind.FORWARD)
+        self.assertEqual(
+            follow_redirect(leader(1), "r9:1", 2).kind, RouteKind.NO_LEADER
+        )
+
+    def test_a_peer_that_names_itself_gives_no_loop(self) -> None:
+        self.assertEqual(
+            follow_redirect(leader(1), "r1:1", 1).kind, RouteKind.NO_LEADER
+        )
+
+
+class RetryBudgetTests(unittest.TestCase):
+    def test_retries_stay_under_a_tenth_of_the_last_ten_seconds(self) -> None:
+        budget = RetryBudget(RoutingSettings())
+        for number in range(100):
+            budget.count_request(number * 90)
+        self.assertEqual(sum(budget.take(9_000) for _ in range(50)), 10)
+
+    def test_old_requests_give_no_retries(self) -> None:
+        budget = RetryBudget(RoutingSettings())
+        for _ in range(100):
+            budget.count_request(0)
+        self.assertEqual(sum(budget.take(10_000) for _ in range(50)), 1)
+
+
+class RecoveryTests(unittest.TestCase):
+    def test_silence_of_the_leader_is_never_told_as_not_run(self) -> None:
+        facts = RecoveryFacts(asked=False, may_retry=True)
+        self.assertEqual(decide_recovery(facts), Recovery.UNKNOWN)
+
+    def test_a_leader_that_never_got_the_submission_gets_it_again(self) -> None:
+        facts = RecoveryFacts(asked=True, known=False, may_retry=True)
+        self.assertEqual(decide_recovery(facts), Recovery.RESUBMIT)
+
+    def test_a_request_in_progress_is_waited_for(self) -> None:
+        facts = RecoveryFacts(asked=True, known=True, attached=True)
+        self.assertEqual(decide_recovery(facts), Recovery.WAIT)
+
+    def test_an_exhausted_budget_ends_in_unknown(self) -> None:
+        self.assertEqual(decide_recovery(RecoveryFacts(asked=True)), Recovery.UNKNOWN)
+
+
+if __name__ == "__main__":
+    unittest.main()
