--- a/packages/core/src/marigoldpath_core/messages/_events.py
+++ b/packages/core/src/marigoldpath_core/messages/_events.py
@@ -26,6 +26,19 @@
     key: str
 
 
+class RowsRead(NamedTuple):
+    """The rows under a prefix, each as it was at some moment of the read."""
+
+    prefix: str
+    rows: tuple[Row, ...]
+
+
+class RowsReadFailed(NamedTuple):
+    """The table did not answer the read of a prefix."""
+
+    prefix: str
+
+
 class WriteStatus(StrEnum):
     """What is known of a write to the table."""
 
@@ -96,6 +109,14 @@
     answer: Answer | None = None
 
 
+class EventsPolled(NamedTuple):
+    """All ends up to `clock_ms` on the worker's clock have been passed on."""
+
+    worker: str
+    clock_ms: int
+    incarnation: str
+
+
 class UsageReported(NamedTuple):
     """Usage of tasks on a worker, with a lag."""
 
@@ -128,6 +149,8 @@
     Tick
     | RowRead
     | RowReadFailed
+    | RowsRead
+    | RowsReadFailed
     | RowWriteReplied
     | ObjectRead
     | HostsListed
@@ -136,6 +159,7 @@
     | StartsReplied
     | StartsFailed
     | TaskEnded
+    | EventsPolled
     | UsageReported
     | RequestSubmitted
     | CancelRequested
