Fit the daemon to the scheduler, the settings and the stand-ins

Cause: the scheduler and the stand-ins landed with other shapes than assumed. Change: follow their interfaces; use the checked settings.

--- a/packages/node/src/marigoldpath_node/api/_operators.py
+++ b/packages/node/src/marigoldpath_node/api/_operators.py
@@ -11,16 +11,13 @@
 async def health(context: ApiContext, call: RouteCall) -> HttpResponse:
     """Return whether this host is up and who leads its zone."""
     leader = context.runtime.scheduler.leader
-    named = None
-    if leader is not None:
-        named = {"host": leader[0], "address": leader[1], "epoch": leader[2]}
     return value_reply(
         {
             "status": "ok",
             "host": context.settings.host,
             "availability_zone": context.settings.availability_zone,
-            "serving": context.runtime.scheduler.serving,
-            "leader": named,
+            "serving": context.runtime.serving,
+            "leader": None if leader is None else leader._asdict(),
             "draining": context.runtime.draining,
         }
     )
@@ -38,7 +35,7 @@
             "calls": len(context.calls),
             "configuration": context.runtime.configuration.version,
             "leaders": [encode_view(view) for view in context.leaders.views.views],
-            "scheduler": context.runtime.scheduler.status(),
+            "scheduler": context.runtime.status(),
             "counters": context.observer.metrics.counters,
             **context.observer.status(),
         }
--- a/packages/node/src/marigoldpath_node/api/_registry.py
+++ b/packages/node/src/marigoldpath_node/api/_registry.py
@@ -32,15 +32,16 @@
 Handler = Callable[[ApiContext, RouteCall], Awaitable[HttpResponse]]
 
 
-class Route(NamedTuple):
+class Route:
     """A handler and who may use it."""
 
-    handler: Handler
-    access: Access
+    def __init__(self, handler: Handler, access: Access) -> None:
+        self.access = access
+        self._handler = handler
 
     async def __call__(self, context: ApiContext, call: RouteCall) -> HttpResponse:
         """Answer a request."""
-        return await self.handler(context, call)
+        return await self._handler(context, call)
 
 
 ROUTES: Registry[tuple[str, str], Route] = Registry("route")
--- a/packages/node/src/marigoldpath_node/api/_replies.py
+++ b/packages/node/src/marigoldpath_node/api/_replies.py
@@ -10,6 +10,7 @@
     "queue_full": 429,
     "id_conflict": 409,
     "never_fits": 422,
+    "unknown_kind": 400,
 }
 
 
@@ -39,8 +40,7 @@
 def outcome_reply(outcome: Outcome) -> HttpResponse:
     """Return the reply for the outcome of a request."""
     if outcome.kind == OutcomeKind.DONE:
-        answer = None if outcome.answer is None else outcome.answer._asdict()
-        return json_response(200, {"outcome": "done", "answer": answer})
+        return json_response(200, _done(outcome))
     if outcome.kind == OutcomeKind.ACCEPTED:
         return json_response(202, {"outcome": "accepted"})
     status = 504
@@ -56,6 +56,16 @@
     )
 
 
+def _done(outcome: Outcome) -> dict[str, Any]:
+    """Return the body for a task that ran, which may have failed."""
+    answer = None if outcome.answer is None else outcome.answer._asdict()
+    value: dict[str, Any] = {"outcome": "done", "answer": answer}
+    if outcome.code:
+        value["code"] = outcome.code
+        value["message"] = outcome.message
+    return value
+
+
 def value_reply(value: Any) -> HttpResponse:
     """Return a reply with a JSON value."""
     return json_response(200, value)
--- a/packages/node/src/marigoldpath_node/api/_requests.py
+++ b/packages/node/src/marigoldpath_node/api/_requests.py
@@ -61,9 +61,7 @@
             retry_after_ms=DRAINING_RETRY_MS,
         )
     if state is None:
-        return error_reply(
-            404, "no_request", f"the request {key} is not known", outcome="unknown"
-        )
+        return _not_known(key)
     return value_reply(state)
 
 
@@ -77,9 +75,16 @@
     outcome = await context.forwarder.cancel(key)
     if outcome.code == "cancelled":
         return value_reply({"outcome": outcome.kind.value, "code": "cancelled"})
+    if outcome.code == "not_found":
+        return _not_known(key)
     return outcome_reply(outcome)
 
 
+def _not_known(key: RequestKey) -> HttpResponse:
+    message = f"the request {key} is not known, or ended too long ago"
+    return error_reply(404, "not_found", message, outcome="unknown")
+
+
 async def _submit(context: ApiContext, call: RouteCall, request: Request) -> Outcome:
     spans = context.observer.spans
     span = spans.start("request", call.request.headers.get("traceparent", ""))
--- a/packages/node/src/marigoldpath_node/daemon/_daemon.py
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -1,11 +1,21 @@
 """Puts the parts of the daemon together."""
 
+import secrets
+from collections.abc import Callable
+
 import curio
 
 from marigoldpath_core.settings import DaemonSettings
 
 from ..api import Api, ApiContext
-from ..http import HttpClient, HttpClientSettings, HttpServer, HttpServerSettings
+from ..http import (
+    HttpClient,
+    HttpClientSettings,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    HttpServerSettings,
+)
 from ..observability import Observer
 from ..peers import (
     Beacon,
@@ -30,10 +40,13 @@
     """One entry host; `bind` comes before `run`."""
 
     def __init__(
-        self, settings: DaemonSettings, scheduler_type: type, observer: Observer
+        self,
+        settings: DaemonSettings,
+        create_scheduler: Callable[[DaemonSettings, str], Scheduler],
+        observer: Observer,
     ) -> None:
         self._observer = observer
-        self._scheduler_type = scheduler_type
+        self._create_scheduler = create_scheduler
         self._settings = settings
         self._http = HttpClient(HttpClientSettings())
         self._server = HttpServer(_server_settings(settings), self._handle)
@@ -59,25 +72,38 @@
         links = PeerLinks(settings, self._http)
         delivery = OutcomeDelivery(settings, self._calls, links, directory, observer)
         platform = create_platform_client(settings, self._http)
-        scheduler: Scheduler = self._scheduler_type(settings)
         runtime = Runtime(
             settings,
-            scheduler,
-            platform,
-            create_worker_client(settings, self._http),
-            delivery,
-            directory,
-            observer,
+            self._create_scheduler(settings, secrets.token_hex(8)),
+            platform=platform,
+            workers=create_worker_client(settings, self._http),
+            outcomes=delivery,
+            directory=directory,
+            observer=observer,
         )
         leaders = Leaders(settings, runtime, platform, observer)
         calls = self._calls
         context = ApiContext(
             settings,
             runtime,
-            Forwarder(settings, runtime, leaders, calls, links, observer),
+            Forwarder(
+                settings,
+                runtime,
+                leaders=leaders,
+                calls=calls,
+                links=links,
+                observer=observer,
+            ),
             leaders,
             calls,
-            PeerInbox(settings, runtime, leaders, calls, delivery, observer),
+            PeerInbox(
+                settings,
+                runtime,
+                leaders=leaders,
+                calls=calls,
+                delivery=delivery,
+                observer=observer,
+            ),
             observer,
             self.drain,
         )
@@ -95,7 +121,7 @@
         if self._runtime is None or self._runtime.draining:
             return
         self._observer.log.info("draining", calls=len(self._calls))
-        await self._runtime.drain()
+        self._runtime.drain()
         self._server.drain()
 
     async def stop(self) -> bool:
@@ -116,7 +142,7 @@
             return False
         return self._runtime.is_drained
 
-    async def _handle(self, request):
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
         assert self._api is not None
         return await self._api.handle(request)
 
--- a/packages/node/src/marigoldpath_node/daemon/_main.py
+++ b/packages/node/src/marigoldpath_node/daemon/_main.py
@@ -6,11 +6,10 @@
 
 import curio
 
-from marigoldpath_core.settings import DaemonSettings
+from marigoldpath_core.settings import DaemonSettings, load_settings
 
 from ..observability import Observer
 from ._daemon import Daemon
-from ._settings import SettingsError, load_settings
 from ._signals import StopSignals
 
 STOPPED_AT_ONCE = 1
@@ -23,11 +22,15 @@
     parser.add_argument("--settings", type=Path, required=True, help="a JSON file")
     path = parser.parse_args(arguments).settings
     try:
-        settings = load_settings(path.read_text(encoding="utf-8"))
-    except (OSError, SettingsError) as fault:
+        loaded = load_settings(path.read_text(encoding="utf-8"))
+    except (OSError, ValueError) as fault:
         print(f"marigoldpathd: {path}: {fault}", file=sys.stderr)
         return BAD_SETTINGS
-    return _run(settings)
+    if loaded.is_err():
+        for found in loaded.unwrap_err():
+            print(f"marigoldpathd: {path}: {found}", file=sys.stderr)
+        return BAD_SETTINGS
+    return _run(loaded.unwrap())
 
 
 def _run(settings: DaemonSettings) -> int:
--- a/packages/node/src/marigoldpath_node/effects/_platform.py
+++ b/packages/node/src/marigoldpath_node/effects/_platform.py
@@ -7,8 +7,11 @@
     PutObject,
     ReadObject,
     ReadRow,
+    ReadRows,
     RowRead,
     RowReadFailed,
+    RowsRead,
+    RowsReadFailed,
     RowWriteReplied,
     WriteRow,
 )
@@ -17,7 +20,7 @@
 from ._context import EffectContext
 from ._registry import performs
 
-# A new leader reads 1,024 journal slots; more at once would only queue at the table.
+# Reads of many rows at once would only queue at the table.
 READS_AT_ONCE = 64
 
 
@@ -34,6 +37,21 @@
     await context.feed(RowRead(effect.key, row))
 
 
+@performs(ReadRows)
+async def read_rows(context: EffectContext, effect: ReadRows) -> None:
+    """Read the rows under a prefix."""
+    try:
+        rows = await context.platform.read_rows(effect.prefix)
+    except PlatformError as fault:
+        context.observer.metrics.count("platform.read_failed")
+        context.observer.log.info(
+            "rows not read", prefix=effect.prefix, reason=str(fault)
+        )
+        await context.feed(RowsReadFailed(effect.prefix))
+        return
+    await context.feed(RowsRead(effect.prefix, rows))
+
+
 @performs(WriteRow, limit=2, target=lambda effect: effect.key)
 async def write_row(context: EffectContext, effect: WriteRow) -> None:
     """Replace a row."""
--- a/packages/node/src/marigoldpath_node/effects/_registry.py
+++ b/packages/node/src/marigoldpath_node/effects/_registry.py
@@ -1,7 +1,7 @@
 """The registry of functions that perform effects."""
 
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from marigoldpath_core.registry import Registry
 
@@ -10,7 +10,7 @@
 Perform = Callable[[EffectContext, Any], Awaitable[None]]
 
 
-class Performance(NamedTuple):
+class Performance:
     """How effects of one type are performed.
 
     Effects of one type to one target share a lane, in which at most `limit` are in
@@ -18,13 +18,16 @@
     the lane's name from an effect.
     """
 
-    perform: Perform
-    limit: int
-    target: Callable[[Any], str]
+    def __init__(
+        self, perform: Perform, limit: int, target: Callable[[Any], str]
+    ) -> None:
+        self.limit = limit
+        self.target = target
+        self._perform = perform
 
     async def __call__(self, context: EffectContext, effect: Any) -> None:
         """Perform an effect."""
-        await self.perform(context, effect)
+        await self._perform(context, effect)
 
 
 PERFORMANCES: Registry[type, Performance] = Registry("performance of effect")
--- a/packages/node/src/marigoldpath_node/effects/_workers.py
+++ b/packages/node/src/marigoldpath_node/effects/_workers.py
@@ -111,11 +111,12 @@
     starts = []
     spans = []
     for start in effect.starts:
-        if start.traceparent:
-            span = context.observer.spans.start("start", start.traceparent)
-            spans.append((start.task, span))
-            start = start._replace(traceparent=span.traceparent)
-        starts.append(start)
+        if not start.traceparent:
+            starts.append(start)
+            continue
+        span = context.observer.spans.start("start", start.traceparent)
+        spans.append((start.task, span))
+        starts.append(start._replace(traceparent=span.traceparent))
     return effect._replace(starts=tuple(starts)), spans
 
 
--- a/packages/node/src/marigoldpath_node/observability/_logs.py
+++ b/packages/node/src/marigoldpath_node/observability/_logs.py
@@ -1,5 +1,6 @@
 """The logger: structlog with one JSON object a line."""
 
+import json
 import logging
 from typing import Any
 
@@ -48,9 +49,7 @@
     return fields
 
 
-def _fit(_logger: Any, _name: str, line: str) -> str:
+def _fit(_logger: Any, _name: str, line: Any) -> str:
     if len(line) < MAX_LINE:
         return line
-    return structlog.processors.JSONRenderer()(
-        None, "", {"event": "log line too long", "start": line[:MAX_VALUE]}
-    )  # type: ignore[return-value]
+    return json.dumps({"event": "log line too long", "start": line[:MAX_VALUE]})
--- a/packages/node/src/marigoldpath_node/observability/_metrics.py
+++ b/packages/node/src/marigoldpath_node/observability/_metrics.py
@@ -2,9 +2,10 @@
 
 import socket
 
-from marigoldpath_core.settings import ObservabilitySettings
 from statsd.client.udp import StatsClient
 
+from marigoldpath_core.settings import ObservabilitySettings
+
 PREFIX = "marigoldpath"
 # Bounds the memory for names that are made up at run time, such as kinds of work.
 MAX_NAMES = 1_000
--- a/packages/node/src/marigoldpath_node/peers/_beacon.py
+++ b/packages/node/src/marigoldpath_node/peers/_beacon.py
@@ -6,7 +6,7 @@
 from marigoldpath_core.routing import LeaderView
 from marigoldpath_core.settings import DaemonSettings
 
-from ..runtime import HostDirectory, Runtime, monotonic_ms
+from ..runtime import HostDirectory, Runtime, clock_ms
 from ._batches import PeerBusyError, PeerLinks, PeerReplyError
 from ._codec import encode_view
 
@@ -53,17 +53,14 @@
         return recipients
 
     async def _send_all(self) -> None:
-        scheduler = self._runtime.scheduler
-        leader = scheduler.leader
-        assert leader is not None
         view = LeaderView(
             self._settings.availability_zone,
-            leader[2],
-            leader[0],
-            leader[1],
-            scheduler.serving and not self._runtime.draining,
-            int(scheduler.status().get("queued", 0)),
-            monotonic_ms(),
+            self._runtime.scheduler.epoch,
+            self._settings.host,
+            self._settings.address,
+            self._runtime.serving and not self._runtime.draining,
+            sum(self._runtime.status()["waiting"].values()),
+            clock_ms(),
         )
         payload = encode_view(view)
         for host in self.recipients():
--- a/packages/node/src/marigoldpath_node/peers/_codec.py
+++ b/packages/node/src/marigoldpath_node/peers/_codec.py
@@ -100,10 +100,10 @@
 
 def outcome_of_state(key: RequestKey, state: Any) -> Outcome | None:
     """Return the outcome in the state of a request, None while it has none."""
-    payload = state.get("outcome") if isinstance(state, dict) else None
-    if not isinstance(payload, dict):
+    if not isinstance(state, dict) or not state.get("outcome"):
         return None
     try:
-        return decode_outcome({**payload, "key": key._asdict()})
+        payload = {**state, "kind": state["outcome"], "key": encode_key(key)}
+        return decode_outcome(payload)
     except (KeyError, TypeError, ValueError):
         return None
--- a/packages/node/src/marigoldpath_node/peers/_forwarder.py
+++ b/packages/node/src/marigoldpath_node/peers/_forwarder.py
@@ -15,7 +15,7 @@
 from marigoldpath_core.settings import DaemonSettings
 
 from ..observability import Observer
-from ..runtime import Runtime, monotonic_ms
+from ..runtime import Runtime, clock_ms
 from ._batches import PeerBusyError, PeerLinks, PeerReplyError
 from ._calls import Call, CallTable
 from ._codec import outcome_of_state
@@ -44,6 +44,7 @@
         self,
         settings: DaemonSettings,
         runtime: Runtime,
+        *,
         leaders: Leaders,
         calls: CallTable,
         links: PeerLinks,
@@ -53,7 +54,12 @@
         self._observer = observer
         self._budget = RetryBudget(settings.routing)
         self._submitter = Submitter(
-            settings, runtime, leaders, links, self._budget, observer
+            settings,
+            runtime,
+            leaders=leaders,
+            links=links,
+            budget=self._budget,
+            observer=observer,
         )
 
     async def submit(
@@ -79,7 +85,7 @@
         return await self._submitter.ask(leader, key)
 
     async def _call(self, submission: Submission, wait_ms: int) -> Outcome:
-        self._budget.count_request(monotonic_ms())
+        self._budget.count_request(clock_ms())
         call = self._calls.open(submission.key)
         try:
             return await curio.timeout_after(
@@ -134,7 +140,7 @@
         self._observer.metrics.count("peer.recoveries")
         facts, outcome = await self._ask(call, attached_to)
         decision = decide_recovery(facts)
-        if decision == Recovery.RESUBMIT and not self._budget.take(monotonic_ms()):
+        if decision == Recovery.RESUBMIT and not self._budget.take(clock_ms()):
             decision = Recovery.UNKNOWN
         self._observer.log.info(
             "submission recovered",
--- a/packages/node/src/marigoldpath_node/peers/_inbox.py
+++ b/packages/node/src/marigoldpath_node/peers/_inbox.py
@@ -8,7 +8,7 @@
 from marigoldpath_core.settings import DaemonSettings
 
 from ..observability import Observer
-from ..runtime import Runtime, monotonic_ms
+from ..runtime import Runtime, clock_ms
 from ._calls import CallTable
 from ._codec import decode_key, decode_outcome, decode_view, encode_view
 from ._delivery import OutcomeDelivery
@@ -24,6 +24,7 @@
         self,
         settings: DaemonSettings,
         runtime: Runtime,
+        *,
         leaders: Leaders,
         calls: CallTable,
         delivery: OutcomeDelivery,
@@ -48,7 +49,7 @@
             raise ValueError(f"malformed submission: {fault!r}") from fault
         if zone != self._settings.availability_zone or not self._runtime.leads:
             return self._redirect(zone, hops)
-        if not self._runtime.scheduler.serving:
+        if not self._runtime.serving:
             return {"redirect": None}
         self._delivery.learn_address(host, address)
         refused = []
@@ -77,7 +78,7 @@
     async def beacon(self, payload: Any) -> dict[str, Any]:
         """Take in another leader's beacon."""
         try:
-            view = decode_view(payload, monotonic_ms())
+            view = decode_view(payload, clock_ms())
         except MALFORMED as fault:
             raise ValueError(f"malformed beacon: {fault!r}") from fault
         self._leaders.views.learn(view)
@@ -85,7 +86,7 @@
 
     async def state(self, payload: Any) -> dict[str, Any]:
         """Return the states of requests, if this host serves as their leader."""
-        if not (self._runtime.leads and self._runtime.scheduler.serving):
+        if not self._runtime.serving:
             return self._redirect(self._settings.availability_zone, MAX_HOPS - 1)
         try:
             keys = [decode_key(each) for each in payload["keys"]]
--- a/packages/node/src/marigoldpath_node/peers/_leaders.py
+++ b/packages/node/src/marigoldpath_node/peers/_leaders.py
@@ -7,7 +7,7 @@
 
 from ..observability import Observer
 from ..platform import PlatformClient, PlatformError
-from ..runtime import Runtime, monotonic_ms
+from ..runtime import Runtime, clock_ms
 
 
 class Leaders:
@@ -40,10 +40,11 @@
         host, address, epoch = leader
         zone = self._settings.availability_zone
         known = self._views.view(zone)
-        if known is not None and known[1:4] == (epoch, host, address):
+        is_own = host == self._settings.host
+        if known is not None and known[1:4] == (epoch, host, address) and not is_own:
             return known
-        serving = host != self._settings.host or self._runtime.scheduler.serving
-        view = LeaderView(zone, epoch, host, address, serving, 0, monotonic_ms())
+        serving = not is_own or self._runtime.serving
+        view = LeaderView(zone, epoch, host, address, serving, 0, clock_ms())
         self._views.learn(view)
         return view
 
@@ -51,11 +52,11 @@
         """Return the route to a zone's leader; the row is read when needed."""
         if zone == self._settings.availability_zone:
             self.learn_own()
-        route = self._views.route(zone, monotonic_ms())
+        route = self._views.route(zone, clock_ms())
         if route.kind != RouteKind.REFRESH:
             return route
         await self._refresh(zone)
-        route = self._views.route(zone, monotonic_ms())
+        route = self._views.route(zone, clock_ms())
         if route.kind == RouteKind.REFRESH:
             return Route(RouteKind.NO_LEADER)
         return route
@@ -70,9 +71,9 @@
         try:
             row = await self._platform.read_row(f"leader/{zone}")
             value = None if row is None else row.value
-            self._views.learn_row(zone, value, monotonic_ms())
+            self._views.learn_row(zone, value, clock_ms())
         except (PlatformError, KeyError, TypeError, ValueError) as fault:
-            self._views.mark_checked(zone, monotonic_ms())
+            self._views.mark_checked(zone, clock_ms())
             self._observer.log.info("leader row not read", of=zone, reason=str(fault))
         finally:
             del self._reads[zone]
--- a/packages/node/src/marigoldpath_node/peers/_submitter.py
+++ b/packages/node/src/marigoldpath_node/peers/_submitter.py
@@ -13,7 +13,7 @@
 from marigoldpath_core.settings import DaemonSettings
 
 from ..observability import Observer
-from ..runtime import Runtime, monotonic_ms
+from ..runtime import Runtime, clock_ms
 from ._batches import Parcel, PeerBusyError, PeerLinks, PeerReplyError
 from ._calls import Call
 from ._codec import decode_view
@@ -39,6 +39,7 @@
         self,
         settings: DaemonSettings,
         runtime: Runtime,
+        *,
         leaders: Leaders,
         links: PeerLinks,
         budget: RetryBudget,
@@ -75,7 +76,7 @@
                 route = await self._leaders.find(zone)
                 if route.leader is None or route.leader.address == leader.address:
                     raise NotTakenError("unreachable", str(fault)) from fault
-                if not self._budget.take(monotonic_ms()):
+                if not self._budget.take(clock_ms()):
                     raise NotTakenError("unreachable", str(fault)) from fault
                 continue
             if named is leader:
@@ -89,7 +90,7 @@
         Raises PeerBusyError or PeerReplyError when it does not tell.
         """
         if leader.host == self._settings.host:
-            if not (self._runtime.leads and self._runtime.scheduler.serving):
+            if not self._runtime.serving:
                 raise PeerBusyError("this host does not serve as the leader")
             return self._runtime.request_state(key)
         reply = await self._links.batch(
@@ -137,7 +138,7 @@
     async def _offer_here(
         self, call: Call, submission: Submission, leader: LeaderView
     ) -> LeaderView | None:
-        if not (self._runtime.leads and self._runtime.scheduler.serving):
+        if not self._runtime.serving:
             return None
         call.sent = True
         origin = Origin(self._settings.host, call.number)
@@ -149,7 +150,7 @@
         if payload is None:
             return None
         try:
-            view = decode_view(payload, monotonic_ms())
+            view = decode_view(payload, clock_ms())
         except (KeyError, TypeError, ValueError) as fault:
             raise NotTakenError(
                 "no_leader", f"malformed redirect: {fault!r}"
--- a/packages/node/src/marigoldpath_node/platform/_http.py
+++ b/packages/node/src/marigoldpath_node/platform/_http.py
@@ -61,9 +61,13 @@
         return await self._write(_row_target(key), value, {"if-none-match": "*"})
 
     async def delete_row(self, key: str) -> None:
-        """Delete a row; raises PlatformError."""
-        response = await self._send("DELETE", _row_target(key))
-        if response.status != NOT_FOUND:
+        """Delete a row as it is now; raises PlatformError."""
+        row = await self.read_row(key)
+        if row is None:
+            return
+        headers = {"if-match": str(row.version)}
+        response = await self._send("DELETE", _row_target(key), headers=headers)
+        if response.status not in (NOT_FOUND, PRECONDITION_FAILED):
             _check(response)
 
     async def read_object(self, key: str) -> RowValue | None:
@@ -108,9 +112,8 @@
     async def _write(
         self, target: str, value: RowValue, headers: dict[str, str]
     ) -> WriteReply:
-        body = {"value": value}
         try:
-            response = await self._send("PUT", target, value=body, headers=headers)
+            response = await self._send("PUT", target, value=value, headers=headers)
             if response.status == PRECONDITION_FAILED:
                 return WriteReply(WriteStatus.CONFLICT)
             version = _json(response)["version"]
--- a/packages/node/src/marigoldpath_node/runtime/__init__.py
+++ b/packages/node/src/marigoldpath_node/runtime/__init__.py
@@ -1,9 +1,9 @@
 """Owns the core object and drives it with events and time."""
 
-from ._clock import monotonic_ms
+from ._clock import clock_ms
 from ._directory import HostDirectory
 from ._polls import WorkerPolls
 from ._runtime import Runtime
 from ._scheduler import Scheduler
 
-__all__ = ["HostDirectory", "Runtime", "Scheduler", "WorkerPolls", "monotonic_ms"]
+__all__ = ["HostDirectory", "Runtime", "Scheduler", "WorkerPolls", "clock_ms"]
--- a/packages/node/src/marigoldpath_node/runtime/_directory.py
+++ b/packages/node/src/marigoldpath_node/runtime/_directory.py
@@ -1,5 +1,7 @@
 """Addresses of hosts, from the platform's host list."""
 
+from collections.abc import Iterable
+
 from marigoldpath_core.messages import EntryHost, HostState, WorkerHost
 
 from ..platform import Hosts
@@ -39,13 +41,13 @@
         """Return a worker's address; raises KeyError."""
         return self._workers[name][0].address
 
-    def workers_in(self, zone: str) -> list[WorkerHost]:
-        """Return the workers of a zone."""
-        return [
-            worker
-            for worker, _ in self._workers.values()
-            if worker.availability_zone == zone
-        ]
+    def with_addresses(self, names: Iterable[str]) -> frozenset[tuple[str, str]]:
+        """Return names with their addresses, without the names not known here."""
+        return frozenset(
+            (name, self._workers[name][0].address)
+            for name in names
+            if name in self._workers
+        )
 
     def entry_host_address(self, name: str) -> str | None:
         """Return the address of an entry host, or None."""
--- a/packages/node/src/marigoldpath_node/runtime/_polls.py
+++ b/packages/node/src/marigoldpath_node/runtime/_polls.py
@@ -1,22 +1,27 @@
 """Polls of the workers' events and usage while this host leads."""
 
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 import curio
 
 from marigoldpath_core.messages import (
     EndedTask,
     Event,
+    EventsPolled,
     TaskEnded,
     UsageReported,
-    WorkerHost,
 )
 
 from ..observability import Observer
-from ..workers import WorkerClient, WorkerError, WorkerEvents
-
-WAIT_MS = 10_000
+from ..workers import WorkerClient, WorkerError
+
+# The core places on a worker, and settles tasks that are missing there, when a poll
+# has come to its end, so an idle poll must not last long. With many workers it may
+# last longer, which bounds the idle polls to 100 in a second.
+LEAST_WAIT_MS = 500
+MOST_WAIT_MS = 5_000
+WAIT_MS_PER_WORKER = 10
 USAGE_S = 2.0
 RETRY_S = 0.5
 # An answer damaged on the way is asked for again; one that stays damaged at the
@@ -41,9 +46,14 @@
         """Names of the workers that are polled."""
         return [name for name, _ in self._tasks]
 
-    async def set_workers(self, workers: Iterable[WorkerHost]) -> None:
-        """Begin and end polls so that exactly these workers are polled."""
-        wanted = {(worker.name, worker.address) for worker in workers}
+    @property
+    def wait_ms(self) -> int:
+        """How long a poll without events lasts."""
+        wait_ms = len(self._tasks) * WAIT_MS_PER_WORKER
+        return min(MOST_WAIT_MS, max(LEAST_WAIT_MS, wait_ms))
+
+    async def set_workers(self, wanted: set[tuple[str, str]]) -> None:
+        """Begin and end polls so that exactly these names and addresses are polled."""
         for key in list(self._tasks):
             if key not in wanted:
                 for task in self._tasks.pop(key):
@@ -59,7 +69,7 @@
         poll = _EventsPoll(self._client, name, address)
         while True:
             try:
-                for event in await poll.next_events():
+                for event in await poll.next_events(self.wait_ms):
                     await self._feed(event)
             except WorkerError as fault:
                 self._observer.metrics.count("worker.poll_failed")
@@ -94,32 +104,34 @@
         self._incarnation = ""
         self._asks = 0
 
-    async def next_events(self) -> list[TaskEnded]:
+    async def next_events(self, wait_ms: int) -> list[Event]:
         """Wait for events; raises WorkerError."""
-        wait_ms = WAIT_MS if self._incarnation else 0
+        # The first poll only asks what has ended, so that the worker is usable soon.
+        wait_ms = wait_ms if self._incarnation else 0
         events = await self._client.events(self._address, self._after, wait_ms)
-        if events.incarnation != self._incarnation:
-            restarted = bool(self._incarnation)
-            self._incarnation = events.incarnation
-            if restarted:
-                # The restarted worker numbers its events from the beginning.
-                self._after = 0
-                return []
+        if self._incarnation and events.incarnation != self._incarnation:
+            # The restarted worker numbers its events from the beginning.
+            self._incarnation = ""
+            self._after = 0
+            return []
+        self._incarnation = events.incarnation
         self._after = events.next
-        ended = [self._event(each) for each in events.ended]
+        ended: list[Event] = [self._event(each) for each in events.ended]
         if events.damaged is not None:
-            ended.extend(await self._after_damage(events))
-        return ended
+            return ended + await self._pass_damaged(events.damaged)
+        self._asks = 0
+        polled = EventsPolled(self._name, events.clock_ms, events.incarnation)
+        return [*ended, polled]
 
-    async def _after_damage(self, events: WorkerEvents) -> list[TaskEnded]:
-        assert events.damaged is not None
+    async def _pass_damaged(self, damaged: EndedTask) -> list[Event]:
+        """Ask again for an answer that was not whole, or give it up."""
         self._asks += 1
         if self._asks < MAX_ASKS:
             await curio.sleep(ASK_AGAIN_S)
             return []
         self._asks = 0
-        self._after = events.damaged.sequence
-        return [self._event(events.damaged)]
+        self._after = damaged.sequence
+        return [self._event(damaged)]
 
     def _event(self, ended: EndedTask) -> TaskEnded:
         return TaskEnded(self._name, ended.task, ended.status, ended.answer)
--- a/packages/node/src/marigoldpath_node/runtime/_runtime.py
+++ b/packages/node/src/marigoldpath_node/runtime/_runtime.py
@@ -13,14 +13,15 @@
 from ..observability import Observer
 from ..platform import PlatformClient, PlatformError
 from ..workers import WorkerClient
-from ._clock import monotonic_ms
+from ._clock import clock_ms
 from ._directory import HostDirectory
 from ._polls import WorkerPolls
 from ._scheduler import Scheduler
 
-TICK_S = 0.1
 HOSTS_S = 1.0
 METRICS_S = 10.0
+# A core that asks for its next Tick at once must not keep the loop from others.
+LEAST_TICK_MS = 1
 
 
 class Runtime:
@@ -30,13 +31,13 @@
         self,
         settings: DaemonSettings,
         scheduler: Scheduler,
+        *,
         platform: PlatformClient,
         workers: WorkerClient,
         outcomes: OutcomeReceiver,
         directory: HostDirectory,
         observer: Observer,
     ) -> None:
-        self._settings = settings
         self._scheduler = scheduler
         self._platform = platform
         self._directory = directory
@@ -54,8 +55,9 @@
             )
         )
         self._polls = WorkerPolls(workers, observer, self.feed)
-        self._polled: tuple[bool, int] = (False, 0)
-        self._lists = 0
+        self._polled: frozenset[tuple[str, str]] = frozenset()
+        self._wake_at_ms = 0
+        self._woken = curio.Event()
 
     @property
     def scheduler(self) -> Scheduler:
@@ -70,8 +72,12 @@
     @property
     def leads(self) -> bool:
         """Whether this host is its zone's leader, serving or about to."""
-        leader = self._scheduler.leader
-        return leader is not None and leader[0] == self._settings.host
+        return self._scheduler.epoch > 0
+
+    @property
+    def serving(self) -> bool:
+        """Whether this host is its zone's leader and decides on requests."""
+        return self._scheduler.is_serving(clock_ms())
 
     @property
     def draining(self) -> bool:
@@ -83,10 +89,19 @@
         """Whether the core and the effects have nothing in flight."""
         return self._scheduler.is_drained and self._performer.in_flight == 0
 
+    def status(self) -> dict[str, Any]:
+        """Return what the core tells operators."""
+        return self._scheduler.status(clock_ms())
+
+    def request_state(self, key: RequestKey) -> dict[str, Any] | None:
+        """Return what the core knows of a request."""
+        return self._scheduler.request_state(key)
+
     async def feed(self, event: Event) -> None:
         """Give the core an event and perform the effects."""
+        now_ms = clock_ms()
         try:
-            effects = self._scheduler.handle(event, monotonic_ms())
+            effects = self._scheduler.handle(event, now_ms)
         except Exception:
             # One event that the core fails on must not end the zone's leader, nor
             # each successor that gets the same event.
@@ -97,21 +112,18 @@
             return
         if effects:
             await self._performer.submit(effects)
+        if self._scheduler.wake_ms(now_ms) < self._wake_at_ms:
+            await self._woken.set()
 
-    async def configure(self, configuration: Configuration) -> None:
+    def configure(self, configuration: Configuration) -> None:
         """Put a configuration into force."""
         self._configuration = configuration
-        await self._performer.submit(self._scheduler.configure(configuration) or ())
+        self._scheduler.configure(configuration)
 
-    async def drain(self) -> None:
+    def drain(self) -> None:
         """Begin a graceful stop."""
-        if not self._draining:
-            self._draining = True
-            await self._performer.submit(self._scheduler.drain() or ())
-
-    def request_state(self, key: RequestKey) -> dict[str, Any] | None:
-        """Return what the core knows of a request."""
-        return self._scheduler.request_state(key)
+        self._draining = True
+        self._scheduler.drain()
 
     async def run(self) -> None:
         """Keep time until cancelled."""
@@ -124,37 +136,50 @@
         while True:
             await self.feed(Tick())
             await self._update_polls()
-            await curio.sleep(TICK_S)
+            now_ms = clock_ms()
+            self._wake_at_ms = max(
+                now_ms + LEAST_TICK_MS, self._scheduler.wake_ms(now_ms)
+            )
+            self._woken.clear()
+            await self._sleep_until_woken()
+
+    async def _sleep_until_woken(self) -> None:
+        """Sleep until the next Tick is due, which an event can bring forward."""
+        while True:
+            left_ms = self._wake_at_ms - clock_ms()
+            if left_ms <= 0:
+                return
+            await curio.ignore_after(left_ms / 1_000, self._woken.wait)
+            if not self._woken.is_set():
+                return
+            self._woken.clear()
+            self._wake_at_ms = min(
+                self._wake_at_ms, self._scheduler.wake_ms(clock_ms())
+            )
 
     async def _list_hosts(self) -> None:
         while True:
-            await self._list_hosts_once()
+            try:
+                hosts = await self._platform.hosts()
+            except PlatformError as fault:
+                self._observer.metrics.count("platform.hosts_failed")
+                self._observer.log.debug("hosts not listed", reason=str(fault))
+            else:
+                self._directory.update(hosts, clock_ms())
+                await self.feed(HostsListed(hosts.workers, hosts.entry_hosts))
             await curio.sleep(HOSTS_S)
 
-    async def _list_hosts_once(self) -> None:
-        try:
-            hosts = await self._platform.hosts()
-        except PlatformError as fault:
-            self._observer.metrics.count("platform.hosts_failed")
-            self._observer.log.debug("hosts not listed", reason=str(fault))
-            return
-        self._directory.update(hosts, monotonic_ms())
-        self._lists += 1
-        await self.feed(HostsListed(hosts.workers, hosts.entry_hosts))
-
     async def _update_polls(self) -> None:
-        wanted = (self.leads, self._lists)
-        if wanted == self._polled:
-            return
-        self._polled = wanted
-        zone = self._settings.availability_zone
-        workers = self._directory.workers_in(zone) if self.leads else []
-        await self._polls.set_workers(workers)
+        """Poll the workers that the core names, at the addresses known now."""
+        wanted = self._directory.with_addresses(self._scheduler.workers_to_poll)
+        if wanted != self._polled:
+            self._polled = wanted
+            await self._polls.set_workers(set(wanted))
 
     async def _send_metrics(self) -> None:
         while True:
             await curio.sleep(METRICS_S)
             metrics = self._observer.metrics
-            metrics.gauge("serving", int(self._scheduler.serving))
+            metrics.gauge("serving", int(self.serving))
             metrics.gauge("effects_in_flight", self._performer.in_flight)
             metrics.flush()
