--- /dev/null
+++ b/tests/node/fakes.py
@@ -0,0 +1,165 @@
+"""A scripted core and small HTTP stand-ins for the tests of the node."""
+
+import json
+import os
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from marigoldpath_core.configuration import WorkKind
+from marigoldpath_core.leadership import LeaderView
+from marigoldpath_core.messages import CancelRequested, RequestSubmitted, SendOutcome
+from marigoldpath_core.requests import Answer, Outcome, OutcomeKind, RequestKey, Size
+from marigoldpath_core.settings import DaemonSettings
+from marigoldpath_node.http import (
+    HttpClient,
+    HttpClientSettings,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    HttpServerSettings,
+    json_response,
+)
+from marigoldpath_node.observability import Observer
+
+_CLIENTS: list[HttpClient] = []
+ZONES = ("zadar", "rijeka")
+KEY = RequestKey("t", "zadar", "r1")
+BODY = {
+    "id": "r1",
+    "team": "t",
+    "availability_zone": "zadar",
+    "kind": "echo",
+    "size": Size(cpu_millis=1)._asdict(),
+    "deadline_ms": 2_000,
+}
+
+
+def make_settings(host: str = "e1", zone: str = "zadar", **changes) -> DaemonSettings:
+    settings = DaemonSettings(host, "jadran", zone, ZONES, "127.0.0.1:1")
+    kinds = (WorkKind("echo"), WorkKind("hold"))
+    return settings._replace(kinds=kinds, **changes)
+
+
+def quiet_observer(settings: DaemonSettings) -> Observer:
+    return Observer(settings, os.open(os.devnull, os.O_WRONLY))
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    """Run a test in a kernel; one that hangs fails after 20 s."""
+
+    async def bounded() -> None:
+        try:
+            await curio.timeout_after(20, test)
+        finally:
+            while _CLIENTS:
+                await _CLIENTS.pop().close()
+
+    curio.run(bounded)
+
+
+class FakeCore:
+    """Answers `echo` requests at once and holds the others; keeps all events."""
+
+    def __init__(self, settings: DaemonSettings, leads: bool = True) -> None:
+        self.settings = settings
+        self.epoch = 1 if leads else 0
+        self.events: list[Any] = []
+        self.replies: dict[type, Callable[[Any], list]] = {
+            RequestSubmitted: self.submitted,
+            CancelRequested: self.cancelled,
+        }
+        self.leader: LeaderView | None = None
+        if leads:
+            self.leader = LeaderView(settings.host, settings.address, 1)
+        self.states: dict[RequestKey, dict[str, Any]] = {}
+        self.workers_to_poll: frozenset[str] = frozenset()
+        self.is_drained = False
+        self.tick_ms = 50
+
+    def is_serving(self, now_ms: int) -> bool:
+        return self.epoch > 0
+
+    def wake_ms(self, now_ms: int) -> int:
+        return now_ms + self.tick_ms
+
+    def handle(self, event: Any, now_ms: int) -> list:
+        self.events.append(event)
+        reply = self.replies.get(type(event))
+        return [] if reply is None else reply(event)
+
+    def of_type(self, event_type: type) -> list[Any]:
+        return [event for event in self.events if type(event) is event_type]
+
+    def status(self, now_ms: int) -> dict[str, Any]:
+        return {"waiting": {}}
+
+    def request_state(self, key: RequestKey) -> dict[str, Any] | None:
+        return self.states.get(key)
+
+    def configure(self, configuration: Any) -> None:
+        pass
+
+    def drain(self) -> None:
+        self.is_drained = True
+
+    def submitted(self, event: RequestSubmitted) -> list:
+        key = event.request.key
+        if event.request.kind != "echo":
+            self.states[key] = {"state": "waiting", "outcome": None}
+            return []
+        answer = Answer(f"answer of {key}", len(f"answer of {key}"), "")
+        outcome = Outcome(key, OutcomeKind.DONE, answer=answer)
+        return [SendOutcome(event.origin, outcome)]
+
+    def cancelled(self, event: CancelRequested) -> list:
+        outcome = Outcome(event.key, OutcomeKind.NOT_RUN, "cancelled")
+        return [SendOutcome(event.origin, outcome)]
+
+
+class StandIn:
+    """An HTTP server whose answers a test scripts by (method, path)."""
+
+    def __init__(self) -> None:
+        self.requests: list[HttpRequest] = []
+        self.answers: dict[tuple[str, str], Any] = {}
+        self._server = HttpServer(HttpServerSettings("127.0.0.1", 0), self._answer)
+        self._server.listen()
+        self._task: curio.Task | None = None
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._server.port}"
+
+    async def __aenter__(self) -> "StandIn":
+        self._task = await curio.spawn(self._server.run)
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        assert self._task is not None
+        await self._task.cancel()
+
+    def bodies(self, path: str) -> list[Any]:
+        return [json.loads(r.body) for r in self.requests if r.path == path]
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        self.requests.append(request)
+        answer = self.answers.get((request.method, request.path))
+        if callable(answer):
+            answer = answer(request)
+            if hasattr(answer, "__await__"):
+                answer = await answer
+        if answer is None:
+            return json_response(404, {})
+        if answer == "lost":
+            raise ConnectionAbortedError("the answer is lost")
+        return (
+            answer if isinstance(answer, HttpResponse) else json_response(200, answer)
+        )
+
+
+def make_client(reply_s: float = 1.0) -> HttpClient:
+    client = HttpClient(HttpClientSettings(connect_s=0.5, reply_s=reply_s))
+    _CLIENTS.append(client)
+    return client
--- /dev/null
+++ b/tests/node/test_runtime.py
@@ -0,0 +1,198 @@
+"""Tests of the loop that drives the core."""
+
+import hashlib
+import unittest
+
+import curio
+
+from marigoldpath_core.messages import (
+    EventsPolled,
+    HostsListed,
+    Log,
+    TaskEnded,
+    Tick,
+    UsageReported,
+    WorkerHost,
+)
+from marigoldpath_core.requests import Size
+from marigoldpath_node.platform import Hosts, create_platform_client
+from marigoldpath_node.runtime import HostDirectory, Runtime
+from marigoldpath_node.workers import create_worker_client
+
+from .fakes import FakeCore, StandIn, make_client, make_settings, quiet_observer, run
+
+WHOLE = hashlib.sha256(b"abc").hexdigest()
+
+
+def hosts_of(worker: StandIn) -> dict:
+    capacity = {"slots": 8}
+    host = {"name": "w1", "availability_zone": "zadar", "rack": "r", "state": "live"}
+    return {
+        "workers": [{**host, "address": worker.address, "capacity": capacity}],
+        "entry_hosts": [],
+    }
+
+
+def events_reply(*events: dict, incarnation: str = "i1", until: int = 0) -> dict:
+    fields = {"clock_ms": 9, "incarnation": incarnation}
+    return {**fields, "next": until, "events": list(events)}
+
+
+def ended(sequence: int, text: str) -> dict:
+    answer = {"text": text, "length": 3, "digest": WHOLE}
+    task = f"t{sequence}"
+    return {"sequence": sequence, "task": task, "status": "done", "answer": answer}
+
+
+class World:
+    """A runtime with a scripted core, a platform and one worker."""
+
+    def __init__(self, core: FakeCore, platform: StandIn) -> None:
+        settings = core.settings._replace(platform_address=platform.address)
+        http = make_client()
+        self.core = core
+        self.directory = HostDirectory()
+        self.runtime = Runtime(
+            settings,
+            core,
+            platform=create_platform_client(settings, http),
+            workers=create_worker_client(settings, http),
+            outcomes=None,  # type: ignore[arg-type]
+            directory=self.directory,
+            observer=quiet_observer(settings),
+        )
+
+    async def until(self, condition) -> None:
+        task = await curio.spawn(self.runtime.run)
+        while not condition():
+            await curio.sleep(0.01)
+        await task.cancel()
+
+
+class TickTests(unittest.TestCase):
+    def test_the_core_gets_time_and_hosts_while_the_platform_is_down(self) -> None:
+        async def use() -> None:
+            async with StandIn() as platform:
+                world = World(FakeCore(make_settings()), platform)
+                await world.until(lambda: len(world.core.of_type(Tick)) > 2)
+                self.assertEqual(world.core.of_type(HostsListed), [])
+
+        run(use)
+
+    def test_an_event_brings_the_next_tick_forward(self) -> None:
+        async def use() -> None:
+            async with StandIn() as platform:
+                core = FakeCore(make_settings())
+                core.tick_ms = 10_000
+                world = World(core, platform)
+                task = await curio.spawn(world.runtime.run)
+                await curio.sleep(0.1)
+                self.assertEqual(len(core.of_type(Tick)), 1)
+                core.tick_ms = 10
+                await world.runtime.feed(EventsPolled("w", 1, "i"))
+                await curio.sleep(0.1)
+                self.assertGreater(len(core.of_type(Tick)), 2)
+                await task.cancel()
+
+        run(use)
+
+    def test_an_event_that_the_core_fails_on_does_not_end_the_loop(self) -> None:
+        def fail(event):
+            raise RuntimeError("a fault in the core")
+
+        async def use() -> None:
+            async with StandIn() as platform:
+                core = FakeCore(make_settings())
+                core.replies[EventsPolled] = fail
+                core.replies[Tick] = lambda event: [Log("x", {"event": 1, "a": 2})]
+                world = World(core, platform)
+                await world.runtime.feed(EventsPolled("w", 1, "i"))
+                await world.until(lambda: len(core.of_type(Tick)) > 1)
+
+        run(use)
+
+
+class PollTests(unittest.TestCase):
+    def scripted(self, replies: list[dict], polls: list[str]):
+        """Answer polls in order, then as idle ones."""
+
+        async def answer(request):
+            polls.append(request.query["after"])
+            if replies:
+                return replies.pop(0)
+            await curio.sleep(0.05)
+            return events_reply(until=int(request.query["after"]))
+
+        return answer
+
+    def poll(self, replies: list[dict], condition) -> tuple[FakeCore, list[str]]:
+        core = FakeCore(make_settings())
+        polls: list[str] = []
+
+        async def use() -> None:
+            async with StandIn() as platform, StandIn() as worker:
+                platform.answers["GET", "/v1/hosts"] = hosts_of(worker)
+                worker.answers["GET", "/v1/events"] = self.scripted(replies, polls)
+                core.workers_to_poll = frozenset({"w1"})
+                await World(core, platform).until(lambda: condition(core))
+
+        run(use)
+        return core, polls
+
+    def test_a_damaged_answer_is_asked_for_again(self) -> None:
+        replies = [
+            events_reply(ended(1, "abc"), ended(2, "ab"), until=2),
+            events_reply(ended(2, "abc"), until=2),
+        ]
+        core, polls = self.poll(replies, lambda core: core.of_type(EventsPolled))
+        ends = core.of_type(TaskEnded)
+        self.assertEqual([end.task for end in ends], ["t1", "t2"])
+        self.assertEqual([end.answer.text for end in ends], ["abc", "abc"])
+        self.assertEqual(polls[:2], ["0", "1"])
+
+    def test_an_answer_that_stays_damaged_is_passed_on_without_its_text(self) -> None:
+        damaged = [events_reply(ended(1, "ab"), until=1) for _ in range(5)]
+        core, _ = self.poll(damaged, lambda core: core.of_type(TaskEnded))
+        self.assertIsNone(core.of_type(TaskEnded)[0].answer)
+
+    def test_events_after_a_restart_of_the_worker_are_not_missed(self) -> None:
+        replies = [
+            events_reply(ended(7, "abc"), until=7),
+            events_reply(incarnation="i2", until=1),
+            events_reply(ended(1, "abc"), incarnation="i2", until=1),
+        ]
+        core, polls = self.poll(replies, lambda core: len(core.of_type(TaskEnded)) > 1)
+        self.assertEqual(polls[:3], ["0", "7", "0"])
+
+    def test_a_host_that_does_not_lead_asks_no_worker(self) -> None:
+        async def use() -> None:
+            async with StandIn() as platform, StandIn() as worker:
+                platform.answers["GET", "/v1/hosts"] = hosts_of(worker)
+                worker.answers["GET", "/v1/events"] = events_reply()
+                worker.answers["GET", "/v1/usage"] = {
+                    "usages": [{"task": "a", "size": {"slots": 1}}]
+                }
+                core = FakeCore(make_settings(), leads=False)
+                world = World(core, platform)
+                await world.until(lambda: len(core.of_type(Tick)) > 4)
+                self.assertEqual(worker.requests, [])
+                core.workers_to_poll = frozenset({"w1"})
+                await world.until(lambda: core.of_type(UsageReported))
+
+        run(use)
+
+
+class HostDirectoryTests(unittest.TestCase):
+    def test_a_worker_that_left_the_list_stays_reachable_for_its_tasks(self) -> None:
+        directory = HostDirectory()
+        worker = WorkerHost("w1", "zadar", "r", "1.2.3.4:5", Size())
+        directory.update(Hosts((worker,), ()), 0)
+        directory.update(Hosts((), ()), 30_000)
+        self.assertEqual(directory.worker_address("w1"), "1.2.3.4:5")
+        directory.update(Hosts((), ()), 60_001)
+        with self.assertRaises(KeyError):
+            directory.worker_address("w1")
+
+
+if __name__ == "__main__":
+    unittest.main()
