Test forwarding, the routes and the daemon's stop

Cause: peers, routes and the stop were not tested. Change: daemons with a scripted core on loopback sockets.

--- a/packages/node/src/marigoldpath_node/daemon/_daemon.py
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -59,6 +59,12 @@
         """The settings, after `bind` with the port that was bound."""
         return self._settings
 
+    @property
+    def runtime(self) -> Runtime:
+        """The runtime, once `run` has begun."""
+        assert self._runtime is not None
+        return self._runtime
+
     def bind(self) -> None:
         """Bind the listening socket; raises OSError."""
         self._server.listen()
@@ -110,11 +116,14 @@
         self._runtime = runtime
         self._api = Api(context)
         observer.log.info("started", address=settings.address)
-        async with curio.TaskGroup() as tasks:
-            await tasks.spawn(runtime.run)
-            await tasks.spawn(Beacon(settings, runtime, directory, links).run)
-            await tasks.spawn(self._prune)
-            await tasks.spawn(self._server.run)
+        try:
+            async with curio.TaskGroup() as tasks:
+                await tasks.spawn(runtime.run)
+                await tasks.spawn(Beacon(settings, runtime, directory, links).run)
+                await tasks.spawn(self._prune)
+                await tasks.spawn(self._server.run)
+        finally:
+            await self._http.close()
 
     async def drain(self) -> None:
         """Begin a graceful stop: no new callers, no new work."""
--- a/packages/node/src/marigoldpath_node/daemon/_main.py
+++ b/packages/node/src/marigoldpath_node/daemon/_main.py
@@ -50,7 +50,9 @@
 async def run_until_stopped(daemon: Daemon, signals: StopSignals) -> int:
     """Serve until the first signal, then drain; a second signal ends at once."""
     serving = await curio.spawn(daemon.run)
-    await _first(serving, await curio.spawn(signals.wait))
+    signalled = await curio.spawn(signals.wait)
+    await _first(serving, signalled)
+    await signalled.cancel()
     if serving.terminated:
         # Nothing but an error ends it; join raises that error.
         await serving.join()
--- a/tests/node/fakes.py
+++ b/tests/node/fakes.py
@@ -12,6 +12,7 @@
 from marigoldpath_core.messages import CancelRequested, RequestSubmitted, SendOutcome
 from marigoldpath_core.requests import Answer, Outcome, OutcomeKind, RequestKey, Size
 from marigoldpath_core.settings import DaemonSettings
+from marigoldpath_node.daemon import Daemon
 from marigoldpath_node.http import (
     HttpClient,
     HttpClientSettings,
@@ -163,3 +164,50 @@
     client = HttpClient(HttpClientSettings(connect_s=0.5, reply_s=reply_s))
     _CLIENTS.append(client)
     return client
+
+
+class EntryHostUnderTest:
+    """A whole daemon round a scripted core."""
+
+    def __init__(self, platform: StandIn, leads: bool = True, **settings: Any) -> None:
+        made = make_settings(platform_address=platform.address, **settings)
+        self._leads = leads
+        self.daemon = Daemon(made, self._create_core, quiet_observer(made))
+        self.daemon.bind()
+        self.client = make_client(reply_s=10)
+        self.core: FakeCore
+        self._task: curio.Task | None = None
+
+    @property
+    def address(self) -> str:
+        return self.daemon.settings.address
+
+    def leader_row(self, **changes: Any) -> dict[str, Any]:
+        """Return the reply to a read of a leader row that names this host."""
+        value = {"epoch": 1, "host": self.daemon.settings.host, "address": self.address}
+        return {"value": {**value, "released": False, **changes}, "version": 1}
+
+    async def call(
+        self, method: str, target: str, value: Any = None, key: str = ""
+    ) -> tuple[int, Any]:
+        headers = {"authorization": f"Bearer {key}"} if key else {}
+        response = await self.client.request(
+            method, self.address, target, value=value, headers=headers
+        )
+        return response.status, response.json()
+
+    async def submit(self, **changes: Any) -> tuple[int, Any]:
+        return await self.call("POST", "/v1/requests", {**BODY, **changes})
+
+    async def __aenter__(self) -> "EntryHostUnderTest":
+        self._task = await curio.spawn(self.daemon.run)
+        await curio.sleep(0.02)
+        return self
+
+    async def __aexit__(self, *_exc: object) -> None:
+        assert self._task is not None
+        await self._task.cancel()
+
+    def _create_core(self, settings: DaemonSettings, _incarnation: str) -> FakeCore:
+        self.core = FakeCore(settings, self._leads)
+        return self.core
