--- a/packages/node/src/marigoldpath_node/api/_operators.py
+++ b/packages/node/src/marigoldpath_node/api/_operators.py
@@ -9,8 +9,10 @@
 
 @route("GET", "/v1/health", Access.ANYONE)
 async def health(context: ApiContext, call: RouteCall) -> HttpResponse:
-    """Return whether this host is up and who leads its zone."""
+    """Return whether this host is up and who leads the zones."""
     leader = context.runtime.scheduler.leader
+    context.leaders.learn_own()
+    views = context.leaders.views.views
     return value_reply(
         {
             "status": "ok",
@@ -19,6 +21,7 @@
             "serving": context.runtime.serving,
             "leader": None if leader is None else leader._asdict(),
             "draining": context.runtime.draining,
+            "leaders": {view.availability_zone: encode_view(view) for view in views},
         }
     )
 
--- a/packages/node/src/marigoldpath_node/daemon/_main.py
+++ b/packages/node/src/marigoldpath_node/daemon/_main.py
@@ -8,7 +8,7 @@
 
 from marigoldpath_core.settings import DaemonSettings, load_settings
 
-from ..observability import Observer
+from ..observability import Observer, route_library_logs
 from ._daemon import Daemon
 from ._signals import StopSignals
 
@@ -36,7 +36,9 @@
 def _run(settings: DaemonSettings) -> int:
     from marigoldpath_core.scheduler import ZoneScheduler
 
-    daemon = Daemon(settings, ZoneScheduler, Observer(settings))
+    observer = Observer(settings)
+    route_library_logs(observer.log)
+    daemon = Daemon(settings, ZoneScheduler, observer)
     try:
         daemon.bind()
     except OSError as fault:
--- a/packages/node/src/marigoldpath_node/observability/_logs.py
+++ b/packages/node/src/marigoldpath_node/observability/_logs.py
@@ -24,6 +24,27 @@
     debug = info = warning = error = critical = exception = msg
 
 
+class _StructlogHandler(logging.Handler):
+    """Passes on what libraries log, as curio does for a task that crashed."""
+
+    def __init__(self, log: Any) -> None:
+        super().__init__()
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        fields = {"logger": record.name, "exc_info": record.exc_info}
+        if record.levelno < logging.ERROR:
+            # curio warns of each timeout that comes as late as the result.
+            self._log.debug(record.getMessage(), **fields)
+        else:
+            self._log.error(record.getMessage(), **fields)
+
+
+def route_library_logs(log: Any) -> None:
+    """Send the log records of libraries through the logger, which does not block."""
+    logging.getLogger().handlers = [_StructlogHandler(log)]
+
+
 def create_logger(settings: ObservabilitySettings, writer: LineWriter) -> Any:
     """Return a logger that writes lines of at least the level in the settings."""
     level = logging.getLevelNamesMapping().get(settings.log_level.upper(), logging.INFO)
