Tell a recorded start that never took place from one whose end is lost

Change: an intent names the worker's incarnation and clock; a ready worker of the same incarnation that neither runs nor remembers the task within the time that answers are kept never started it, so it is placed anew. Jobs of which an earlier leader started only a part are stopped and placed anew.

--- a/packages/core/src/marigoldpath_core/journal/_entries.py
+++ b/packages/core/src/marigoldpath_core/journal/_entries.py
@@ -16,11 +16,15 @@
     """One start of a request is about to be sent to a worker.
 
     `tasks` are ids of one attempt at one request. A gang has one intent for each
-    worker, all with the same attempt.
+    worker, all with the same attempt. `incarnation` and `clock_ms` are the worker's
+    when the intent was made: a later leader that finds the same incarnation within
+    the time that workers keep answers knows whether the start took place.
     """
 
     tasks: tuple[str, ...]
     worker: str
+    incarnation: str = ""
+    clock_ms: int = 0
 
 
 class Finished(NamedTuple):
--- a/packages/core/src/marigoldpath_core/journal/_kinds.py
+++ b/packages/core/src/marigoldpath_core/journal/_kinds.py
@@ -149,15 +149,30 @@
         state.accept(entry)
 
 
+def encode_intent(entry: Intent) -> dict[str, Any]:
+    """Return the JSON form of an intent."""
+    return {**entry._asdict(), "tasks": list(entry.tasks)}
+
+
+def decode_intent(fields: dict[str, Any]) -> Intent:
+    """Return the intent in its JSON form; raises KeyError."""
+    return Intent(
+        tuple(fields["tasks"]),
+        fields["worker"],
+        fields["incarnation"],
+        fields["clock_ms"],
+    )
+
+
 @entry_kind("intent", Intent)
 class IntentKind(EntryKind[Intent]):
     """Holds the ids of the tasks about to be started."""
 
     def encode(self, entry: Intent) -> dict[str, Any]:
-        return {"tasks": list(entry.tasks), "worker": entry.worker}
+        return encode_intent(entry)
 
     def decode(self, fields: dict[str, Any]) -> Intent:
-        return Intent(tuple(fields["tasks"]), fields["worker"])
+        return decode_intent(fields)
 
     def apply(self, entry: Intent, state: JournalState) -> None:
         state.intend(entry)
--- a/packages/core/src/marigoldpath_core/journal/_rows.py
+++ b/packages/core/src/marigoldpath_core/journal/_rows.py
@@ -5,16 +5,18 @@
 from marigoldpath_core.messages import Row, RowValue
 from marigoldpath_core.requests import OutcomeKind, RequestKey, encode_request
 
-from ._entries import Entry, Intent, Snapshot
+from ._entries import Entry, Snapshot
 from ._errors import JournalFormatError
 from ._kinds import (
     EntryPayload,
     apply_entry,
     decode_answer,
     decode_entry,
+    decode_intent,
     decode_request,
     encode_answer,
     encode_entry,
+    encode_intent,
 )
 from ._state import JournalState, RecoveredRequest
 
@@ -122,7 +124,7 @@
         "key": list(recovered.key),
         "request": None if request is None else encode_request(request),
         "accepted_ms": recovered.accepted_ms,
-        "intents": [[list(each.tasks), each.worker] for each in recovered.intents],
+        "intents": [encode_intent(intent) for intent in recovered.intents],
         "cancelled": recovered.cancelled,
         "outcome": None if outcome is None else outcome.value,
         "answer": encode_answer(recovered.answer),
@@ -137,9 +139,7 @@
         key=RequestKey(*payload["key"]),
         request=None if request is None else decode_request(request),
         accepted_ms=payload["accepted_ms"],
-        intents=tuple(
-            Intent(tuple(tasks), worker) for tasks, worker in payload["intents"]
-        ),
+        intents=tuple(decode_intent(fields) for fields in payload["intents"]),
         cancelled=payload["cancelled"],
         outcome=None if outcome is None else OutcomeKind(outcome),
         answer=decode_answer(payload["answer"]),
--- a/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
@@ -81,7 +81,9 @@
     ticket = 0
     for worker in dict.fromkeys(chosen):
         tasks = tuple(t.task for t in state.tasks.values() if t.worker == worker)
-        ticket = zone.journal.append(Intent(tasks, worker), now_ms)
+        watch = zone.watch(worker)
+        intent = Intent(tasks, worker, watch.incarnation, watch.clock_ms)
+        ticket = zone.journal.append(intent, now_ms)
     zone.tickets[ticket] = Ticket(TicketPurpose.START, request.key, state.attempt)
 
 
--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -9,6 +9,7 @@
 
 from ._codes import Code
 from ._outcomes import RETRY_SOON_MS, end_request, refuse, reply
+from ._tasks import stop_partial
 from ._zone import Ticket, TicketPurpose, Zone, handlers
 
 
@@ -23,8 +24,7 @@
     if state is None:
         _submit_new(zone, event, now_ms)
     elif state.is_adopted:
-        state.request = request
-        state.is_adopted = False
+        _learn_request(zone, state, request, now_ms)
         _submit_again(zone, state, request, origin)
     elif _content(state.request) != _content(request):
         message = f"id {request.key.id!r} was used for a request of other content"
@@ -118,6 +118,20 @@
     enqueue(zone, state, now_ms)
 
 
+def _learn_request(
+    zone: Zone, state: RequestState, request: Request, now_ms: int
+) -> None:
+    """Take over the content of a request that was known only from a worker.
+
+    The end of one member says nothing of the other members of an all-at-once job.
+    """
+    state.request = request
+    state.is_adopted = False
+    if state.outcome is not None and request.tasks > 1:
+        state.outcome = Outcome(request.key, OutcomeKind.UNKNOWN, Code.OUTCOME_LOST)
+    stop_partial(zone, state, now_ms)
+
+
 def _submit_again(
     zone: Zone, state: RequestState, request: Request, origin: Origin
 ) -> None:
--- a/packages/core/src/marigoldpath_core/scheduler/_recovery.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_recovery.py
@@ -1,6 +1,6 @@
 """Begins and ends a term of leadership."""
 
-from marigoldpath_core.journal import RecoveredRequest
+from marigoldpath_core.journal import Intent, RecoveredRequest
 from marigoldpath_core.leadership import (
     Elected,
     SteppedDown,
@@ -15,7 +15,13 @@
 from ._intake import is_accepted_to_wait
 from ._leases import make_placeable, reconcile
 from ._outcomes import RETRY_SOON_MS, end_request
-from ._zone import Zone, ZonePhase, change_handlers
+from ._tasks import stop_partial
+from ._zone import Unresolved, Zone, ZonePhase, change_handlers
+
+# Workers keep answers for a minute (docs/design.md, 4.2); the margin covers the lag
+# of polls.
+KEPT_ANSWERS_MS = 60_000
+KEPT_MARGIN_MS = 5_000
 
 
 @change_handlers.register(Elected)
@@ -92,8 +98,10 @@
         workers=len(zone.leadership.listed) - len(waiting),
         unreachable=waiting,
     )
-    for state in list(zone.unresolved.values()):
-        _resolve(zone, state, now_ms)
+    for unresolved in list(zone.unresolved.values()):
+        _resolve(zone, unresolved, now_ms)
+    for state in list(zone.ledger):
+        stop_partial(zone, state, now_ms)
     zone.has_work = True
 
 
@@ -123,8 +131,7 @@
     elif state.phase is not RequestPhase.ENDED and not state.tasks:
         state.is_cancelled = recovered.cancelled
         state.failures = 0
-        state.requeue_reason = "intended" if recovered.intents else ""
-        zone.unresolved[recovered.key] = state
+        zone.unresolved[recovered.key] = Unresolved(state, recovered.intents)
 
 
 def _load_finished(
@@ -139,13 +146,14 @@
     zone.ledger.ended(state, now_ms)
 
 
-def _resolve(zone: Zone, state: RequestState, now_ms: int) -> None:
+def _resolve(zone: Zone, unresolved: Unresolved, now_ms: int) -> None:
     """Decide on a recorded request that no worker runs or remembers."""
+    state, intents = unresolved
     zone.unresolved.pop(state.request.key, None)
-    intended, state.requeue_reason = bool(state.requeue_reason), ""
     if state.phase is RequestPhase.ENDED or state.tasks:
         return
-    if intended and not state.request.repeatable:
+    may_have_run = not _never_started(zone, intents)
+    if may_have_run and not state.request.repeatable:
         message = "a start was recorded and no worker knows its end"
         end_request(
             zone,
@@ -164,6 +172,23 @@
         state.phase = RequestPhase.WAITING
 
 
+def _never_started(zone: Zone, intents: tuple[Intent, ...]) -> bool:
+    """Return whether no intended start took place.
+
+    A worker that is ready runs no start of an earlier leader any more, and has told
+    of every end that it keeps. So a task that it neither runs nor remembers never
+    started there, unless it restarted or the end is older than what it keeps.
+    """
+    for intent in intents:
+        watch = zone.watch(intent.worker)
+        passed_ms = watch.polled_clock_ms - intent.clock_ms
+        if not watch.is_ready or watch.incarnation != intent.incarnation:
+            return False
+        if passed_ms >= KEPT_ANSWERS_MS - KEPT_MARGIN_MS:
+            return False
+    return True
+
+
 def accepted_is_durable(zone: Zone, state: RequestState) -> None:
     """Tell the callers of a request that it is accepted to wait."""
     if not is_accepted_to_wait(zone, state.request):
--- a/packages/core/src/marigoldpath_core/scheduler/_tasks.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_tasks.py
@@ -162,6 +162,19 @@
             zone.effects.append(StopTasks(other.worker, (other.task,)))
 
 
+def stop_partial(zone: Zone, state: RequestState, now_ms: int) -> None:
+    """Stop an all-at-once job of which an earlier leader started only a part."""
+    if state.phase is not RequestPhase.PLACED or state.is_adopted:
+        return
+    if len(state.tasks) >= state.request.tasks or state.requeue_reason:
+        return
+    state.requeue_reason = "an earlier leader started only a part of its tasks"
+    state.history.add(now_ms, "stopping", state.requeue_reason)
+    for task in state.tasks.values():
+        if task.may_run:
+            zone.effects.append(StopTasks(task.worker, (task.task,)))
+
+
 def finish_if_ended(zone: Zone, state: RequestState, now_ms: int) -> None:
     """Decide what becomes of a request when all its tasks have ended."""
     if state.phase is not RequestPhase.PLACED or state.may_run:
@@ -172,7 +185,9 @@
     answers = [task.answer for task in state.tasks.values() if task.answer]
     repeatable = state.request.repeatable
     was_started = statuses != {None}
-    if statuses == {TaskStatus.DONE} and not is_standing(zone, state.request):
+    is_whole = len(state.tasks) >= state.request.tasks
+    is_done = is_whole and statuses == {TaskStatus.DONE}
+    if is_done and not is_standing(zone, state.request):
         answer = answers[0] if answers else None
         _end(zone, state, OutcomeKind.DONE, now_ms, answer=answer)
     elif state.is_cancelled:
--- a/packages/core/src/marigoldpath_core/scheduler/_zone.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_zone.py
@@ -7,7 +7,7 @@
 from marigoldpath_core.configuration import Configuration, WorkKind
 from marigoldpath_core.estimates import Estimates
 from marigoldpath_core.health import Health
-from marigoldpath_core.journal import Journal
+from marigoldpath_core.journal import Intent, Journal
 from marigoldpath_core.leadership import Leadership
 from marigoldpath_core.ledger import Ledger, RequestState
 from marigoldpath_core.messages import (
@@ -50,6 +50,13 @@
     attempt: int
 
 
+class Unresolved(NamedTuple):
+    """A recorded request whose end the journal does not tell."""
+
+    state: RequestState
+    intents: tuple[Intent, ...]
+
+
 class WorkerWatch:
     """What the leader knows of one worker's state and clock.
 
@@ -121,7 +128,7 @@
         self.watches: dict[str, WorkerWatch] = {}
         self.tickets: dict[int, Ticket] = {}
         self.quiet_since_ms: int | None = None
-        self.unresolved: dict[RequestKey, RequestState] = {}
+        self.unresolved: dict[RequestKey, Unresolved] = {}
         self.quorum_at_ms = None
         self.has_work = False
         self._starts.clear()
