--- a/packages/bench/src/marigoldpath_bench/demo/_run.py
+++ b/packages/bench/src/marigoldpath_bench/demo/_run.py
@@ -17,6 +17,7 @@
 )
 from marigoldpath_bench.fleet import Fleet, FleetError, free_base_port
 from marigoldpath_bench.load import (
+    CONFIRMED,
     CallResult,
     Ending,
     LoadClient,
@@ -63,6 +64,8 @@
             f"{tally.kind}: {tally.endings} waiting p50 {tally.wait_p50_ms} ms, "
             f"p99 {tally.wait_p99_ms} ms"
         )
+    runs = sum(len(each) for each in verdict.intervals.values())
+    _tell(f"the workers recorded {runs} runs, {verdict.overused} of them overused")
     summary = summarise([_name(item) for item in trace], results, verdict)
     _write_evidence(run_folder / "evidence.txt", summary)
     return summary
@@ -104,8 +107,9 @@
     names = {each.name for each in standing}
     await _wait_runs(fleet, names, STANDING_START_S, running=True)
     for result in standing:
-        if not await client.cancel(result):
-            _tell(f"no entry host confirmed the cancellation of {result.name}")
+        status, code = await client.cancel(result)
+        if status not in CONFIRMED:
+            _tell(f"cancellation of {result.name}: {status} {code}")
     await _wait_runs(fleet, names, STANDING_END_S, running=False)
 
 
--- a/packages/bench/src/marigoldpath_bench/load/__init__.py
+++ b/packages/bench/src/marigoldpath_bench/load/__init__.py
@@ -1,10 +1,11 @@
 """Open-loop load: sends a trace to the entry hosts and tallies what came back."""
 
 from ._call import Call, CallResult, Ending, Step, StepKind
-from ._client import LoadClient, LoadSettings, load_settings
+from ._client import CONFIRMED, LoadClient, LoadSettings, load_settings
 from ._tally import KindTally, tally_by_kind
 
 __all__ = [
+    "CONFIRMED",
     "Call",
     "CallResult",
     "Ending",
--- a/packages/bench/src/marigoldpath_bench/load/_client.py
+++ b/packages/bench/src/marigoldpath_bench/load/_client.py
@@ -19,6 +19,7 @@
 
 REPLY_MARGIN_S = 2.0
 ASK_REPLY_S = 2.0
+CONFIRMED = (200, 202, 204)
 
 
 class LoadSettings(NamedTuple):
@@ -63,13 +64,18 @@
                 await tasks.spawn(self._follow, item)
         return self._results
 
-    async def cancel(self, result: CallResult) -> bool:
-        """Cancel a request; return whether an entry host confirmed it."""
+    async def cancel(self, result: CallResult) -> tuple[int, str]:
+        """Cancel a request; return the status and code of the last reply.
+
+        Each entry host is asked until one confirms. Status 0 is no reply.
+        """
+        status, code = 0, ""
         for _ in self._settings.addresses:
-            status, _ = await self._exchange("DELETE", result.name, result.request)
-            if status in (200, 202, 204):
-                return True
-        return False
+            status, reply = await self._exchange("DELETE", result.name, result.request)
+            code = str(reply.get("code", ""))
+            if status in CONFIRMED:
+                break
+        return status, code
 
     async def close(self) -> None:
         """Close the connections."""
