Refuse or hold back what cannot be recorded during an outage

Change: the leader row tells whether the platform answers; requests that wait for a record are refused as not run, accepted ones wait outside the queue; jobs that the empty zone cannot hold are refused with the number that fits.

--- a/packages/core/src/marigoldpath_core/leadership/_leadership.py
+++ b/packages/core/src/marigoldpath_core/leadership/_leadership.py
@@ -69,6 +69,10 @@
             return False
         return self._row.is_confirmed(now_ms) or self.has_quorum(now_ms)
 
+    def is_confirmed(self, now_ms: int) -> bool:
+        """Return whether the table lately confirmed that this host leads."""
+        return self._row.is_confirmed(now_ms)
+
     def has_quorum(self, now_ms: int) -> bool:
         """Return whether fresh claims are held on more than half of the workers."""
         fresh = sum(1 for name in self._listed if self._is_fresh(name, now_ms))
--- a/packages/core/src/marigoldpath_core/placement/_workers.py
+++ b/packages/core/src/marigoldpath_core/placement/_workers.py
@@ -13,6 +13,8 @@
 from ._policies import placement_policies
 
 Group = tuple[str, str]
+# Stands for a task that holds nothing, of which any number fits.
+MOST_TASKS = 1_000_000
 Counts = dict[str, int]
 NO_COUNTS: Counts = {}
 
@@ -194,6 +196,14 @@
         faults = [size.exceeding(capacity) for capacity in self._capacities]
         return min(faults, key=len, default=[])
 
+    def most_tasks(self, size: Size) -> int:
+        """Return how many tasks of a size the zone holds at once when empty."""
+        total = 0
+        for capacity, copies in self._capacities.items():
+            counts = [have // need for have, need in zip(capacity, size) if need]
+            total += copies * min(counts, default=MOST_TASKS)
+        return total
+
     def reserve(self, reservation: str, size: Size, count: int = 1) -> bool:
         """Keep workers free for a request that does not fit yet.
 
--- a/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
@@ -129,11 +129,7 @@
 def requeue(zone: Zone, state: RequestState, now_ms: int, reason: str) -> None:
     """Put a request back into the queue, once none of its tasks can run."""
     assert not state.may_run
-    for task in list(state.tasks.values()):
-        zone.workers.release(task.worker, task.task)
-        zone.ledger.detach(state, task)
-    zone.queue.ended(state.request.key)
-    zone.has_work = True
+    free(zone, state)
     state.requeue_reason = ""
     state.history.add(now_ms, "requeued", reason)
     zone.count("requeued")
@@ -147,6 +143,15 @@
     state.phase = RequestPhase.WAITING
 
 
+def free(zone: Zone, state: RequestState) -> None:
+    """Give back what a request holds on workers and in quotas."""
+    for task in list(state.tasks.values()):
+        zone.workers.release(task.worker, task.task)
+        zone.ledger.detach(state, task)
+    zone.queue.ended(state.request.key)
+    zone.has_work = True
+
+
 def is_standing(zone: Zone, request: Request) -> bool:
     """Return whether a request runs again and again until it is cancelled."""
     kind = zone.kinds.get(request.kind)
--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -8,10 +8,14 @@
 from marigoldpath_core.requests import Origin, Outcome, OutcomeKind, Request
 
 from ._codes import Code
+from ._dispatch import free
 from ._outcomes import RETRY_SOON_MS, end_request, refuse, reply
 from ._tasks import stop_partial
 from ._zone import Ticket, TicketPurpose, Zone, handlers
 
+UNRECORDED = "the request has to be recorded and the platform does not answer"
+RETRY_LATER_MS = 5_000
+
 
 @handlers.register(RequestSubmitted)
 def on_submitted(zone: Zone, event: RequestSubmitted, now_ms: int) -> None:
@@ -56,17 +60,68 @@
         for task in state.tasks.values():
             zone.effects.append(StopTasks(task.worker, (task.task,)))
         return
-    cancel_waiting(zone, state, now_ms)
+    end_unsent(zone, state, now_ms, code=Code.CANCELLED)
 
 
-def cancel_waiting(zone: Zone, state: RequestState, now_ms: int) -> None:
+def end_unsent(
+    zone: Zone,
+    state: RequestState,
+    now_ms: int,
+    *,
+    code: str,
+    message: str = "",
+    retry_after_ms: int = 0,
+) -> None:
     """End a request of which no start was sent."""
     zone.queue.remove(state.request.key, now_ms)
-    for task in list(state.tasks.values()):
-        zone.workers.release(task.worker, task.task)
-        zone.ledger.detach(state, task)
-    zone.queue.ended(state.request.key)
-    end_request(zone, state, OutcomeKind.NOT_RUN, now_ms, code=Code.CANCELLED)
+    free(zone, state)
+    end_request(
+        zone,
+        state,
+        OutcomeKind.NOT_RUN,
+        now_ms,
+        code=code,
+        message=message,
+        retry_after_ms=retry_after_ms,
+    )
+
+
+def refuse_unrecorded(zone: Zone, now_ms: int) -> None:
+    """Refuse what waits for the journal while the platform does not answer.
+
+    A start is sent only after its intent is confirmed, so a request that waits for
+    that has not run, whether the row is written in the end or not. A request whose
+    acceptance may be written already stays open, and one that is accepted goes on
+    waiting outside the queue.
+    """
+    if zone.can_record(now_ms):
+        for parked in zone.parked:
+            if parked.phase is RequestPhase.WAITING:
+                zone.queue.restore(parked.request, now_ms)
+        zone.parked.clear()
+        return
+    for number, ticket in list(zone.tickets.items()):
+        state = zone.ledger.get(ticket.key)
+        if state is None or state.may_run or state.phase is RequestPhase.ENDED:
+            continue
+        is_accept = ticket.purpose is TicketPurpose.ACCEPT
+        if is_accept and not zone.journal.withdraw(number):
+            continue
+        del zone.tickets[number]
+        if not is_accept and is_accepted_to_wait(zone, state.request):
+            free(zone, state)
+            state.phase = RequestPhase.WAITING
+            state.history.add(now_ms, "waiting", "for the platform to answer")
+            zone.parked.append(state)
+            continue
+        end_unsent(
+            zone,
+            state,
+            now_ms,
+            code=Code.PLATFORM_UNAVAILABLE,
+            message=UNRECORDED,
+            retry_after_ms=RETRY_LATER_MS,
+        )
 
 
 def is_accepted_to_wait(zone: Zone, request: Request) -> bool:
@@ -99,7 +154,7 @@
 
 def _submit_new(zone: Zone, event: RequestSubmitted, now_ms: int) -> None:
     request, origin = event.request, event.origin
-    refusal = _check(zone, request)
+    refusal = _check(zone, request, now_ms)
     if refusal is not None:
         refuse(zone, refusal, origin)
         return
@@ -146,7 +201,7 @@
         state.origins.append(origin)
 
 
-def _check(zone: Zone, request: Request) -> Outcome | None:
+def _check(zone: Zone, request: Request, now_ms: int) -> Outcome | None:
     """Return the refusal of a request that cannot be taken at all."""
     if request.kind not in zone.kinds:
         known = ", ".join(sorted(zone.kinds)) or "none"
@@ -156,14 +211,17 @@
     if unfit:
         message = f"no worker of the zone has as much {', '.join(unfit)}"
         return _refusal(request, Code.NEVER_FITS, message, f"size.{unfit[0]}")
+    most = zone.workers.most_tasks(request.size)
+    if len(zone.workers) and request.tasks > most:
+        message = f"the zone holds at most {most} tasks of this size at once"
+        return _refusal(request, Code.NEVER_FITS, message, "tasks")
     needs_journal = not request.repeatable or is_accepted_to_wait(zone, request)
-    if needs_journal and not zone.journal.available:
-        message = "the request has to be recorded and the platform does not answer"
+    if needs_journal and not zone.can_record(now_ms):
         return _refusal(
             request,
             Code.PLATFORM_UNAVAILABLE,
-            message,
-            retry_after_ms=zone.settings.routing.view_age_ms,
+            UNRECORDED,
+            retry_after_ms=RETRY_LATER_MS,
         )
     return None
 
--- a/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
@@ -221,6 +221,7 @@
             )
         zone.queue.set_capacity(zone.workers.capacity)
         zone.has_work = True
+        _intake.refuse_unrecorded(zone, now_ms)
         if zone.journal.needs_snapshot:
             zone.effects.extend(zone.journal.snapshot(now_ms))
         if zone.is_draining:
--- a/packages/core/src/marigoldpath_core/scheduler/_tasks.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_tasks.py
@@ -23,7 +23,7 @@
 )
 
 from ._codes import Code
-from ._dispatch import is_standing, requeue
+from ._dispatch import free, is_standing, requeue
 from ._outcomes import end_request
 from ._zone import Zone, handlers
 
@@ -234,8 +234,5 @@
     answer: Answer | None = None,
 ) -> None:
     """Free what a request held and give it its outcome."""
-    for task in list(state.tasks.values()):
-        zone.workers.release(task.worker, task.task)
-        zone.ledger.detach(state, task)
-    zone.queue.ended(state.request.key)
+    free(zone, state)
     end_request(zone, state, kind, now_ms, code=code, message=message, answer=answer)
--- a/packages/core/src/marigoldpath_core/scheduler/_zone.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_zone.py
@@ -130,6 +130,7 @@
         self.quiet_since_ms: int | None = None
         self.unresolved: dict[RequestKey, Unresolved] = {}
         self.quorum_at_ms = None
+        self.parked: list[RequestState] = []
         self.has_work = False
         self._starts.clear()
         self.configure(self.configuration)
@@ -151,6 +152,10 @@
         """Return whether this host decides on requests now."""
         return self.phase is ZonePhase.SERVING and self.leadership.is_authorized(now_ms)
 
+    def can_record(self, now_ms: int) -> bool:
+        """Return whether the platform answers, so that entries become durable."""
+        return self.journal.available and self.leadership.is_confirmed(now_ms)
+
     def add_start(self, worker: str, start: Start) -> None:
         """Send a start with the next batch to its worker."""
         self._starts.setdefault(worker, []).append(start)
--- /dev/null
+++ b/tests/core/test_scheduler.py
@@ -0,0 +1,161 @@
+"""Tests of the zone scheduler on the message-driven world."""
+
+import unittest
+from typing import Any
+
+from marigoldpath_bench.world import Callers, Faults, World, WorldSettings
+from marigoldpath_core.requests import OutcomeKind, Size
+
+
+class ServedWorld:
+    """A world whose zone has a leader, and its callers."""
+
+    def __init__(self, **settings: Any) -> None:
+        self.world = World(WorldSettings(**settings), Faults(1))
+        self.callers = Callers(self.world)
+        assert self.world.run_until(lambda: bool(self.world.serving), 15_000)
+
+    def outcome(self, name: str) -> tuple[OutcomeKind | None, str]:
+        """Return the kind and the code of what a caller was told last."""
+        call = self.callers.call(name)
+        return call.outcome, call.outcomes[-1].code if call.outcomes else ""
+
+
+class IntakeTests(unittest.TestCase):
+    def test_a_job_larger_than_the_empty_zone_is_refused_instead_of_waiting(
+        self,
+    ) -> None:
+        served = ServedWorld()
+        half = Size(33_000, 1_000, 0, 1, 1)
+        served.callers.submit("large", size=half, tasks=5)
+        served.callers.submit("fits", size=half, tasks=4)
+        served.callers.run(2_000)
+        self.assertEqual(served.outcome("large"), (OutcomeKind.NOT_RUN, "never_fits"))
+        self.assertEqual(served.outcome("fits"), (OutcomeKind.DONE, ""))
+
+    def test_a_task_larger_than_any_worker_names_the_dimension(self) -> None:
+        served = ServedWorld()
+        served.callers.submit("wide", size=Size(1, 300_000, 0, 1, 1))
+        served.callers.run(500)
+        outcome = served.callers.call("wide").outcomes[-1]
+        self.assertEqual(
+            (outcome.code, outcome.field), ("never_fits", "size.memory_mb")
+        )
+
+    def test_an_id_reused_with_other_content_is_refused(self) -> None:
+        served = ServedWorld()
+        served.callers.submit("same", work={"run_ms": 10})
+        served.callers.run(500)
+        served.callers.submit("same", work={"run_ms": 20})
+        served.callers.run(500)
+        self.assertEqual(served.outcome("same")[1], "id_conflict")
+
+    def test_a_request_that_comes_back_gets_the_first_answer(self) -> None:
+        served = ServedWorld()
+        served.callers.submit("again", repeatable=False)
+        served.callers.run(500)
+        served.callers.ask("again")
+        served.callers.run(500)
+        first, second = served.callers.call("again").outcomes
+        self.assertEqual(first, second)
+        runs = served.world.verdict().intervals["counter/zadar/again"]
+        self.assertEqual(len(runs), 1)
+
+    def test_a_recorded_request_is_refused_while_the_platform_is_down(self) -> None:
+        served = ServedWorld()
+        served.world.faults.table_down = True
+        served.callers.run(3_000)
+        served.callers.submit("once", repeatable=False, deadline_ms=1_000)
+        served.callers.submit("check")
+        served.callers.run(1_000)
+        self.assertEqual(
+            served.outcome("once"), (OutcomeKind.NOT_RUN, "platform_unavailable")
+        )
+        self.assertEqual(served.outcome("check"), (OutcomeKind.DONE, ""))
+
+    def test_an_accepted_request_outlasts_an_outage_of_the_platform(self) -> None:
+        """A plan that was accepted but not started was refused in an outage."""
+        served = ServedWorld(workers=1)
+        served.callers.submit("first", size=Size(64_000), work={"run_ms": 3_000})
+        served.callers.submit(
+            "plan", kind="cord_path_plan", wait=False, repeatable=False
+        )
+        served.callers.run(1_000)
+        served.world.faults.table_down = True
+        served.callers.run(20_000)
+        self.assertEqual(served.outcome("plan")[0], OutcomeKind.ACCEPTED)
+        self.assertNotIn("counter/zadar/plan", served.world.verdict().intervals)
+        served.world.faults.table_down = False
+        served.callers.run(5_000)
+        runs = served.world.verdict().intervals["counter/zadar/plan"]
+        self.assertEqual([run.status for run in runs], ["done"])
+
+
+class CancelTests(unittest.TestCase):
+    def test_a_running_task_is_stopped_and_does_not_come_back(self) -> None:
+        served = ServedWorld()
+        served.callers.submit("long", work={"run_ms": 60_000})
+        served.callers.run(300)
+        served.callers.cancel("long")
+        served.callers.run(1_000)
+        self.assertEqual(served.outcome("long"), (OutcomeKind.DONE, "cancelled"))
+        (run,) = served.world.verdict().intervals["counter/zadar/long"]
+        self.assertEqual(run.status, "stopped")
+
+    def test_a_waiting_request_is_cancelled_without_a_run(self) -> None:
+        served = ServedWorld(workers=1)
+        served.callers.submit("first", size=Size(64_000), work={"run_ms": 2_000})
+        served.callers.submit("second", size=Size(64_000))
+        served.callers.run(300)
+        served.callers.cancel("second")
+        served.callers.run(4_000)
+        self.assertEqual(served.outcome("second"), (OutcomeKind.NOT_RUN, "cancelled"))
+        runs = served.world.verdict().intervals
+        self.assertNotIn("counter/zadar/second", runs)
+
+
+class StandingTests(unittest.TestCase):
+    def test_a_standing_request_moves_from_a_leaving_worker(self) -> None:
+        served = ServedWorld()
+        served.callers.submit("watch", kind="tension_watch", work={"run_ms": None})
+        served.callers.run(1_000)
+        (first,) = served.world.verdict().intervals["counter/zadar/watch"]
+        served.world.leaving.add(first.worker)
+        served.callers.run(5_000)
+        runs = served.world.verdict().intervals["counter/zadar/watch"]
+        self.assertEqual(len(runs), 2)
+        self.assertNotEqual(runs[-1].worker, first.worker)
+        self.assertIsNone(runs[-1].end_ms)
+
+    def test_a_standing_request_survives_its_leader(self) -> None:
+        served = ServedWorld()
+        served.callers.submit("watch", kind="tension_watch", work={"run_ms": None})
+        served.callers.run(1_000)
+        served.world.kill(served.world.serving[0])
+        served.callers.run(30_000)
+        runs = served.world.verdict().intervals["counter/zadar/watch"]
+        self.assertEqual([run.end_ms for run in runs], [None])
+
+
+class RecoveryTests(unittest.TestCase):
+    def test_a_recorded_start_that_was_never_sent_is_placed_anew(self) -> None:
+        """An intent without a start left the request unknown for good."""
+        served = ServedWorld()
+        leader = served.world.serving[0]
+        served.callers.submit("once", repeatable=False)
+        while not served.world.store.list("journal/") or not self.has_intent(served):
+            served.world.run(1, step_ms=1)
+        served.world.kill(leader)
+        served.callers.run(20_000)
+        self.assertEqual(served.outcome("once"), (OutcomeKind.DONE, ""))
+        runs = served.world.verdict().intervals["counter/zadar/once"]
+        self.assertEqual(len(runs), 1)
+
+    @staticmethod
+    def has_intent(served: ServedWorld) -> bool:
+        rows = served.world.store.list("journal/")
+        return any("intent" in str(row.value["entries"]) for row in rows)
+
+
+if __name__ == "__main__":
+    unittest.main()
