--- a/packages/core/src/marigoldpath_core/health/_health.py
+++ b/packages/core/src/marigoldpath_core/health/_health.py
@@ -37,6 +37,7 @@
         self._records: dict[str, WorkerRecord] = {}
         self._removed: dict[str, str] = {}
         self._blocked: set[str] = set()
+        self._with_failures: set[str] = set()
         self._failed_on: OrderedDict[RequestKey, set[str]] = OrderedDict()
         self._failing: OrderedDict[Group, set[str]] = OrderedDict()
         self._sequence = 0
@@ -51,6 +52,7 @@
             del self._records[name]
             self._removed.pop(name, None)
             self._blocked.discard(name)
+            self._with_failures.discard(name)
 
     def started(self, worker: str, key: RequestKey, kind: str) -> None:
         """Count a start; it is dated with the latest time that was passed in."""
@@ -150,6 +152,7 @@
         if self.is_faulty_kind(*group):
             self._acquit(lambda other: (other.key.team, other.kind) == group)
             return
+        self._with_failures.add(worker)
         record.failures.append(failure)
         record.failures.sort()
         if record.reason is not None:
@@ -173,17 +176,18 @@
             self._failing.popitem(last=False)
 
     def _acquit(self, is_not_to_blame: Callable[[Failure], bool]) -> None:
-        for worker, record in self._records.items():
-            if record.failures:
-                record.failures = [
-                    failure
-                    for failure in record.failures
-                    if not is_not_to_blame(failure)
-                ]
-                self._readmit(worker, record)
+        for worker in sorted(self._with_failures):
+            record = self._records[worker]
+            record.failures = [
+                failure for failure in record.failures if not is_not_to_blame(failure)
+            ]
+            self._readmit(worker, record)
 
     def _readmit(self, worker: str, record: WorkerRecord) -> None:
-        if record.reason is not None and not record.failures:
+        if record.failures:
+            return
+        self._with_failures.discard(worker)
+        if record.reason is not None:
             record.reason = None
             del self._removed[worker]
 
