Test the policies and correct the pauses of removed workers

Cause: a test showed that tasks in flight at a worker's removal doubled its pause, so the first probe came after 20 s instead of 5 s. Change: only failures of starts after the removal lengthen the pause. Waiting requests are tried 16 deep for each team, best_fit counts the difference between free processors and memory, and reservations begin after 10 s.

--- a/packages/core/src/marigoldpath_core/admission/_lane.py
+++ b/packages/core/src/marigoldpath_core/admission/_lane.py
@@ -11,9 +11,10 @@
 from ._model import QueuedRequest
 
 # How many teams, and how many requests of each, one search may try. Requests behind
-# a large one get their turn without a walk through a queue of thousands.
+# a large one get their turn without a walk through a queue of thousands. With 4 instead
+# of 16 requests the packing was 0.7% worse.
 TEAMS_TRIED = 8
-REQUESTS_TRIED = 4
+REQUESTS_TRIED = 16
 
 
 class Lane:
--- a/packages/core/src/marigoldpath_core/admission/_queue.py
+++ b/packages/core/src/marigoldpath_core/admission/_queue.py
@@ -21,10 +21,10 @@
 DEFAULT_RETRY_MS = 1_000
 LEAST_RETRY_MS = 100
 MOST_RETRY_MS = 60_000
-# A request that was passed over for this long gets workers kept free for it. The
-# reservation ends after the hold, so that tasks without an end cannot keep workers
-# empty for good.
-RESERVE_AFTER_MS = 2_000
+# A request that was passed over for this long, or for a quarter of its deadline, gets
+# workers kept free for it. Earlier reservations cost 1% of the packing. A reservation
+# ends after the hold, so that tasks without an end cannot keep workers empty for good.
+RESERVE_AFTER_MS = 10_000
 RESERVE_HOLD_MS = 30_000
 STARVING_TRIED = 16
 
@@ -141,10 +141,9 @@
                 self._passed_over[queued.key] = now_ms
             self._starving = None
         for key, since_ms in islice(self._passed_over.items(), STARVING_TRIED):
-            if now_ms - since_ms < RESERVE_AFTER_MS:
-                break
             queued = self._queued[key]
-            if self._shares.allows(queued.request):
+            after_ms = min(RESERVE_AFTER_MS, queued.request.deadline_ms // 4)
+            if now_ms - since_ms >= after_ms and self._shares.allows(queued.request):
                 self._starving = queued, now_ms
                 return queued
         return None
--- a/packages/core/src/marigoldpath_core/health/_health.py
+++ b/packages/core/src/marigoldpath_core/health/_health.py
@@ -156,11 +156,14 @@
         record.failures.append(failure)
         record.failures.sort()
         if record.reason is not None:
-            self._pause(record)
+            # Starts that were in flight at the removal are no probes.
+            if failure.sequence > record.removed_sequence:
+                self._pause(record)
             return
         reason = self._rule(record, self._settings).reason
         if reason is not None and self._may_remove_one_more():
             record.reason = reason
+            record.removed_sequence = self._sequence
             self._removed[worker] = reason
             self._pause(record)
 
--- a/packages/core/src/marigoldpath_core/health/_model.py
+++ b/packages/core/src/marigoldpath_core/health/_model.py
@@ -43,6 +43,7 @@
         self.failures: list[Failure] = []
         self.proven_sequence = 0
         self.reason: str | None = None
+        self.removed_sequence = 0
         self.retry_ms = 0
         self.pause_ms = 0
 
--- a/packages/core/src/marigoldpath_core/placement/_policies.py
+++ b/packages/core/src/marigoldpath_core/placement/_policies.py
@@ -7,11 +7,14 @@
 from marigoldpath_core.registry import Registry
 from marigoldpath_core.requests import Size
 
-from ._model import WorkerView, share_sum
+from ._model import WorkerView, slack_and_tilt
 
 # Sixteen fitting workers from the fullest buckets are compared: more cost time in
 # proportion and the packing of the mixed trace did not improve.
 SAMPLE = 16
+# Processors without memory beside them cannot be used, nor the reverse. Counting the
+# difference twice packs the mixed trace 0.8% better than the sum of free shares alone.
+TILT_WEIGHT = 2.0
 
 
 class Candidates(Protocol):
@@ -57,7 +60,7 @@
     best = None
     least = 0.0
     for view in islice(workers.fitting(size), SAMPLE):
-        left = view.slack - share_sum(size, view.capacity)
+        left = remainder(view, size)
         if best is None:
             best, least = view, left
         elif view.free[2] > best.free[2]:
@@ -75,7 +78,7 @@
             (
                 workers.group_count(view.name, kind, team),
                 view.free[2] if not size[2] else 0,
-                view.slack - share_sum(size, view.capacity),
+                remainder(view, size),
                 view.name,
             )
             for view in workers.fitting_in_rack(rack, size)
@@ -83,3 +86,9 @@
         if found:
             return min(found)[-1]
     return None
+
+
+def remainder(view: WorkerView, size: Size) -> float:
+    """Return how much, and how unevenly, a worker would stay free with a task."""
+    slack, tilt = slack_and_tilt(size, view.capacity)
+    return view.slack - slack + TILT_WEIGHT * abs(view.tilt - tilt)
--- /dev/null
+++ b/tests/core/test_admission.py
@@ -0,0 +1,242 @@
+"""Tests of the admission queue."""
+
+import time
+import unittest
+
+from marigoldpath_core.admission import AdmissionQueue, DrainRate, queue_policies
+from marigoldpath_core.configuration import Configuration, TeamQuota, WorkKind
+from marigoldpath_core.registry import UnknownEntryError
+from marigoldpath_core.requests import Request, RequestKey, Size
+from marigoldpath_core.settings import SchedulerSettings
+
+SMALL = Size(1_000, 1_000, 0, 1, 1)
+
+
+def request(
+    name: str, kind: str = "plan", size: Size = SMALL, team: str = "t", **fields
+) -> Request:
+    return Request(RequestKey(team, "zadar", name), kind, size, **fields)
+
+
+def queue_of(*kinds: WorkKind, quotas=(), policy: str = "weighted_fair"):
+    queue = AdmissionQueue(SchedulerSettings(queue_policy=policy))
+    queue.configure(Configuration(1, kinds, quotas))
+    return queue
+
+
+def drain(queue: AdmissionQueue, count: int, now_ms: int = 0) -> list[str]:
+    """Take and start up to `count` requests that all have room."""
+    names = []
+    for _ in range(count):
+        queued = queue.next(now_ms, lambda queued: True)
+        if queued is None:
+            break
+        queue.started(queued.request)
+        names.append(queued.key.id)
+    return names
+
+
+class OfferTests(unittest.TestCase):
+    def refusal(self, queue: AdmissionQueue, *args, **fields):
+        return queue.offer(request(*args, **fields), None, 0).unwrap_err()
+
+    def test_an_unknown_kind_names_the_known_ones(self) -> None:
+        refusal = self.refusal(queue_of(WorkKind("plan")), "a", "plann")
+        self.assertEqual((refusal.code, refusal.field), ("unknown_kind", "kind"))
+        self.assertIn("known: plan", refusal.message)
+        self.assertEqual(refusal.retry_after_ms, 0)
+
+    def test_a_full_queue_refuses_its_kind_alone(self) -> None:
+        queue = queue_of(WorkKind("plan", queue_limit=1), WorkKind("watch"))
+        queue.offer(request("a"), None, 0).unwrap()
+        refusal = self.refusal(queue, "b")
+        self.assertEqual(refusal.code, "queue_full")
+        self.assertGreater(refusal.retry_after_ms, 0)
+        queue.offer(request("a"), None, 0).unwrap()
+        queue.offer(request("c", "watch"), None, 0).unwrap()
+        self.assertEqual((queue.length("plan"), queue.length("watch")), (1, 1))
+
+    def test_a_request_above_its_whole_quota_is_refused_for_good(self) -> None:
+        queue = queue_of(WorkKind("plan"), quotas=(TeamQuota("t", Size(1_500, 9, 9)),))
+        refusal = self.refusal(queue, "a", size=Size(1_000), tasks=2)
+        self.assertEqual((refusal.code, refusal.retry_after_ms), ("over_quota", 0))
+        self.assertIn("cpu_millis", refusal.message)
+
+    def test_an_expected_wait_beyond_the_deadline_is_refused_early(self) -> None:
+        """Guards against work that waits only to expire."""
+        queue = queue_of(WorkKind("plan", queue_limit=1_000))
+        for number in range(200):
+            queue.offer(request(str(number)), None, 0).unwrap()
+        for step in range(50):
+            drain(queue, 1, now_ms=10 * (step + 1))
+        refusal = queue.offer(request("x", deadline_ms=1_000), None, 500).unwrap_err()
+        self.assertEqual(refusal.code, "too_late")
+        self.assertAlmostEqual(refusal.retry_after_ms, 1_500, delta=100)
+        queue.offer(request("y", deadline_ms=2_000), None, 500).unwrap()
+
+
+class DrainRateTests(unittest.TestCase):
+    def test_idle_time_does_not_count(self) -> None:
+        """Guards against refusals because a kind is seldom asked for."""
+        drain_rate = DrainRate()
+        for start in range(0, 100_000, 10_000):
+            drain_rate.grew(start)
+            drain_rate.shrank(start + 10, 0, 10, started=True)
+        self.assertEqual(drain_rate.per_ms, 0.1)
+        self.assertEqual(drain_rate.wait_ms(5), 50)
+
+    def test_cancellations_are_not_starts(self) -> None:
+        drain_rate = DrainRate()
+        drain_rate.grew(0)
+        for number in range(20):
+            drain_rate.shrank(10, 20 - number, 10, started=False)
+        self.assertIsNone(drain_rate.wait_ms(5))
+
+
+class RemoveTests(unittest.TestCase):
+    def test_a_wave_of_cancellations_costs_little(self) -> None:
+        """Guards against a search through the queue for each cancellation."""
+        for policy in queue_policies:
+            queue = queue_of(WorkKind("plan", queue_limit=10_000), policy=policy)
+            requests = [request(str(n), team=f"t{n % 120}") for n in range(10_000)]
+            for each in requests:
+                queue.offer(each, None, 0).unwrap()
+            begin = time.process_time()
+            for each in requests:
+                self.assertIsNotNone(queue.remove(each.key, 1))
+            self.assertLess(time.process_time() - begin, 1.0)
+            self.assertEqual(len(queue), 0)
+            self.assertIsNone(queue.remove(requests[0].key))
+
+    def test_expired_requests_leave_once_and_removed_ones_do_not_expire(self) -> None:
+        queue = queue_of(WorkKind("plan"))
+        for name, deadline_ms in (("a", 10), ("b", 20), ("c", 10)):
+            queue.offer(request(name, deadline_ms=deadline_ms), None, 0)
+        queue.remove(request("c").key)
+        self.assertEqual([queued.key.id for queued in queue.expired(10)], ["a"])
+        self.assertEqual(queue.expired(10), [])
+        self.assertEqual(len(queue), 1)
+
+
+class OrderTests(unittest.TestCase):
+    def test_weights_set_the_share_of_starts(self) -> None:
+        queue = queue_of(WorkKind("plan", weight=1), WorkKind("watch", weight=3))
+        for number in range(400):
+            queue.offer(request(f"p{number}"), None, 0)
+            queue.offer(request(f"w{number}", "watch"), None, 0)
+        names = drain(queue, 400)
+        share = sum(name.startswith("w") for name in names) / len(names)
+        self.assertAlmostEqual(share, 0.75, delta=0.1)
+
+    def test_urgent_work_goes_first_but_a_flood_of_it_starves_nobody(self) -> None:
+        queue = queue_of(WorkKind("plan", priority=5), WorkKind("urgent", priority=0))
+        for number in range(300):
+            queue.offer(request(f"p{number}"), None, 0)
+            queue.offer(request(f"u{number}", "urgent"), None, 0)
+        names = drain(queue, 200)
+        self.assertTrue(all(name.startswith("u") for name in names[:20]))
+        self.assertGreater(sum(name.startswith("p") for name in names), 50)
+
+    def test_a_kind_that_was_idle_has_saved_up_no_turns(self) -> None:
+        queue = queue_of(WorkKind("plan"), WorkKind("watch"))
+        for number in range(300):
+            queue.offer(request(f"p{number}"), None, 0)
+        drain(queue, 200)
+        for number in range(100):
+            queue.offer(request(f"w{number}", "watch"), None, 0)
+        names = drain(queue, 100)
+        self.assertGreater(sum(name.startswith("p") for name in names), 20)
+
+    def test_teams_of_a_kind_take_turns(self) -> None:
+        queue = queue_of(WorkKind("plan"))
+        for number in range(50):
+            queue.offer(request(f"a{number}", team="a"), None, 0)
+        queue.offer(request("b0", team="b"), None, 0)
+        self.assertIn("b0", drain(queue, 2))
+
+    def test_fifo_takes_only_the_oldest(self) -> None:
+        queue = queue_of(WorkKind("plan"), WorkKind("urgent"), policy="fifo")
+        queue.offer(request("a"), None, 0)
+        queue.offer(request("b", "urgent"), None, 0)
+        self.assertIsNone(queue.next(0, lambda queued: queued.key.id == "b"))
+        self.assertEqual(drain(queue, 2), ["a", "b"])
+
+    def test_an_unknown_policy_names_the_known_ones(self) -> None:
+        with self.assertRaisesRegex(UnknownEntryError, "known: fifo, weighted_fair"):
+            queue_of(policy="lifo")
+
+
+class LimitTests(unittest.TestCase):
+    capacity = Size(10_000, 10_000, 0, 10, 10)
+
+    def fill(self, queue: AdmissionQueue, kind: str, count: int = 20) -> int:
+        for number in range(count):
+            queue.offer(request(f"{kind}{number}", kind), None, 0)
+        return len(drain(queue, count))
+
+    def test_a_floor_stays_free_in_a_flood_of_another_kind(self) -> None:
+        queue = queue_of(WorkKind("plan"), WorkKind("urgent", floor=0.4))
+        queue.set_capacity(self.capacity)
+        self.assertEqual(self.fill(queue, "plan"), 6)
+        self.assertEqual(self.fill(queue, "urgent", 3), 3)
+        self.assertEqual(drain(queue, 1), [])
+        queue.ended(request("urgent0").key)
+        queue.ended(request("plan0").key)
+        self.assertEqual(len(drain(queue, 5)), 1)
+
+    def test_a_ceiling_bounds_a_kind(self) -> None:
+        queue = queue_of(WorkKind("plan", ceiling=0.3))
+        queue.set_capacity(self.capacity)
+        self.assertEqual(self.fill(queue, "plan"), 3)
+
+    def test_a_quota_bounds_a_team_and_no_other(self) -> None:
+        limit = Size(2_000, 10**6, 0, 100, 100)
+        queue = queue_of(WorkKind("plan"), quotas=(TeamQuota("t", limit),))
+        queue.offer(request("other", team="u"), None, 0)
+        self.assertEqual(self.fill(queue, "plan"), 3)
+        queue.ended(request("plan0").key)
+        self.assertEqual(len(drain(queue, 9)), 1)
+
+    def test_starts_and_ends_reported_twice_count_once(self) -> None:
+        """Guards against an account that drifts after a takeover."""
+        queue = queue_of(WorkKind("plan"))
+        for _ in range(2):
+            queue.started(request("a"))
+        self.assertEqual(queue.held_by_kind("plan"), SMALL)
+        for _ in range(2):
+            queue.ended(request("a").key)
+        self.assertEqual(queue.held_by_team("t"), Size())
+
+
+class LargeRequestTests(unittest.TestCase):
+    def test_a_large_request_neither_blocks_nor_starves(self) -> None:
+        queue = queue_of(WorkKind("plan"))
+        queue.offer(request("large", size=Size(9_000, 9_000, 0, 1, 1)), None, 0)
+        for number in range(9):
+            queue.offer(request(f"s{number}"), None, 0)
+        queued = queue.next(0, lambda queued: queued.request.size == SMALL)
+        assert queued is not None
+        self.assertEqual(queued.key.id, "s0")
+        self.assertIsNone(queue.starving(1_000))
+        starving = queue.starving(10_000)
+        assert starving is not None
+        self.assertEqual(starving.key.id, "large")
+        queue.remove(starving.key)
+        self.assertIsNone(queue.starving(10_001))
+
+    def test_a_reservation_ends_after_its_hold(self) -> None:
+        """Guards against workers kept empty behind tasks that never end."""
+        queue = queue_of(WorkKind("plan"))
+        queue.offer(request("large", deadline_ms=10**6), None, 0)
+        queue.next(0, lambda queued: False)
+        self.assertIsNotNone(queue.starving(10_000))
+        self.assertIsNotNone(queue.starving(39_000))
+        self.assertIsNone(queue.starving(41_000))
+
+    def test_a_size_that_found_no_room_is_not_searched_again(self) -> None:
+        queue = queue_of(WorkKind("plan"))
+        for number in range(10):
+            queue.offer(request(str(number)), None, 0)
+        tried = []
+        queue.next(0, lambda queued: bool(tried.append(queued)))
+        self.assertEqual(len(tried), 1)
--- /dev/null
+++ b/tests/core/test_health.py
@@ -0,0 +1,147 @@
+"""Tests of the removal of failing workers and of the blame of requests."""
+
+import unittest
+
+from marigoldpath_core.health import UNPROVEN_STARTS, Health
+from marigoldpath_core.requests import RequestKey
+from marigoldpath_core.settings import SchedulerSettings
+
+FLEET = [f"w{number}" for number in range(8)]
+
+
+def key(number: object, team: str = "t") -> RequestKey:
+    return RequestKey(team, "zadar", str(number))
+
+
+class Zone:
+    """Places tasks on a worker as long as its health allows it."""
+
+    def __init__(self, fleet=FLEET, rule: str = "bounded_losses") -> None:
+        self.health = Health(SchedulerSettings(), rule)
+        self.health.set_workers(fleet)
+        self.number = 0
+
+    def start(self, worker: str, now_ms: int, most: int, team: str = "t") -> list:
+        started = []
+        while len(started) < most and self.health.may_place(worker, now_ms):
+            self.number += 1
+            started.append(key(self.number, team))
+            self.health.started(worker, started[-1], "k")
+        return started
+
+    def end(self, worker: str, keys: list, ok: bool | None, now_ms: int) -> None:
+        for each in keys:
+            self.health.ended(worker, each, "k", ok, now_ms)
+
+    def fail(self, worker: str, now_ms: int = 0, most: int = 9) -> int:
+        started = self.start(worker, now_ms, most)
+        self.end(worker, started, False, now_ms)
+        return len(started)
+
+
+class RemovalTests(unittest.TestCase):
+    def test_a_worker_that_fails_all_gets_at_most_five_tasks(self) -> None:
+        zone = Zone()
+        self.assertLessEqual(zone.fail("w0"), 5)
+        self.assertIn("w0", zone.health.removed())
+        self.assertEqual(zone.fail("w0", 4_000), 0)
+
+    def test_failures_one_by_one_remove_a_worker_that_worked_before(self) -> None:
+        zone = Zone()
+        zone.end("w0", zone.start("w0", 0, 5), True, 100)
+        placed = sum(zone.fail("w0", 200 + n, most=1) for n in range(20))
+        self.assertLessEqual(placed, 5)
+        self.assertIn("w0", zone.health.removed())
+
+    def test_late_successes_of_older_starts_do_not_hide_failures(self) -> None:
+        zone = Zone()
+        older = zone.start("w0", 0, 2)
+        zone.fail("w0", 1_500, most=3)
+        zone.end("w0", older, True, 1_600)
+        self.assertIn("w0", zone.health.removed())
+
+    def test_long_tasks_do_not_hold_up_a_good_worker(self) -> None:
+        zone = Zone()
+        self.assertEqual(len(zone.start("w0", 0, 9)), UNPROVEN_STARTS)
+        self.assertEqual(zone.health.due(500), [])
+        self.assertEqual(zone.health.due(1_500), ["w0"])
+        self.assertEqual(len(zone.start("w0", 1_500, 3)), 3)
+
+    def test_a_stopped_task_says_nothing(self) -> None:
+        zone = Zone()
+        for _ in range(9):
+            zone.end("w0", zone.start("w0", 0, 1), None, 0)
+        self.assertEqual(zone.health.removed(), {})
+        self.assertTrue(zone.health.may_place("w0", 0))
+
+    def test_never_more_than_a_quarter_of_the_fleet_is_out(self) -> None:
+        """Guards against a fault of ours that takes the whole zone out."""
+        zone = Zone()
+        for worker in FLEET:
+            zone.end(worker, zone.start(worker, 0, 5, team=worker), False, 0)
+        self.assertEqual(len(zone.health.removed()), 2)
+        # The others stay in use, but one task at a time.
+        self.assertEqual(len(zone.start("w7", 0, 9)), 1)
+
+    def test_the_baseline_removes_nothing(self) -> None:
+        zone = Zone(rule="none")
+        self.assertEqual(zone.fail("w0", most=50), 50)
+        self.assertEqual(zone.health.removed(), {})
+
+
+class ProbeTests(unittest.TestCase):
+    def test_single_probes_come_after_growing_pauses(self) -> None:
+        zone = Zone()
+        zone.fail("w0")
+        self.assertEqual(zone.start("w0", 4_999, 9), [])
+        self.assertEqual(zone.fail("w0", 5_000), 1)
+        self.assertEqual(zone.start("w0", 14_999, 9), [])
+        self.assertEqual(zone.fail("w0", 15_000), 1)
+        self.assertEqual(zone.start("w0", 34_999, 9), [])
+
+    def test_a_probe_that_succeeds_readmits_the_worker(self) -> None:
+        zone = Zone()
+        zone.fail("w0")
+        self.assertEqual(zone.health.due(5_000), ["w0"])
+        self.assertTrue(zone.health.is_probe("w0"))
+        zone.end("w0", zone.start("w0", 5_000, 9), True, 5_100)
+        self.assertEqual(zone.health.removed(), {})
+        self.assertGreater(len(zone.start("w0", 5_200, 9)), 1)
+
+    def test_a_worker_that_left_is_forgotten(self) -> None:
+        zone = Zone()
+        zone.fail("w0")
+        zone.health.set_workers(FLEET[1:])
+        self.assertEqual(zone.health.removed(), {})
+
+
+class JobFaultTests(unittest.TestCase):
+    def test_a_request_that_fails_on_several_workers_is_at_fault(self) -> None:
+        zone = Zone()
+        for number, worker in enumerate(FLEET[:3]):
+            self.assertIsNone(zone.health.faulty_request(key("bad")))
+            zone.health.started(worker, key("bad"), "k")
+            zone.health.ended(worker, key("bad"), "k", False, number)
+        self.assertIn("w0, w1, w2", zone.health.faulty_request(key("bad")) or "")
+        # None of the failures counts against a worker any more.
+        for worker in FLEET[:3]:
+            zone.end(worker, zone.start(worker, 9, 2), False, 9)
+        self.assertEqual(zone.health.removed(), {})
+
+    def test_retries_on_one_worker_do_not_remove_it(self) -> None:
+        zone = Zone()
+        for _ in range(4):
+            zone.health.started("w0", key("bad"), "k")
+            zone.health.ended("w0", key("bad"), "k", False, 0)
+        self.assertEqual(zone.health.removed(), {})
+
+    def test_a_team_whose_work_always_fails_costs_no_workers(self) -> None:
+        """Guards against jobs that can never run emptying the fleet."""
+        zone = Zone()
+        for _ in range(10):
+            for worker in FLEET:
+                zone.fail(worker, most=1)
+        self.assertTrue(zone.health.is_faulty_kind("t", "k"))
+        self.assertEqual(zone.health.removed(), {})
+        zone.end("w0", zone.start("w0", 0, 1), True, 1)
+        self.assertFalse(zone.health.is_faulty_kind("t", "k"))
--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,243 @@
+"""Tests of worker capacity, placement policies, gangs and preemption."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marigoldpath_core.messages import HostState, WorkerHost
+from marigoldpath_core.placement import (
+    RunningWork,
+    UnknownWorkerError,
+    Workers,
+    choose_victims,
+    placement_policies,
+)
+from marigoldpath_core.registry import UnknownEntryError
+from marigoldpath_core.requests import Size
+
+CAPACITY = Size(8_000, 16_000, 2, 8, 16)
+
+
+def host(name: str, rack: str = "r1", capacity: Size = CAPACITY) -> WorkerHost:
+    return WorkerHost(name, "zadar", rack, "", capacity)
+
+
+def fleet(*hosts: WorkerHost) -> Workers:
+    workers = Workers()
+    for each in hosts:
+        workers.add(each)
+        workers.set_placeable(each.name, True)
+    return workers
+
+
+class CapacityTests(unittest.TestCase):
+    def test_a_worker_gets_nothing_before_it_is_placeable(self) -> None:
+        """Guards against starts before the claim is settled."""
+        workers = Workers()
+        workers.add(host("a"))
+        self.assertIsNone(workers.choose("best_fit", Size(1), "k", "t"))
+
+    def test_each_flag_closes_a_worker(self) -> None:
+        """Guards against new tasks on leaving, removed or unclaimed workers."""
+        for close in (
+            lambda workers: workers.set_leaving("a", True),
+            lambda workers: workers.set_available("a", False),
+            lambda workers: workers.set_placeable("a", False),
+            lambda workers: workers.add(host("a")._replace(state=HostState.LEAVING)),
+            lambda workers: workers.remove("a"),
+        ):
+            workers = fleet(host("a"))
+            close(workers)
+            for policy in placement_policies:
+                self.assertIsNone(workers.choose(policy, Size(1), "k", "t"))
+            self.assertEqual(workers.capacity, Size())
+
+    def test_adopted_tasks_beyond_capacity_are_counted(self) -> None:
+        workers = fleet(host("a"))
+        workers.occupy("a", "t1", Size(9_000, 1), "k")
+        self.assertEqual(workers.free("a").cpu_millis, -1_000)
+        self.assertIsNone(workers.choose("best_fit", Size(1), "k", "t"))
+        workers.release("a", "t1")
+        self.assertEqual(workers.free("a"), CAPACITY)
+
+    def test_a_task_occupied_twice_counts_once(self) -> None:
+        """Guards against a leak when a listed task is adopted again."""
+        workers = fleet(host("a"))
+        workers.occupy("a", "t1", Size(1_000), "k")
+        workers.occupy("a", "t1", Size(2_000), "k")
+        self.assertEqual(workers.used, Size(2_000))
+        self.assertIsNotNone(workers.release("a", "t1"))
+        self.assertIsNone(workers.release("a", "t1"))
+        self.assertEqual(workers.used_fraction(), 0.0)
+
+    def test_a_changed_capacity_keeps_tasks_and_flags(self) -> None:
+        workers = fleet(host("a"))
+        workers.occupy("a", "t1", Size(1_000), "k")
+        workers.add(host("a", "r2", Size(2_000, 100, 0, 1, 1)))
+        self.assertEqual(workers.free("a").cpu_millis, 1_000)
+        self.assertEqual(workers.used, Size(1_000))
+        self.assertEqual(workers.choose("spread", Size(1_000), "k", "t"), "a")
+
+    def test_unknown_names_are_errors(self) -> None:
+        with self.assertRaises(UnknownWorkerError):
+            Workers().occupy("a", "t1", Size(1), "k")
+        with self.assertRaises(UnknownEntryError):
+            Workers().choose("no_such_policy", Size(1), "k", "t")
+
+    def test_unfit_dimensions_name_why_a_size_can_never_run(self) -> None:
+        workers = fleet(host("a"), host("b", capacity=Size(90_000, 10, 0, 1, 1)))
+        self.assertEqual(workers.unfit_dimensions(Size(8_000, 16_000)), [])
+        self.assertEqual(
+            workers.unfit_dimensions(Size(9_000, 20_000, 3)),
+            ["memory_mb", "accelerators"],
+        )
+        # Each dimension fits some worker, but no worker has both.
+        self.assertEqual(workers.unfit_dimensions(Size(9_000, 20)), ["cpu_millis"])
+
+    @settings(max_examples=60, derandomize=True, deadline=None)
+    @given(
+        st.sampled_from(["first_fit", "best_fit", "spread"]),
+        st.lists(
+            st.tuples(
+                st.builds(
+                    Size,
+                    st.integers(0, 5_000),
+                    st.integers(0, 9_000),
+                    st.integers(0, 2),
+                    st.integers(0, 3),
+                    st.integers(0, 7),
+                ),
+                st.integers(1, 4),
+                st.booleans(),
+            ),
+            max_size=60,
+        ),
+    )
+    def test_no_worker_is_ever_above_capacity(self, policy, steps) -> None:
+        """Guards against overload, and against "no room" where first fit has room."""
+        workers = fleet(*(host(f"w{n}", f"r{n % 2}") for n in range(4)))
+        held: list[tuple[str, str]] = []
+        for number, (size, count, releases) in enumerate(steps):
+            if releases and held:
+                workers.release(*held.pop(0))
+            names = workers.choose_gang(policy, size, count, "k", "t")
+            if count == 1:
+                known = workers.choose("first_fit", size, "k", "t")
+                self.assertEqual(names is None, known is None)
+            for index, name in enumerate(names or ()):
+                workers.occupy(name, f"{number}.{index}", size, "k", "t")
+                held.append((name, f"{number}.{index}"))
+            for view in workers:
+                self.assertTrue(view.used.fits(view.capacity))
+                total = Size()
+                for task in workers.tasks_on(view.name):
+                    total = total.plus(task.size)
+                self.assertEqual(view.used, total)
+
+
+class PolicyTests(unittest.TestCase):
+    def test_best_fit_fills_the_fuller_worker(self) -> None:
+        workers = fleet(host("a"), host("b"))
+        workers.occupy("b", "t1", Size(4_000, 8_000, 0, 1, 1), "k")
+        size = Size(1_000, 2_000, 0, 1, 1)
+        self.assertEqual(workers.choose("first_fit", size, "k", "t"), "a")
+        self.assertEqual(workers.choose("best_fit", size, "k", "t"), "b")
+
+    def test_best_fit_keeps_free_accelerators_for_tasks_that_need_them(self) -> None:
+        plain = CAPACITY._replace(accelerators=0)
+        workers = fleet(host("gpu"), host("plain", capacity=plain))
+        workers.occupy("gpu", "t1", Size(4_000, 8_000, 1), "k")
+        size = Size(4_000, 8_000)
+        self.assertEqual(workers.choose("best_fit", size, "k", "t"), "plain")
+        needs_one = size._replace(accelerators=1)
+        self.assertEqual(workers.choose("best_fit", needs_one, "k", "t"), "gpu")
+
+    def test_spread_uses_the_racks_in_turn(self) -> None:
+        """Guards against losing every task of a service with one rack."""
+        workers = fleet(*(host(f"w{n}", f"r{n // 2}") for n in range(6)))
+        racks = []
+        for number in range(6):
+            name = workers.choose("spread", Size(100, 100), "service", "t")
+            assert name is not None
+            workers.occupy(name, f"t{number}", Size(100, 100), "service", "t")
+            racks.append(workers.view(name).rack)
+        self.assertEqual(racks, ["r0", "r1", "r2"] * 2)
+        self.assertTrue(all(len(workers.tasks_on(view.name)) == 1 for view in workers))
+
+
+class GangTests(unittest.TestCase):
+    def test_a_gang_that_does_not_fit_whole_holds_nothing(self) -> None:
+        workers = fleet(host("a"), host("b"))
+        size = Size(5_000)
+        self.assertIsNone(workers.choose_gang("best_fit", size, 3, "k", "t"))
+        self.assertEqual(workers.used, Size())
+        self.assertEqual(
+            sorted(workers.choose_gang("best_fit", size, 2, "k", "t") or ()), ["a", "b"]
+        )
+        self.assertEqual(workers.used, Size())
+
+    def test_a_gang_is_tried_again_after_a_release(self) -> None:
+        """Guards against a remembered failure that outlives its cause."""
+        workers = fleet(host("a"))
+        workers.occupy("a", "t1", Size(1), "k")
+        self.assertIsNone(workers.choose_gang("best_fit", CAPACITY, 1, "k", "t"))
+        workers.release("a", "t1")
+        chosen = workers.choose_gang("best_fit", CAPACITY, 1, "k", "t")
+        self.assertEqual(chosen, ["a"])
+
+
+class ReservationTests(unittest.TestCase):
+    def test_only_the_request_itself_gets_its_reserved_worker(self) -> None:
+        workers = fleet(host("a"), host("b"))
+        workers.occupy("a", "t1", Size(7_000), "k")
+        workers.occupy("b", "t2", Size(1_000), "k")
+        self.assertTrue(workers.reserve("large", Size(8_000)))
+        self.assertIsNone(workers.choose("best_fit", Size(5_000), "k", "t"))
+        workers.release("b", "t2")
+        self.assertIsNone(workers.choose("best_fit", Size(8_000), "k", "t"))
+        chosen = workers.choose("best_fit", Size(8_000), "k", "t", reservation="large")
+        self.assertEqual(chosen, "b")
+        workers.unreserve("large")
+        self.assertEqual(workers.choose("best_fit", Size(5_000), "k", "t"), "b")
+
+    def test_nothing_is_reserved_for_what_the_fleet_cannot_hold(self) -> None:
+        workers = fleet(host("a"))
+        self.assertFalse(workers.reserve("gang", Size(5_000), 2))
+        self.assertEqual(workers.choose("best_fit", Size(5_000), "k", "t"), "a")
+
+
+class PreemptionTests(unittest.TestCase):
+    def work(self, task: str, size: Size, priority: int, started: int, **flags: bool):
+        flags = {"repeatable": False, "checkpoint": False, **flags}
+        return RunningWork(task, "a", size, priority, started, **flags)
+
+    def choose(self, size: Size, *running: RunningWork):
+        workers = fleet(host("a"))
+        for work in running:
+            workers.occupy("a", work.task, work.size, "k")
+        found = choose_victims(size, 0, workers, running)
+        return found and [(victim.task, victim.action) for victim in found[1]]
+
+    def test_the_least_urgent_and_then_the_youngest_makes_room(self) -> None:
+        half = Size(0, 8_000)
+        old = self.work("old", half, 2, 1, checkpoint=True)
+        young = self.work("young", half, 2, 9, checkpoint=True)
+        self.assertEqual(self.choose(half, old, young), [("young", "checkpoint")])
+        urgent = self.work("urgent", half, 1, 9, repeatable=True)
+        self.assertEqual(self.choose(half, old, urgent), [("old", "checkpoint")])
+
+    def test_a_task_that_is_neither_repeatable_nor_checkpointed_stays(self) -> None:
+        keep = self.work("keep", CAPACITY, 9, 1)
+        self.assertIsNone(self.choose(Size(1, 1), keep))
+        stop = self.work("stop", CAPACITY, 9, 1, repeatable=True)
+        self.assertEqual(self.choose(Size(1, 1), stop), [("stop", "stop")])
+
+    def test_equally_urgent_work_is_never_displaced(self) -> None:
+        equal = self.work("equal", CAPACITY, 0, 1, repeatable=True)
+        self.assertIsNone(self.choose(Size(1, 1), equal))
+
+    def test_where_only_processors_lack_tasks_are_throttled(self) -> None:
+        work = self.work("w", Size(8_000), 2, 1)
+        self.assertEqual(self.choose(Size(4_000), work), [("w", "throttle")])
+        self.assertIsNone(self.choose(Size(4_001), work))
