Serve the configuration and pass versions between entry hosts

The daemon kept the kinds of its settings for ever. It now drives the configuration keeper: GET and PUT /v1/config, /v1/config/history and /v1/peer/config, versions passed to peers (all of the own zone, one of each other zone, and one more peer every 4 s), and the zones that answer at GET /v1/config?zones=1. The sheet's services are submitted by their zone's leader when it does not know them; other work is submitted once, by the host that applied the sheet. Outside the package: api/_configuration.py, a field of ApiContext, Runtime.effect_context, and the wiring in the daemon.

--- a/packages/core/src/marigoldpath_core/sheet/_parse.py
+++ b/packages/core/src/marigoldpath_core/sheet/_parse.py
@@ -50,7 +50,7 @@
     text: str, version: int
 ) -> Result[Configuration, list[SheetFault]]:
     """Return the configuration that the text of a sheet describes."""
-    return parse_sheet(text.encode()).map(
+    return parse_sheet(text.encode("utf-8", "surrogatepass")).map(
         lambda sheet: to_configuration(sheet, version)
     )
 
--- a/packages/node/src/marigoldpath_node/api/__init__.py
+++ b/packages/node/src/marigoldpath_node/api/__init__.py
@@ -1,6 +1,6 @@
 """Routes of callers, operators and peers."""
 
-from . import _operators, _peers, _requests  # noqa: F401  (fill the registry)
+from . import _configuration, _operators, _peers, _requests  # noqa: F401  (fill the registry)
 from ._api import Api
 from ._context import ApiContext
 from ._registry import Access, RouteCall, route
--- a/packages/node/src/marigoldpath_node/api/_context.py
+++ b/packages/node/src/marigoldpath_node/api/_context.py
@@ -5,6 +5,7 @@
 
 from marigoldpath_core.settings import DaemonSettings
 
+from ..configuration import ConfigurationService
 from ..observability import Observer
 from ..peers import CallTable, Forwarder, Leaders, PeerInbox
 from ..runtime import Runtime
@@ -20,4 +21,5 @@
     calls: CallTable
     inbox: PeerInbox
     observer: Observer
+    configuration: ConfigurationService
     drain: Callable[[], Awaitable[None]]
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/configuration/_work.py
@@ -0,0 +1,102 @@
+"""Has the work run that the sheet itself describes."""
+
+import curio
+
+from marigoldpath_core.configuration import Configuration
+from marigoldpath_core.requests import Outcome, Request, RequestKey
+from marigoldpath_core.settings import DaemonSettings
+
+from ..observability import Observer
+from ..peers import Forwarder
+from ..runtime import Runtime
+
+# Submissions in flight at once, so that a large sheet does not fill the queue of
+# the zone before callers.
+AT_ONCE = 32
+
+
+class SheetWork:
+    """Submits and cancels the sheet's requests.
+
+    Services, whose kind is standing, are submitted by their zone's leader whenever
+    it knows no request of that id. Other work runs once, so it is submitted once, by
+    the entry host that applied the sheet: a leader that has forgotten a finished
+    request would otherwise run it again.
+    """
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        runtime: Runtime,
+        forwarder: Forwarder,
+        observer: Observer,
+    ) -> None:
+        self._settings = settings
+        self._runtime = runtime
+        self._forwarder = forwarder
+        self._log = observer.log
+        self._before = Configuration()
+        self._in_flight: set[RequestKey] = set()
+
+    async def follow(self, configuration: Configuration) -> None:
+        """Cancel the services of this leader's zone that are gone or changed.
+
+        A changed one is submitted anew once its leader has forgotten the old one.
+        """
+        before, self._before = self._before, configuration
+        if not self._runtime.serving:
+            return
+        wanted = {request.key: request for request in configuration.standing}
+        for request in self._services(before):
+            if wanted.get(request.key) != request:
+                await curio.spawn(self._cancel, request.key, daemon=True)
+
+    async def submit_missing(self, configuration: Configuration) -> None:
+        """Submit the services of this leader's zone that it does not know."""
+        if not self._runtime.serving or self._runtime.draining:
+            return
+        for request in self._services(configuration):
+            if len(self._in_flight) >= AT_ONCE:
+                return
+            known = self._runtime.request_state(request.key) is not None
+            if not known and request.key not in self._in_flight:
+                self._in_flight.add(request.key)
+                await curio.spawn(self._submit_service, request, daemon=True)
+
+    async def submit_once(self, before: Configuration, after: Configuration) -> None:
+        """Submit the work that an applied sheet adds and that is no service."""
+        known = {request.key for request in before.standing}
+        services = {kind.name for kind in after.kinds if kind.standing}
+        for request in after.standing:
+            if request.key not in known and request.kind not in services:
+                self._report(request, await self._forwarder.submit(request, ""))
+
+    def _services(self, configuration: Configuration) -> list[Request]:
+        """Return the sheet's standing requests of this host's zone."""
+        standing = {kind.name for kind in configuration.kinds if kind.standing}
+        zone = self._settings.availability_zone
+        return [
+            request
+            for request in configuration.standing
+            if request.kind in standing and request.key.availability_zone == zone
+        ]
+
+    async def _submit_service(self, request: Request) -> None:
+        try:
+            self._report(request, await self._forwarder.submit(request, ""))
+        finally:
+            self._in_flight.discard(request.key)
+
+    def _report(self, request: Request, outcome: Outcome) -> None:
+        self._log.info(
+            "work of the sheet submitted",
+            request=str(request.key),
+            outcome=outcome.kind.value,
+            reason=outcome.message,
+        )
+
+    async def _cancel(self, key: RequestKey) -> None:
+        outcome = await self._forwarder.cancel(key)
+        self._log.info(
+            "service cancelled", request=str(key), outcome=outcome.kind.value
+        )
--- a/packages/node/src/marigoldpath_node/daemon/_daemon.py
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -8,6 +8,7 @@
 from marigoldpath_core.settings import DaemonSettings
 
 from ..api import Api, ApiContext
+from ..configuration import ConfigurationService, PeerVersions, SheetWork
 from ..http import (
     HttpClient,
     HttpClientSettings,
@@ -89,17 +90,24 @@
         )
         leaders = Leaders(settings, runtime, platform, observer)
         calls = self._calls
+        forwarder = Forwarder(
+            settings,
+            runtime,
+            leaders=leaders,
+            calls=calls,
+            links=links,
+            observer=observer,
+        )
+        configuration = ConfigurationService(
+            runtime.effect_context,
+            PeerVersions(settings, directory, links),
+            SheetWork(settings, runtime, forwarder, observer),
+            runtime.configure,
+        )
         context = ApiContext(
             settings,
             runtime,
-            Forwarder(
-                settings,
-                runtime,
-                leaders=leaders,
-                calls=calls,
-                links=links,
-                observer=observer,
-            ),
+            forwarder,
             leaders,
             calls,
             PeerInbox(
@@ -111,6 +119,7 @@
                 observer=observer,
             ),
             observer,
+            configuration,
             self.drain,
         )
         self._runtime = runtime
@@ -119,6 +128,7 @@
         try:
             async with curio.TaskGroup() as tasks:
                 await tasks.spawn(runtime.run)
+                await tasks.spawn(configuration.run)
                 await tasks.spawn(Beacon(settings, runtime, directory, links).run)
                 await tasks.spawn(self._prune)
                 await tasks.spawn(self._server.run)
--- a/packages/node/src/marigoldpath_node/runtime/_runtime.py
+++ b/packages/node/src/marigoldpath_node/runtime/_runtime.py
@@ -44,16 +44,15 @@
         self._observer = observer
         self._configuration = Configuration(kinds=settings.kinds)
         self._draining = False
-        self._performer = Performer(
-            EffectContext(
-                platform,
-                workers,
-                outcomes,
-                observer,
-                self.feed,
-                directory.worker_address,
-            )
+        self._effect_context = EffectContext(
+            platform,
+            workers,
+            outcomes,
+            observer,
+            self.feed,
+            directory.worker_address,
         )
+        self._performer = Performer(self._effect_context)
         self._polls = WorkerPolls(workers, observer, self.feed)
         self._polled: frozenset[tuple[str, str]] = frozenset()
         self._wake_at_ms = 0
@@ -69,6 +68,11 @@
         """The configuration in force."""
         return self._configuration
 
+    @property
+    def effect_context(self) -> EffectContext:
+        """What effects are performed with."""
+        return self._effect_context
+
     @property
     def leads(self) -> bool:
         """Whether this host is its zone's leader, serving or about to."""
--- a/tests/core/test_sheet.py
+++ b/tests/core/test_sheet.py
@@ -14,6 +14,7 @@
     diff,
     encode_configuration,
     parse_sheet,
+    read_configuration,
     to_configuration,
 )
 
@@ -66,6 +67,10 @@
         found = parse_sheet("row,name\n".encode("utf-16")).unwrap_err()
         self.assertIn("UTF-16", found[0].value)
 
+    def test_text_that_is_no_unicode_is_a_fault(self) -> None:
+        text = "row,name\nkind,\ud800\n"
+        self.assertTrue(read_configuration(text, 1).is_err())
+
     def test_an_open_quote_is_a_fault_and_not_a_short_sheet(self) -> None:
         self.assertIn((2, ""), faults_of('row,name\nkind,"plan\nkind,watch\n'))
 
