Fit the sample sheets to their deployments

The sample sheets named teams and policies that the deployments do not have, and their services ended at once on the stand-in workers, which read run_ms from the work. A test compares kinds, teams and zones with deployment.json.

--- a/tests/core/test_sheet.py
+++ b/tests/core/test_sheet.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from marigoldpath_core.configuration import WorkKind
 from marigoldpath_core.sheet import (
     ChangeSort,
     Sheet,
@@ -37,10 +38,15 @@
 
 
 class SheetFormatTests(unittest.TestCase):
-    def test_the_sample_sheets_are_right(self) -> None:
+    def test_the_sample_sheets_are_right_and_fit_their_deployments(self) -> None:
         for deployment in DEPLOYMENTS:
-            sheet = parse_sheet(sample(deployment)).unwrap()
-            self.assertEqual((len(sheet.kinds), len(sheet.teams)), (3, 3))
+            file = ROOT / "deploy" / deployment / "deployment.json"
+            plan = json.loads(file.read_text(encoding="utf-8"))
+            sheet = parse_sheet(sample(deployment), plan["availability_zones"]).unwrap()
+            kinds = tuple(WorkKind(**kind) for kind in plan["kinds"])
+            self.assertEqual(sheet.kinds, kinds)
+            teams = {key["team"] for key in plan["keys"]} - {""}
+            self.assertEqual({quota.team for quota in sheet.teams}, teams)
 
     def test_every_way_of_exporting_reads_the_same(self) -> None:
         comma = "row,name,floor\r\nkind,plan,0.25\r\n"
