--- a/packages/core/src/marigoldpath_core/report/__init__.py
+++ b/packages/core/src/marigoldpath_core/report/__init__.py
@@ -2,6 +2,7 @@
 
 from . import _sections  # noqa: F401
 from ._codec import DayPayload, decode_day, encode_day
+from ._counters import DayCounters
 from ._day import (
     HOURS,
     WAIT_BOUNDS_MS,
@@ -36,6 +37,7 @@
     "REPORT_SECTIONS",
     "WAIT_BOUNDS_MS",
     "WAIT_CLASSES",
+    "DayCounters",
     "DayPayload",
     "DayRecord",
     "Flood",
--- a/tests/core/test_report.py
+++ b/tests/core/test_report.py
@@ -8,6 +8,7 @@
     REPORT_SECTIONS,
     WAIT_BOUNDS_MS,
     WAIT_CLASSES,
+    DayCounters,
     DayRecord,
     Flood,
     FloodShare,
@@ -94,6 +95,36 @@
         self.assertIn("still out", self.section("hosts"))
 
 
+class DayCountersTests(unittest.TestCase):
+    def test_the_record_holds_what_was_counted(self) -> None:
+        counters = DayCounters()
+        for wait_ms in (4, 900):
+            counters.submitted("plan")
+            counters.started("plan", wait_ms, "capacity" if wait_ms > 100 else "")
+            counters.done("plan", "workshop", 10, 600)
+        for needed in (8, 9, 7):
+            counters.refused(Refusal("plan", "w", "over_quota", "slots", 0, needed, 4))
+        counters.host_out(HostRemoval("w1", "zadar", "failing", "10:00"))
+        counters.host_back("w1", "11:00")
+        record = counters.record("2031-05-07", "zadar", {"watch": 2}, {})
+        plan, watch = record.kinds
+        self.assertEqual((plan.done, plan.refused, plan.cpu_seconds), (2, 3, 1))
+        self.assertEqual((plan.done_by_hour[10], sum(plan.waits)), (2, 2))
+        self.assertEqual(watch.still_waiting, 2)
+        self.assertEqual(record.wait_causes[0].total_ms, 900)
+        self.assertEqual(record.refusals[0][4:6], (3, 9))
+        self.assertEqual(record.hosts[0].back_at, "11:00")
+        self.assertEqual(decode_day(encode_day(record)).unwrap(), record)
+
+    def test_names_that_callers_make_up_do_not_collect_memory(self) -> None:
+        counters = DayCounters()
+        for number in range(3_000):
+            counters.refused(Refusal("plan", f"t{number}", "over_quota"))
+        record = counters.record("2031-05-07", "zadar", {}, {})
+        self.assertEqual((len(record.refusals), len(record.teams)), (1_000, 1_000))
+        self.assertEqual(record.kinds[0].refused, 3_000)
+
+
 class DayRecordTests(unittest.TestCase):
     def test_the_json_form_keeps_everything(self) -> None:
         payload = json.loads(json.dumps(encode_day(sample_day())))
