--- a/tests/core/test_sheet.py
+++ b/tests/core/test_sheet.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from marigoldpath_core.configuration import WorkKind
 from marigoldpath_core.sheet import (
     ChangeSort,
     Sheet,
@@ -14,6 +15,7 @@
     diff,
     encode_configuration,
     parse_sheet,
+    read_configuration,
     to_configuration,
 )
 
@@ -36,10 +38,15 @@
 
 
 class SheetFormatTests(unittest.TestCase):
-    def test_the_sample_sheets_are_right(self) -> None:
+    def test_the_sample_sheets_are_right_and_fit_their_deployments(self) -> None:
         for deployment in DEPLOYMENTS:
-            sheet = parse_sheet(sample(deployment)).unwrap()
-            self.assertEqual((len(sheet.kinds), len(sheet.teams)), (3, 3))
+            file = ROOT / "deploy" / deployment / "deployment.json"
+            plan = json.loads(file.read_text(encoding="utf-8"))
+            sheet = parse_sheet(sample(deployment), plan["availability_zones"]).unwrap()
+            kinds = tuple(WorkKind(**kind) for kind in plan["kinds"])
+            self.assertEqual(sheet.kinds, kinds)
+            teams = {key["team"] for key in plan["keys"]} - {""}
+            self.assertEqual({quota.team for quota in sheet.teams}, teams)
 
     def test_every_way_of_exporting_reads_the_same(self) -> None:
         comma = "row,name,floor\r\nkind,plan,0.25\r\n"
@@ -66,6 +73,10 @@
         found = parse_sheet("row,name\n".encode("utf-16")).unwrap_err()
         self.assertIn("UTF-16", found[0].value)
 
+    def test_text_that_is_no_unicode_is_a_fault(self) -> None:
+        text = "row,name\nkind,\ud800\n"
+        self.assertTrue(read_configuration(text, 1).is_err())
+
     def test_an_open_quote_is_a_fault_and_not_a_short_sheet(self) -> None:
         self.assertIn((2, ""), faults_of('row,name\nkind,"plan\nkind,watch\n'))
 
