Count the bytes of control traffic; answer an unchanged host list by 304

Cause: the host list alone, read each second, was above 2 KB/s at 24 workers. Change: the platform stand-in gives the list an ETag; status shows bytes.

--- a/packages/bench/src/marigoldpath_bench/platform/_server.py
+++ b/packages/bench/src/marigoldpath_bench/platform/_server.py
@@ -1,6 +1,7 @@
 """The routes of the platform stand-in."""
 
 import json
+import zlib
 from collections import Counter
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -156,8 +157,12 @@
 
 
 @routes.register(("GET", "/v1/hosts"))
-def _hosts(state: PlatformState, _request: HttpRequest, _key: str) -> HttpResponse:
-    return json_response(200, state.hosts.shown(now_ms()))
+def _hosts(state: PlatformState, request: HttpRequest, _key: str) -> HttpResponse:
+    response = json_response(200, state.hosts.shown(now_ms()))
+    tag = f'"{zlib.crc32(response.body):08x}"'
+    if request.headers.get("if-none-match") == tag:
+        return HttpResponse(304, headers={"etag": tag})
+    return response._replace(headers={**response.headers, "etag": tag})
 
 
 def _expected(request: HttpRequest) -> int | None:
--- a/packages/node/src/marigoldpath_node/api/_context.py
+++ b/packages/node/src/marigoldpath_node/api/_context.py
@@ -11,7 +11,10 @@
 
 
 class ApiContext(NamedTuple):
-    """The parts of the daemon; `drain` begins a graceful stop without ending."""
+    """The parts of the daemon.
+
+    `drain` begins a graceful stop without ending; `traffic` returns counts of bytes.
+    """
 
     settings: DaemonSettings
     runtime: Runtime
@@ -21,3 +24,4 @@
     inbox: PeerInbox
     observer: Observer
     drain: Callable[[], Awaitable[None]]
+    traffic: Callable[[], dict[str, int]]
--- a/packages/node/src/marigoldpath_node/api/_operators.py
+++ b/packages/node/src/marigoldpath_node/api/_operators.py
@@ -39,6 +39,7 @@
             "configuration": context.runtime.configuration.version,
             "leaders": [encode_view(view) for view in context.leaders.views.views],
             "scheduler": context.runtime.status(),
+            "traffic": context.traffic(),
             "counters": context.observer.metrics.counters,
             **context.observer.status(),
         }
--- a/packages/node/src/marigoldpath_node/daemon/_daemon.py
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -112,6 +112,7 @@
             ),
             observer,
             self.drain,
+            self._count_traffic,
         )
         self._runtime = runtime
         self._api = Api(context)
@@ -144,6 +145,16 @@
         )
         return not limit.expired
 
+    def _count_traffic(self) -> dict[str, int]:
+        """Return the bytes exchanged as a client and as a server."""
+        client, server = self._http.traffic, self._server.traffic
+        return {
+            "client_sent": client.sent,
+            "client_received": client.received,
+            "server_sent": server.sent,
+            "server_received": server.received,
+        }
+
     def _is_drained(self) -> bool:
         if self._runtime is None:
             return True
--- a/packages/node/src/marigoldpath_node/http/__init__.py
+++ b/packages/node/src/marigoldpath_node/http/__init__.py
@@ -2,7 +2,7 @@
 
 from ._client import HttpClient, HttpClientSettings
 from ._errors import HttpError, NotSentError, ReplyLostError
-from ._messages import HttpRequest, HttpResponse, json_response
+from ._messages import HttpRequest, HttpResponse, Traffic, json_response
 from ._server import HttpServer, HttpServerSettings
 
 __all__ = [
@@ -15,5 +15,6 @@
     "HttpServerSettings",
     "NotSentError",
     "ReplyLostError",
+    "Traffic",
     "json_response",
 ]
--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -8,7 +8,7 @@
 import h11
 
 from ._errors import NotSentError, ReplyLostError
-from ._messages import HttpResponse
+from ._messages import HttpResponse, Traffic
 
 READ_SIZE = 65_536
 
@@ -36,6 +36,12 @@
     def __init__(self, settings: HttpClientSettings) -> None:
         self._settings = settings
         self._kept: dict[str, list[_Connection]] = {}
+        self._traffic = Traffic()
+
+    @property
+    def traffic(self) -> Traffic:
+        """Bytes sent and received since the start."""
+        return self._traffic
 
     async def request(
         self,
@@ -126,14 +132,18 @@
             protocol.send(h11.Data(data=body)),
             protocol.send(h11.EndOfMessage()),
         ]
-        await connection.socket.sendall(b"".join(part for part in parts if part))
+        data = b"".join(part for part in parts if part)
+        self._traffic.sent += len(data)
+        await connection.socket.sendall(data)
         response: h11.Response | None = None
         chunks: list[bytes] = []
         size = 0
         while True:
             event = protocol.next_event()
             if event is h11.NEED_DATA:
-                protocol.receive_data(await connection.socket.recv(READ_SIZE))
+                received = await connection.socket.recv(READ_SIZE)
+                self._traffic.received += len(received)
+                protocol.receive_data(received)
             elif isinstance(event, h11.Response):
                 response = event
             elif isinstance(event, h11.Data):
--- a/packages/node/src/marigoldpath_node/http/_messages.py
+++ b/packages/node/src/marigoldpath_node/http/_messages.py
@@ -7,6 +7,14 @@
 Headers = list[tuple[str, str]]
 
 
+class Traffic:
+    """Bytes of HTTP messages, without the headers of the layers below."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.received = 0
+
+
 class HttpRequest(NamedTuple):
     """A request; header names are in lower case."""
 
--- a/packages/node/src/marigoldpath_node/http/_server.py
+++ b/packages/node/src/marigoldpath_node/http/_server.py
@@ -6,7 +6,7 @@
 import curio
 import h11
 
-from ._messages import HttpRequest, HttpResponse, json_response
+from ._messages import HttpRequest, HttpResponse, Traffic, json_response
 
 READ_SIZE = 65_536
 ACCEPT_RETRY_S = 0.05
@@ -60,6 +60,12 @@
         self._connections = 0
         self._in_flight = 0
         self._draining = False
+        self._traffic = Traffic()
+
+    @property
+    def traffic(self) -> Traffic:
+        """Bytes sent and received since the start."""
+        return self._traffic
 
     @property
     def in_flight(self) -> int:
@@ -154,6 +160,7 @@
                 if event is h11.NEED_DATA:
                     data = await curio.timeout_after(deadline_s, client.recv, READ_SIZE)
                     deadline_s = self._settings.read_s
+                    self._traffic.received += len(data)
                     connection.receive_data(data)
                 elif isinstance(event, h11.Request):
                     head = event
@@ -205,6 +212,7 @@
             connection.send(h11.EndOfMessage()),
         ]
         data = b"".join(part for part in parts if part)
+        self._traffic.sent += len(data)
         await curio.timeout_after(self._settings.write_s, client.sendall, data)
 
 
--- a/tests/node/test_api.py
+++ b/tests/node/test_api.py
@@ -25,9 +25,11 @@
     """Run a test on an entry host that leads its zone."""
 
     async def use() -> None:
-        async with StandIn() as platform:
-            async with EntryHostUnderTest(platform, **settings) as host:
-                await test(host)
+        async with (
+            StandIn() as platform,
+            EntryHostUnderTest(platform, **settings) as host,
+        ):
+            await test(host)
 
     run(use)
 
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -307,9 +307,10 @@
 
         async def use() -> None:
             sender = BatchSender(post)
+            # One is in flight and two wait for it.
             for _ in range(3):
                 await curio.spawn(sender.send, Parcel(1, 1), daemon=True)
-            await curio.sleep(0.01)
+                await curio.sleep(0.01)
             with self.assertRaises(PeerBusyError):
                 await sender.send(Parcel(1, 1))
 
--- a/tests/node/test_runtime.py
+++ b/tests/node/test_runtime.py
@@ -161,7 +161,7 @@
             events_reply(incarnation="i2", until=1),
             events_reply(ended(1, "abc"), incarnation="i2", until=1),
         ]
-        core, polls = self.poll(replies, lambda core: len(core.of_type(TaskEnded)) > 1)
+        _, polls = self.poll(replies, lambda core: len(core.of_type(TaskEnded)) > 1)
         self.assertEqual(polls[:3], ["0", "7", "0"])
 
     def test_a_host_that_does_not_lead_asks_no_worker(self) -> None:
