--- a/packages/bench/src/marigoldpath_bench/platform/_server.py
+++ b/packages/bench/src/marigoldpath_bench/platform/_server.py
@@ -1,7 +1,7 @@
 """The routes of the platform stand-in."""
 
+import hashlib
 import json
-import zlib
 from collections import Counter
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -158,10 +158,11 @@
 
 @routes.register(("GET", "/v1/hosts"))
 def _hosts(state: PlatformState, request: HttpRequest, _key: str) -> HttpResponse:
+    """Return the host list, or 304 to a caller that has it already."""
     response = json_response(200, state.hosts.shown(now_ms()))
-    tag = f'"{zlib.crc32(response.body):08x}"'
+    tag = f'"{hashlib.sha256(response.body).hexdigest()[:16]}"'
     if request.headers.get("if-none-match") == tag:
-        return HttpResponse(304, headers={"etag": tag})
+        return HttpResponse(304, b"", {"etag": tag})
     return response._replace(headers={**response.headers, "etag": tag})
 
 
