Bound the arrival of a whole request; decide recovery in the core

Cause: a sender that dripped bytes restarted the server's time limit with each one; the retry budget was consulted outside the decision it belongs to. Change: one deadline for each request; decide_recovery takes the budget; a span for the hop that brings an outcome; a log line when no operator's key is there.

--- a/packages/core/src/marigoldpath_core/routing/_decisions.py
+++ b/packages/core/src/marigoldpath_core/routing/_decisions.py
@@ -3,6 +3,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from ._budget import RetryBudget
 from ._views import MAX_HOPS, LeaderView, Route, RouteKind
 
 
@@ -21,14 +22,13 @@
     `asked` tells whether the zone's leader answered the question for the state,
     `known` whether it knows the request, `ended` whether the state has the outcome.
     `attached` means that the leader that answered had received the submission, so
-    that it sends the outcome by itself. `may_retry` is the retry budget's answer.
+    that it sends the outcome by itself.
     """
 
     asked: bool
     known: bool = False
     ended: bool = False
     attached: bool = False
-    may_retry: bool = False
 
 
 def follow_redirect(redirect: LeaderView | None, address: str, hops: int) -> Route:
@@ -43,9 +43,10 @@
     return Route(RouteKind.FORWARD, redirect)
 
 
-def decide_recovery(facts: RecoveryFacts) -> Recovery:
+def decide_recovery(facts: RecoveryFacts, budget: RetryBudget, now_ms: int) -> Recovery:
     """Return how to go on with a submission whose fate is not known.
 
+    A decision to submit again is taken from the retry budget.
     Submitting the same id again is safe, since the leader that knows the id joins
     the submissions, and a later leader knows every id that must not run twice.
     """
@@ -55,6 +56,6 @@
         return Recovery.ANSWER
     if facts.known and facts.attached:
         return Recovery.WAIT
-    if facts.may_retry:
+    if budget.take(now_ms):
         return Recovery.RESUBMIT
     return Recovery.UNKNOWN
--- a/packages/node/src/marigoldpath_node/api/_requests.py
+++ b/packages/node/src/marigoldpath_node/api/_requests.py
@@ -131,13 +131,14 @@
         raise _RefusedError(400, error.code, error.field, error.message)
     request = parsed.unwrap()
     _check_key(context, call, request.key)
-    kinds = sorted(kind.name for kind in context.runtime.configuration.kinds)
-    if request.kind not in kinds:
+    kinds = context.runtime.configuration.kinds
+    if not any(kind.name == request.kind for kind in kinds):
+        known = ", ".join(sorted(kind.name for kind in kinds)) or "none"
         raise _RefusedError(
             400,
             "unknown_kind",
             "kind",
-            f"{request.kind!r} is not a kind of work; use one of {', '.join(kinds)}",
+            f"{request.kind!r} is not a kind of work; known: {known}",
         )
     return request
 
--- a/packages/node/src/marigoldpath_node/daemon/_daemon.py
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -117,6 +117,12 @@
         self._runtime = runtime
         self._api = Api(context)
         observer.log.info("started", address=settings.address)
+        if settings.keys and all(key.role != "operator" for key in settings.keys):
+            observer.log.error(
+                "no operator key",
+                reason="entry hosts use an operator's key to forward to each other;"
+                " add one to keys in the settings of all entry hosts",
+            )
         try:
             async with curio.TaskGroup() as tasks:
                 await tasks.spawn(runtime.run)
--- a/packages/node/src/marigoldpath_node/http/_server.py
+++ b/packages/node/src/marigoldpath_node/http/_server.py
@@ -1,5 +1,6 @@
 """An HTTP/1.1 server on h11 and curio."""
 
+import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
@@ -50,6 +51,24 @@
         )
 
 
+class _Reading:
+    """Bounds the arrival of one whole request, however its bytes come."""
+
+    def __init__(self, settings: HttpServerSettings) -> None:
+        self._settings = settings
+        self._until_s = time.monotonic() + settings.idle_s
+        self.begun = False
+
+    async def receive(self, client: curio.io.Socket) -> bytes:
+        """Return the next bytes; raises curio.TaskTimeout when the time is over."""
+        left_s = max(0.0, self._until_s - time.monotonic())
+        data = await curio.timeout_after(left_s, client.recv, READ_SIZE)
+        if not self.begun:
+            self.begun = True
+            self._until_s = time.monotonic() + self._settings.read_s
+        return data
+
+
 class HttpServer:
     """Answers requests on a listening socket with a handler."""
 
@@ -153,13 +172,12 @@
         head: h11.Request | None = None
         chunks: list[bytes] = []
         size = 0
-        deadline_s = self._settings.idle_s
+        reading = _Reading(self._settings)
         try:
             while True:
                 event = connection.next_event()
                 if event is h11.NEED_DATA:
-                    data = await curio.timeout_after(deadline_s, client.recv, READ_SIZE)
-                    deadline_s = self._settings.read_s
+                    data = await reading.receive(client)
                     self._traffic.received += len(data)
                     connection.receive_data(data)
                 elif isinstance(event, h11.Request):
@@ -175,7 +193,7 @@
                 else:
                     return None
         except curio.TaskTimeout:
-            if head is None and deadline_s == self._settings.idle_s:
+            if not reading.begun:
                 return None
             raise _BadRequestError(
                 408,
--- a/packages/node/src/marigoldpath_node/peers/_delivery.py
+++ b/packages/node/src/marigoldpath_node/peers/_delivery.py
@@ -1,5 +1,7 @@
 """Brings outcomes to the entry hosts whose callers wait for them."""
 
+from typing import Any
+
 import curio
 
 from marigoldpath_core.messages import SendOutcome
@@ -50,6 +52,17 @@
             return await self._calls.end(origin.call, outcome)
         weight = 400 if outcome.answer is None else 400 + outcome.answer.length
         payload = encode_outcome(origin, outcome)
+        span = self._observer.spans.start("outcome", effect.traceparent)
+        try:
+            return await self._send_until_taken(effect, payload, weight)
+        finally:
+            self._observer.spans.end(span, {"request": str(outcome.key)})
+
+    async def _send_until_taken(
+        self, effect: SendOutcome, payload: dict[str, Any], weight: int
+    ) -> bool:
+        origin, outcome = effect.origin, effect.outcome
+        reason = ""
         pause_s = FIRST_PAUSE_S
         waited_s = 0.0
         while waited_s < GIVE_UP_S:
@@ -69,7 +82,9 @@
         )
         return False
 
-    async def _send(self, host: str, call: int, payload: dict, weight: int) -> bool:
+    async def _send(
+        self, host: str, call: int, payload: dict[str, Any], weight: int
+    ) -> bool:
         address = self._addresses.get(host)
         if address is None:
             address = self._directory.entry_host_address(host)
--- a/packages/node/src/marigoldpath_node/peers/_forwarder.py
+++ b/packages/node/src/marigoldpath_node/peers/_forwarder.py
@@ -139,9 +139,7 @@
         """Learn the fate of a submission; None means that its outcome will come."""
         self._observer.metrics.count("peer.recoveries")
         facts, outcome = await self._ask(call, attached_to)
-        decision = decide_recovery(facts)
-        if decision == Recovery.RESUBMIT and not self._budget.take(clock_ms()):
-            decision = Recovery.UNKNOWN
+        decision = decide_recovery(facts, self._budget, clock_ms())
         self._observer.log.info(
             "submission recovered",
             request=str(call.key),
@@ -178,7 +176,6 @@
             known=state is not None,
             ended=outcome is not None,
             attached=attached,
-            may_retry=True,
         )
         return facts, outcome
 
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -92,20 +92,31 @@
 
 
 class RecoveryTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.budget = RetryBudget(RoutingSettings())
+
+    def decide(self, facts: RecoveryFacts) -> Recovery:
+        return decide_recovery(facts, self.budget, 0)
+
+    def test_an_outcome_that_the_leader_knows_costs_no_retry(self) -> None:
+        facts = RecoveryFacts(asked=True, known=True, ended=True)
+        self.assertEqual(self.decide(facts), Recovery.ANSWER)
+        self.assertTrue(self.budget.take(0))
+
     def test_silence_of_the_leader_is_never_told_as_not_run(self) -> None:
-        facts = RecoveryFacts(asked=False, may_retry=True)
-        self.assertEqual(decide_recovery(facts), Recovery.UNKNOWN)
+        self.assertEqual(self.decide(RecoveryFacts(asked=False)), Recovery.UNKNOWN)
 
     def test_a_leader_that_never_got_the_submission_gets_it_again(self) -> None:
-        facts = RecoveryFacts(asked=True, known=False, may_retry=True)
-        self.assertEqual(decide_recovery(facts), Recovery.RESUBMIT)
+        facts = RecoveryFacts(asked=True, known=False)
+        self.assertEqual(self.decide(facts), Recovery.RESUBMIT)
 
     def test_a_request_in_progress_is_waited_for(self) -> None:
         facts = RecoveryFacts(asked=True, known=True, attached=True)
-        self.assertEqual(decide_recovery(facts), Recovery.WAIT)
+        self.assertEqual(self.decide(facts), Recovery.WAIT)
 
     def test_an_exhausted_budget_ends_in_unknown(self) -> None:
-        self.assertEqual(decide_recovery(RecoveryFacts(asked=True)), Recovery.UNKNOWN)
+        self.budget.take(0)
+        self.assertEqual(self.decide(RecoveryFacts(asked=True)), Recovery.UNKNOWN)
 
 
 if __name__ == "__main__":
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -76,6 +76,19 @@
 
         curio.run(with_server, self.settings, use)
 
+    def test_a_body_that_drips_in_is_refused_after_the_whole_time(self) -> None:
+        async def use(server: HttpServer) -> None:
+            socket = await curio.open_connection("127.0.0.1", server.port)
+            async with socket:
+                head = b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: 99\r\n\r\n"
+                await socket.sendall(head)
+                with self.assertRaises(OSError):
+                    for _ in range(20):
+                        await socket.sendall(b"x")
+                        await curio.sleep(0.05)
+
+        curio.run(with_server, self.settings, use)
+
     def test_bytes_that_are_not_http_get_an_error_response(self) -> None:
         async def use(server: HttpServer) -> None:
             self.assertIn(
