Go on with the next leader when one gives up leadership

Cause: SIGTERM to a leader told all callers in flight 'unknown, leader changed'. Change: the entry host submits the same id to the next leader until the deadline.

--- a/packages/core/src/marigoldpath_core/routing/_decisions.py
+++ b/packages/core/src/marigoldpath_core/routing/_decisions.py
@@ -3,6 +3,9 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from marigoldpath_core.requests import Outcome, OutcomeKind
+from marigoldpath_core.scheduler import Code
+
 from ._budget import RetryBudget
 from ._views import MAX_HOPS, LeaderView, Route, RouteKind
 
@@ -31,6 +34,20 @@
     attached: bool = False
 
 
+def goes_to_next_leader(outcome: Outcome, moving: bool) -> bool:
+    """Return whether an outcome leaves the request to the zone's next leader.
+
+    A leader that gives up leadership tells so to all who wait. `moving` means that
+    this has happened to the request, so that a leader that is not ready yet is asked
+    again. Such submissions are outside the retry budget: the old leader has dropped
+    the request, so the load does not grow, and the caller must not be cut off.
+    """
+    if outcome.code == Code.LEADER_CHANGED:
+        return True
+    is_early = outcome.code in (Code.NOT_LEADER, Code.ZONE_RECOVERING, Code.DRAINING)
+    return moving and is_early and outcome.kind is not OutcomeKind.DONE
+
+
 def follow_redirect(redirect: LeaderView | None, address: str, hops: int) -> Route:
     """Return the route after the peer at `address` said that it does not lead.
 
--- a/packages/core/src/marigoldpath_core/routing/_views.py
+++ b/packages/core/src/marigoldpath_core/routing/_views.py
@@ -9,6 +9,7 @@
 MAX_HOPS = 2
 # Without a known leader the row is read at most this often for each zone.
 RECHECK_MS = 1_000
+LONG_AGO_MS = -(10**9)
 
 
 class LeaderView(NamedTuple):
@@ -86,11 +87,11 @@
         self.learn(view)
         return self._views.get(zone)
 
-    def forget_address(self, view: LeaderView) -> None:
-        """Have the row read before the next use of a leader that did not answer."""
-        if self._views.get(view.availability_zone) == view:
-            oldest_ms = view.seen_ms - self._settings.routing.view_age_ms - 1
-            self._views[view.availability_zone] = view._replace(seen_ms=oldest_ms)
+    def doubt(self, zone: str) -> None:
+        """Have the row read before the next use of a leader that did not serve."""
+        view = self._views.get(zone)
+        if view is not None:
+            self._views[zone] = view._replace(seen_ms=LONG_AGO_MS)
 
     def route(self, zone: str, now_ms: int) -> Route:
         """Return where a request for a zone goes, or that the row is read first."""
--- a/packages/node/src/marigoldpath_node/peers/_calls.py
+++ b/packages/node/src/marigoldpath_node/peers/_calls.py
@@ -4,7 +4,9 @@
 
 import curio
 
-from marigoldpath_core.requests import Outcome, RequestKey
+from marigoldpath_core.requests import Outcome, OutcomeKind, RequestKey
+
+from ..runtime import clock_ms
 
 
 class Call:
@@ -15,6 +17,7 @@
         self.key = key
         self.outcome: Outcome | None = None
         self.sent = False
+        self.opened_ms = clock_ms()
         self._ended = curio.Event()
 
     async def wait(self, seconds: float) -> Outcome | None:
@@ -23,6 +26,13 @@
             await curio.ignore_after(seconds, self._ended.wait)
         return self.outcome
 
+    def reopen(self) -> None:
+        """Wait again, for the outcome that the zone's next leader gives."""
+        assert self.outcome is not None
+        self.sent = self.outcome.kind is not OutcomeKind.NOT_RUN
+        self.outcome = None
+        self._ended.clear()
+
     async def end(self, outcome: Outcome) -> None:
         """Set the outcome; a second one is ignored."""
         if self.outcome is None:
--- a/packages/node/src/marigoldpath_node/peers/_forwarder.py
+++ b/packages/node/src/marigoldpath_node/peers/_forwarder.py
@@ -11,6 +11,7 @@
     RecoveryFacts,
     RetryBudget,
     decide_recovery,
+    goes_to_next_leader,
 )
 from marigoldpath_core.settings import DaemonSettings
 
@@ -32,6 +33,9 @@
 # The longest that one call is held; its caller can ask for the state afterwards.
 MAX_WAIT_MS = 600_000
 CHECK_S = 3.0
+# Between looks for the next leader, which reads the row at most once a second.
+FIRST_PAUSE_S = 0.05
+LAST_PAUSE_S = 0.4
 # A lost outcome of a leader that is still there is noticed by asking at each tenth
 # check.
 ASK_EVERY = 10
@@ -51,6 +55,7 @@
         observer: Observer,
     ) -> None:
         self._calls = calls
+        self._leaders = leaders
         self._observer = observer
         self._budget = RetryBudget(settings.routing)
         self._submitter = Submitter(
@@ -112,11 +117,22 @@
             outcome = await self._recover(call, submission, None, str(fault))
             if outcome is not None:
                 return outcome
+        return await self._wait(call, submission, leader)
+
+    async def _wait(
+        self, call: Call, submission: Submission, leader: LeaderView | None
+    ) -> Outcome:
+        """Wait for the outcome, whichever leader gives it."""
         checks = 0
+        moving = False
         while True:
             outcome = await call.wait(CHECK_S)
-            if outcome is not None:
+            if outcome is not None and not goes_to_next_leader(outcome, moving):
                 return outcome
+            if outcome is not None:
+                moving = True
+                leader = await self._move(call, submission)
+                continue
             checks += 1
             zone = call.key.availability_zone
             newest = await self._submitter.newest_leader(zone)
@@ -129,6 +145,24 @@
                 return outcome
             leader = newest
 
+    async def _move(self, call: Call, submission: Submission) -> LeaderView:
+        """Submit to the zone's next leader, as soon as there is one."""
+        call.reopen()
+        self._observer.metrics.count("peer.moves")
+        zone = call.key.availability_zone
+        pause_s = FIRST_PAUSE_S
+        while True:
+            self._leaders.views.doubt(zone)
+            await curio.sleep(pause_s)
+            pause_s = min(LAST_PAUSE_S, 2 * pause_s)
+            later = submission.with_time_left(clock_ms() - call.opened_ms)
+            try:
+                return await self._submitter.submit(call, later)
+            except (NotTakenError, PeerReplyError) as fault:
+                self._observer.log.debug(
+                    "no next leader yet", request=str(call.key), reason=str(fault)
+                )
+
     async def _recover(
         self,
         call: Call,
--- a/packages/node/src/marigoldpath_node/peers/_submission.py
+++ b/packages/node/src/marigoldpath_node/peers/_submission.py
@@ -23,6 +23,13 @@
     traceparent: str = ""
     weight: int = 500
 
+    def with_time_left(self, passed_ms: int) -> "Submission":
+        """Return the submission for a leader that gets it `passed_ms` later."""
+        if self.request is None:
+            return self
+        left_ms = max(1, self.request.deadline_ms - passed_ms)
+        return self._replace(request=self.request._replace(deadline_ms=left_ms))
+
     def event(self, origin: Origin) -> Event:
         """Return the event for the own core."""
         if self.request is None:
--- a/packages/node/src/marigoldpath_node/peers/_submitter.py
+++ b/packages/node/src/marigoldpath_node/peers/_submitter.py
@@ -72,7 +72,7 @@
             try:
                 named = await self._offer(call, submission, leader, hops)
             except PeerBusyError as fault:
-                self._leaders.views.forget_address(leader)
+                self._leaders.views.doubt(zone)
                 route = await self._leaders.find(zone)
                 if route.leader is None or route.leader.address == leader.address:
                     raise NotTakenError("unreachable", str(fault)) from fault
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from marigoldpath_core.requests import Outcome, OutcomeKind, RequestKey
 from marigoldpath_core.routing import (
     LeaderView,
     Recovery,
@@ -11,6 +12,7 @@
     ZoneViews,
     decide_recovery,
     follow_redirect,
+    goes_to_next_leader,
 )
 from marigoldpath_core.settings import DaemonSettings, RoutingSettings
 
@@ -55,7 +57,7 @@
     ) -> None:
         views = ZoneViews(SETTINGS)
         views.learn(leader(1, seen_ms=9_000))
-        views.forget_address(leader(1, seen_ms=9_000))
+        views.doubt("rijeka")
         self.assertEqual(views.route("rijeka", 9_001).kind, RouteKind.REFRESH)
 
     def test_a_zone_that_is_not_in_the_settings_takes_no_memory(self) -> None:
@@ -91,6 +93,22 @@
         self.assertEqual(sum(budget.take(10_000) for _ in range(50)), 1)
 
 
+class NextLeaderTests(unittest.TestCase):
+    key = RequestKey("t", "rijeka", "r1")
+
+    def test_a_handover_is_followed_and_a_plain_refusal_is_not(self) -> None:
+        for kind in (OutcomeKind.NOT_RUN, OutcomeKind.UNKNOWN):
+            outcome = Outcome(self.key, kind, "leader_changed")
+            self.assertTrue(goes_to_next_leader(outcome, moving=False))
+        refused = Outcome(self.key, OutcomeKind.NOT_RUN, "queue_full")
+        self.assertFalse(goes_to_next_leader(refused, moving=True))
+
+    def test_a_next_leader_that_is_not_ready_is_asked_again(self) -> None:
+        early = Outcome(self.key, OutcomeKind.NOT_RUN, "zone_recovering")
+        self.assertTrue(goes_to_next_leader(early, moving=True))
+        self.assertFalse(goes_to_next_leader(early, moving=False))
+
+
 class RecoveryTests(unittest.TestCase):
     def setUp(self) -> None:
         self.budget = RetryBudget(RoutingSettings())
--- a/tests/node/fakes.py
+++ b/tests/node/fakes.py
@@ -197,6 +197,9 @@
         return response.status, response.json()
 
     async def submit(self, **changes: Any) -> tuple[int, Any]:
+        return await self.submit_with(changes)
+
+    async def submit_with(self, changes: dict[str, Any]) -> tuple[int, Any]:
         return await self.call("POST", "/v1/requests", {**BODY, **changes})
 
     async def __aenter__(self) -> "EntryHostUnderTest":
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -6,7 +6,11 @@
 
 import curio
 
-from marigoldpath_core.messages import OutcomeRefusedByOrigin, RequestSubmitted
+from marigoldpath_core.messages import (
+    OutcomeRefusedByOrigin,
+    RequestSubmitted,
+    SendOutcome,
+)
 from marigoldpath_core.requests import Origin, Outcome, OutcomeKind, RequestKey
 from marigoldpath_core.settings import RoutingSettings
 from marigoldpath_node.http import json_response
@@ -187,6 +191,49 @@
         run(use)
 
 
+class NextLeaderTests(unittest.TestCase):
+    def hand_over(self, kind: OutcomeKind, **body: Any) -> tuple[Any, list[Any]]:
+        """Submit to a leader that gives up leadership while the request runs."""
+        results: list[Any] = []
+
+        async def use() -> None:
+            async with (
+                StandIn() as platform,
+                EntryHostUnderTest(platform, host="r1", zone="rijeka") as old,
+                EntryHostUnderTest(platform, host="r2", zone="rijeka") as new,
+                EntryHostUnderTest(platform) as origin,
+            ):
+                platform.answers[ROW] = old.leader_row()
+                changed = Outcome(REMOTE_KEY, kind, "leader_changed")
+                old.core.replies[RequestSubmitted] = lambda event: [
+                    SendOutcome(event.origin, changed)
+                ]
+                waiting = await curio.spawn(origin.submit_with, {**REMOTE, **body})
+                while not old.core.of_type(RequestSubmitted):
+                    await curio.sleep(0.01)
+                old.core.epoch = 0
+                if not body:
+                    platform.answers[ROW] = new.leader_row(epoch=2)
+                results.append(await waiting.join())
+                results.extend(new.core.of_type(RequestSubmitted))
+
+        run(use)
+        return results[0], results[1:]
+
+    def test_a_request_in_flight_goes_on_with_the_next_leader(self) -> None:
+        for kind in (OutcomeKind.NOT_RUN, OutcomeKind.UNKNOWN):
+            (status, reply), submitted = self.hand_over(kind)
+            self.assertEqual((status, reply["outcome"]), (200, "done"))
+            self.assertEqual([event.request.key for event in submitted], [REMOTE_KEY])
+            self.assertLess(submitted[0].request.deadline_ms, 2_000)
+
+    def test_without_a_next_leader_the_old_ones_word_stands(self) -> None:
+        for kind in (OutcomeKind.NOT_RUN, OutcomeKind.UNKNOWN):
+            (status, reply), _ = self.hand_over(kind, deadline_ms=1)
+            self.assertEqual(reply["outcome"], kind.value)
+            self.assertIn(status, (503, 504))
+
+
 class LostReplyTests(unittest.TestCase):
     def submit(self, answers: dict, **body: Any) -> tuple[int, Any, StandIn]:
         """Submit to a leader that is a stand-in with scripted answers."""
