--- a/packages/node/src/marigoldpath_node/api/_context.py
+++ b/packages/node/src/marigoldpath_node/api/_context.py
@@ -12,7 +12,10 @@
 
 
 class ApiContext(NamedTuple):
-    """The parts of the daemon; `drain` begins a graceful stop without ending."""
+    """The parts of the daemon.
+
+    `drain` begins a graceful stop without ending; `traffic` returns counts of bytes.
+    """
 
     settings: DaemonSettings
     runtime: Runtime
@@ -23,3 +26,4 @@
     observer: Observer
     configuration: ConfigurationService
     drain: Callable[[], Awaitable[None]]
+    traffic: Callable[[], dict[str, int]]
--- a/packages/node/src/marigoldpath_node/daemon/_daemon.py
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -121,10 +121,17 @@
             observer,
             configuration,
             self.drain,
+            self._count_traffic,
         )
         self._runtime = runtime
         self._api = Api(context)
         observer.log.info("started", address=settings.address)
+        if settings.keys and all(key.role != "operator" for key in settings.keys):
+            observer.log.error(
+                "no operator key",
+                reason="entry hosts use an operator's key to forward to each other;"
+                " add one to keys in the settings of all entry hosts",
+            )
         try:
             async with curio.TaskGroup() as tasks:
                 await tasks.spawn(runtime.run)
@@ -154,6 +161,16 @@
         )
         return not limit.expired
 
+    def _count_traffic(self) -> dict[str, int]:
+        """Return the bytes exchanged as a client and as a server."""
+        client, server = self._http.traffic, self._server.traffic
+        return {
+            "client_sent": client.sent,
+            "client_received": client.received,
+            "server_sent": server.sent,
+            "server_received": server.received,
+        }
+
     def _is_drained(self) -> bool:
         if self._runtime is None:
             return True
