Prove ownership and outcomes by scenarios in exact message orders

Change: 25 behave scenarios on the message-driven world; a draining leader counts on a successor only while the platform answers; standing requests are restarted with growing delays.

--- /dev/null
+++ b/features/steps/zone_steps.py
@@ -0,0 +1,273 @@
+"""Steps that drive the schedulers of one zone through exact orders of messages."""
+
+from typing import Any
+
+from behave import given, then, when
+
+from marigoldpath_bench.oracle import Interval
+from marigoldpath_bench.world import Callers, Faults, World, WorldSettings
+from marigoldpath_core.messages import StartTasks
+from marigoldpath_core.requests import Size
+
+SERVE_MS = 20_000
+
+
+class ServedZone:
+    """A world, its callers and the leader that served first."""
+
+    def __init__(self, settings: WorldSettings) -> None:
+        self.world = World(settings, Faults(1))
+        self.callers = Callers(self.world)
+        assert self.world.run_until(lambda: bool(self.world.serving), SERVE_MS)
+        self.leader = self.world.serving[0]
+        self.starts_ms: dict[str, int] = {}
+
+    @property
+    def others(self) -> list[str]:
+        """The entry hosts that do not lead."""
+        return [name for name in self.world.host_names if name != self.leader]
+
+    def runs(self, name: str) -> list[Interval]:
+        """Return the runs of a request from the workers' records."""
+        return self.world.verdict().intervals.get(f"counter/zadar/{name}", [])
+
+    def wait_for_successor(self) -> None:
+        """Let time pass until another host serves."""
+        others = set(self.others)
+        found = self.world.run_until(
+            lambda: bool(others & set(self.world.serving)), 60_000
+        )
+        assert found, "no other entry host took over within 60 s"
+
+    def advance_to_start(self) -> None:
+        """Stop time between the decision to start a task and the sending of it."""
+        host = self.world.unsent_of(self.leader)
+        for _ in range(20_000):
+            self.world.run(1, step_ms=1)
+            if any(isinstance(effect, StartTasks) for effect in host()):
+                return
+        raise AssertionError("no start was decided within 20 s")
+
+
+@given("a zone with {hosts:d} entry hosts and {workers:d} workers")
+def given_zone(context: Any, hosts: int, workers: int) -> None:
+    names = tuple("abcdef"[:hosts])
+    context.served = ServedZone(WorldSettings(hosts=names, workers=workers))
+
+
+@given('"{name}" runs for {run_ms:d} ms')
+def given_running(context: Any, name: str, run_ms: int) -> None:
+    when_submit(context, name, run_ms)
+    context.served.callers.run(1_000)
+    assert context.served.runs(name), f"{name} was not started within 1 s"
+
+
+@when('a caller submits "{name}" that runs for {run_ms:d} ms')
+def when_submit(context: Any, name: str, run_ms: int) -> None:
+    context.served.callers.submit(name, work={"run_ms": run_ms})
+
+
+@when('a caller submits "{name}" that is not repeatable and runs for {run_ms:d} ms')
+def when_submit_once(context: Any, name: str, run_ms: int) -> None:
+    context.served.callers.submit(name, repeatable=False, work={"run_ms": run_ms})
+
+
+@when('a caller submits "{name}" to wait')
+def when_submit_plan(context: Any, name: str) -> None:
+    context.served.callers.submit(
+        name, kind="cord_path_plan", wait=False, work={"run_ms": 100}
+    )
+
+
+@when('a caller submits "{name}" with {tasks:d} tasks of {cores:d} processors each')
+def when_submit_gang(context: Any, name: str, tasks: int, cores: int) -> None:
+    size = Size(cores * 1_000, 1_000, 0, 1, 1)
+    context.served.callers.submit(name, tasks=tasks, size=size, work={"run_ms": 500})
+
+
+@when("callers submit {count:d} requests of {cores:d} processors at once")
+def when_submit_many(context: Any, count: int, cores: int) -> None:
+    size = Size(cores * 1_000, 1_000, 0, 1, 1)
+    for number in range(count):
+        context.served.callers.submit(f"many-{number}", size=size, work={"run_ms": 300})
+
+
+@when('the caller of "{name}" asks again')
+def when_ask_again(context: Any, name: str) -> None:
+    context.served.callers.ask(name)
+
+
+@when('the caller of "{name}" asks again through another entry host')
+def when_ask_elsewhere(context: Any, name: str) -> None:
+    for host in context.served.others:
+        context.served.callers.ask(name, through=host)
+
+
+@when('the caller cancels "{name}"')
+def when_cancel(context: Any, name: str) -> None:
+    context.served.callers.cancel(name)
+
+
+@when("the leader is killed")
+def when_killed(context: Any) -> None:
+    context.served.world.kill(context.served.leader)
+
+
+@when("the leader is paused")
+def when_paused(context: Any) -> None:
+    context.served.world.pause(context.served.leader)
+
+
+@when("the leader is paused between its decision to start and its sending")
+def when_paused_before_send(context: Any) -> None:
+    context.served.advance_to_start()
+    context.served.world.pause(context.served.leader)
+
+
+@when("the leader wakes")
+def when_wakes(context: Any) -> None:
+    context.served.world.wake(context.served.leader)
+
+
+@when("the leader drains")
+def when_drains(context: Any) -> None:
+    context.served.world.scheduler(context.served.leader).drain()
+
+
+@when("another entry host takes over")
+def when_taken_over(context: Any) -> None:
+    context.served.wait_for_successor()
+
+
+@when("the platform goes down")
+def when_platform_down(context: Any) -> None:
+    context.served.world.faults.table_down = True
+
+
+@when("the platform comes back")
+def when_platform_back(context: Any) -> None:
+    context.served.world.faults.table_down = False
+    context.served.world.faults.table_loses_answers = False
+
+
+@when("the platform loses the answers to its writes")
+def when_answers_lost(context: Any) -> None:
+    context.served.world.faults.table_loses_answers = True
+
+
+@when("the leader is cut off from the platform")
+def when_leader_cut(context: Any) -> None:
+    context.served.world.faults.cut.add((context.served.leader, "table"))
+
+
+@when("the leader is cut off from {count:d} workers")
+def when_cut_from_workers(context: Any, count: int) -> None:
+    for worker in list(context.served.world.machines)[:count]:
+        context.served.world.faults.cut.add((context.served.leader, worker))
+
+
+@when("the cuts end")
+def when_cuts_end(context: Any) -> None:
+    context.served.world.faults.cut.clear()
+
+
+@when("replies of workers are lost")
+def when_replies_lost(context: Any) -> None:
+    context.served.world.faults.lost_replies = 1.0
+
+
+@when("replies of workers arrive again")
+def when_replies_back(context: Any) -> None:
+    context.served.world.faults.lost_replies = 0.0
+
+
+@when("messages take up to {delay_ms:d} ms and events are seen twice")
+def when_delayed(context: Any, delay_ms: int) -> None:
+    context.served.world.faults.most_delay_ms = delay_ms
+    context.served.world.faults.doubled_events = 0.3
+
+
+@when("every worker restarts")
+def when_workers_restart(context: Any) -> None:
+    for worker in context.served.world.machines:
+        context.served.world.restart_worker(worker)
+
+
+@when('the worker of "{name}" is listed as leaving')
+def when_leaving(context: Any, name: str) -> None:
+    worker = context.served.runs(name)[0].worker
+    context.served.world.leaving.add(worker)
+    context.leaving = worker
+    context.leaving_ms = context.served.world.now_ms
+
+
+@when("{seconds:g} s pass")
+def when_time_passes(context: Any, seconds: float) -> None:
+    context.served.callers.run(int(seconds * 1_000))
+
+
+@then('"{name}" ran exactly once')
+def then_ran_once(context: Any, name: str) -> None:
+    runs = context.served.runs(name)
+    assert len(runs) == 1, runs
+
+
+@then('"{name}" never ran')
+def then_never_ran(context: Any, name: str) -> None:
+    runs = context.served.runs(name)
+    assert not runs, runs
+
+
+@then('"{name}" ran at most once')
+def then_ran_at_most_once(context: Any, name: str) -> None:
+    runs = context.served.runs(name)
+    assert len(runs) <= 1, runs
+
+
+@then('"{name}" is still running on one worker')
+def then_still_running(context: Any, name: str) -> None:
+    running = [run for run in context.served.runs(name) if run.end_ms is None]
+    assert len(running) == 1, context.served.runs(name)
+
+
+@then('the caller of "{name}" is told {outcome}')
+def then_told(context: Any, name: str, outcome: str) -> None:
+    call = context.served.callers.call(name)
+    assert call.outcome == outcome, call.outcomes
+
+
+@then("every caller is told done")
+def then_all_done(context: Any) -> None:
+    unfinished = [
+        (call.request.key.id, call.outcomes)
+        for call in context.served.callers.calls
+        if call.outcome != "done"
+    ]
+    assert not unfinished, unfinished
+
+
+@then("the leader still serves")
+def then_still_serves(context: Any) -> None:
+    assert context.served.world.serving == [context.served.leader]
+
+
+@then("one entry host serves")
+def then_one_serves(context: Any) -> None:
+    assert len(context.served.world.serving) == 1, context.served.world.serving
+
+
+@then("no host serves")
+def then_none_serves(context: Any) -> None:
+    assert not context.served.world.serving, context.served.world.serving
+
+
+@then("no task started on the leaving worker later than {seconds:g} s after the notice")
+def then_nothing_started(context: Any, seconds: float) -> None:
+    limit_ms = context.leaving_ms + int(seconds * 1_000)
+    late = [
+        run
+        for runs in context.served.world.verdict().intervals.values()
+        for run in runs
+        if run.worker == context.leaving and run.start_ms > limit_ms
+    ]
+    assert not late, late
--- a/packages/bench/src/marigoldpath_bench/world/_faults.py
+++ b/packages/bench/src/marigoldpath_bench/world/_faults.py
@@ -26,6 +26,10 @@
         """Return the delay of one message."""
         return self._random.randint(self.least_delay_ms, self.most_delay_ms)
 
+    def send_delay_ms(self) -> int:
+        """Return the time between a decision and its sending, 1 to 5 ms."""
+        return self._random.randint(1, 5)
+
     def loses_request(self, host: str, target: str) -> bool:
         """Return whether a request does not arrive."""
         return self.is_cut(host, target) or self._random.random() < self.lost_requests
--- a/packages/bench/src/marigoldpath_bench/world/_world.py
+++ b/packages/bench/src/marigoldpath_bench/world/_world.py
@@ -51,11 +51,10 @@
 
 
 class _Message(NamedTuple):
-    """A message on its way; `sender` is the host that a pause holds it back in."""
+    """A message on its way."""
 
     at_ms: int
     number: int
-    sender: str
     deliver: Callable[[], None]
 
 
@@ -65,6 +64,7 @@
         self.is_paused = False
         self.is_dead = False
         self.inbox: list[Event] = []
+        self.leaving: list[Effect] = []
         self.unsent: list[Effect] = []
         self.wake_ms = 0
         self.polled: dict[str, tuple[str, int]] = {}
@@ -182,9 +182,11 @@
             call = effect.origin.call
             self.outcomes.append((effect.origin.host, call, effect.outcome))
         else:
-            # A message leaves its host up to a millisecond later, so that a pause
-            # can fall between the decision and the sending.
-            self._later(1, name, lambda: self._leave(name, effect))
+            # A message leaves its host some milliseconds later, so that a pause can
+            # fall between the decision and the sending.
+            self._hosts[name].leaving.append(effect)
+            delay_ms = self.faults.send_delay_ms()
+            self._later(delay_ms, lambda: self._leave(name, effect))
 
     def run(self, milliseconds: int, step_ms: int = 10) -> None:
         """Let time pass."""
@@ -218,8 +220,14 @@
             self.deliver(name, Tick())
             host.wake_ms = host.scheduler.wake_ms(self.now_ms)
 
+    def unsent_of(self, name: str) -> Callable[[], list[Effect]]:
+        """Return a function that lists what a host has decided and not sent."""
+        return lambda: self._hosts[name].leaving
+
     def _leave(self, name: str, effect: Effect) -> None:
         host = self._hosts[name]
+        if effect in host.leaving:
+            host.leaving.remove(effect)
         if host.is_dead:
             return
         if host.is_paused:
@@ -233,7 +241,7 @@
             self._fail(name, effect)
             return
         delay_ms = self.faults.delay_ms()
-        self._later(delay_ms, "", lambda: self._arrive(name, target, effect))
+        self._later(delay_ms, lambda: self._arrive(name, target, effect))
 
     def _arrive(self, name: str, target: str, effect: Effect) -> None:
         if target == TABLE:
@@ -246,16 +254,16 @@
         if self.faults.loses_reply(name, target):
             self._fail(name, effect)
             return
-        self._later(self.faults.delay_ms(), "", lambda: self.deliver(name, reply))
+        self._later(self.faults.delay_ms(), lambda: self.deliver(name, reply))
 
     def _fail(self, name: str, effect: Effect) -> None:
         failure = failures.get(type(effect))(effect)
         if failure is not None:
-            self._later(REPLY_TIMEOUT_MS, "", lambda: self.deliver(name, failure))
+            self._later(REPLY_TIMEOUT_MS, lambda: self.deliver(name, failure))
 
-    def _later(self, delay_ms: int, sender: str, deliver: Callable[[], None]) -> None:
+    def _later(self, delay_ms: int, deliver: Callable[[], None]) -> None:
         self._number += 1
-        message = _Message(self.now_ms + delay_ms, self._number, sender, deliver)
+        message = _Message(self.now_ms + delay_ms, self._number, deliver)
         heapq.heappush(self._messages, message)
 
     def _deliver_due(self) -> None:
@@ -292,7 +300,7 @@
             for reply in replies:
                 self.deliver(name, reply)
 
-        self._later(self.faults.delay_ms(), "", arrive)
+        self._later(self.faults.delay_ms(), arrive)
 
     def _list_hosts(self) -> None:
         if self.now_ms < self._next_list_ms:
--- a/packages/core/src/marigoldpath_core/ledger/_state.py
+++ b/packages/core/src/marigoldpath_core/ledger/_state.py
@@ -93,6 +93,7 @@
         "phase",
         "request",
         "requeue_reason",
+        "restarts",
         "submitted_at_ms",
         "tasks",
         "traceparent",
@@ -114,6 +115,7 @@
         self.is_cancelled = False
         self.cancel_reason = ""
         self.requeue_reason = ""
+        self.restarts = 0
         self.history = History()
         self.traceparent = ""
 
--- a/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
@@ -1,5 +1,7 @@
 """Places waiting requests on workers and sends their starts."""
 
+import heapq
+
 from marigoldpath_core.admission import QueuedRequest
 from marigoldpath_core.journal import Intent
 from marigoldpath_core.ledger import (
@@ -16,6 +18,10 @@
 from ._zone import Ticket, TicketPurpose, Zone
 
 ATTEMPTS_PER_TERM = 1_000
+# A standing request whose run lasted this long is restarted without a delay.
+STEADY_RUN_MS = 10_000
+FIRST_DELAY_MS = 1_000
+LONGEST_DELAY_MS = 60_000
 
 
 class Placer:
@@ -143,6 +149,33 @@
     state.phase = RequestPhase.WAITING
 
 
+def requeue_later(
+    zone: Zone, state: RequestState, ran_ms: int, now_ms: int, reason: str
+) -> None:
+    """Put a standing request back, later each time that its run was short.
+
+    Without a delay a task that ends at once was started some 400 times a second.
+    """
+    free(zone, state)
+    state.restarts = 0 if ran_ms >= STEADY_RUN_MS else state.restarts + 1
+    delay_ms = min(LONGEST_DELAY_MS, FIRST_DELAY_MS * 2 ** (state.restarts - 1))
+    if not state.restarts:
+        delay_ms = 0
+    state.phase = RequestPhase.WAITING
+    state.history.add(now_ms, "delayed", f"{reason}; next run in {delay_ms} ms")
+    heapq.heappush(zone.delayed, (now_ms + delay_ms, state.request.key))
+
+
+def restore_delayed(zone: Zone, now_ms: int) -> None:
+    """Queue the standing requests whose delay is over."""
+    while zone.delayed and zone.delayed[0][0] <= now_ms:
+        _, key = heapq.heappop(zone.delayed)
+        state = zone.ledger.get(key)
+        if state is not None and state.phase is RequestPhase.WAITING:
+            zone.queue.restore(state.request, now_ms)
+            zone.has_work = True
+
+
 def free(zone: Zone, state: RequestState) -> None:
     """Give back what a request holds on workers and in quotas."""
     for task in list(state.tasks.values()):
--- a/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
@@ -19,7 +19,7 @@
 
 from . import _intake, _leases, _recovery, _tasks
 from ._codes import Code
-from ._dispatch import dispatch, requeue, send_starts
+from ._dispatch import dispatch, requeue, restore_delayed, send_starts
 from ._outcomes import end_request
 from ._zone import TicketPurpose, Zone, ZonePhase, change_handlers, handlers
 
@@ -222,6 +222,7 @@
         zone.queue.set_capacity(zone.workers.capacity)
         zone.has_work = True
         _intake.refuse_unrecorded(zone, now_ms)
+        restore_delayed(zone, now_ms)
         if zone.journal.needs_snapshot:
             zone.effects.extend(zone.journal.snapshot(now_ms))
         if zone.is_draining:
@@ -247,7 +248,7 @@
     def _has_successor(self, now_ms: int) -> bool:
         """Return whether another live entry host of the zone can reach the table."""
         zone = self._zone
-        return zone.journal.available and any(
+        return zone.can_record(now_ms) and any(
             host.name != self._settings.host
             and host.availability_zone == self._settings.availability_zone
             and host.state is HostState.LIVE
--- a/packages/core/src/marigoldpath_core/scheduler/_tasks.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_tasks.py
@@ -23,7 +23,7 @@
 )
 
 from ._codes import Code
-from ._dispatch import free, is_standing, requeue
+from ._dispatch import STEADY_RUN_MS, free, is_standing, requeue, requeue_later
 from ._outcomes import end_request
 from ._zone import Zone, handlers
 
@@ -195,7 +195,12 @@
     elif not was_started:
         requeue(zone, state, now_ms, state.requeue_reason)
     elif is_standing(zone, state.request) and repeatable:
-        requeue(zone, state, now_ms, "a standing request runs until it is cancelled")
+        started_ms = min(task.started_at_ms for task in state.tasks.values())
+        reason = state.requeue_reason or "a standing request runs until cancelled"
+        moves = bool(state.requeue_reason)
+        ran_ms = STEADY_RUN_MS if moves else now_ms - started_ms
+        state.requeue_reason = ""
+        requeue_later(zone, state, ran_ms, now_ms, reason)
     elif TaskStatus.FAILED in statuses:
         _failed(zone, state, now_ms)
     elif repeatable or (state.requeue_reason and statuses <= {None}):
--- a/packages/core/src/marigoldpath_core/scheduler/_zone.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_zone.py
@@ -131,6 +131,7 @@
         self.unresolved: dict[RequestKey, Unresolved] = {}
         self.quorum_at_ms = None
         self.parked: list[RequestState] = []
+        self.delayed: list[tuple[int, RequestKey]] = []
         self.has_work = False
         self._starts.clear()
         self.configure(self.configuration)
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -127,6 +127,16 @@
         self.assertNotEqual(runs[-1].worker, first.worker)
         self.assertIsNone(runs[-1].end_ms)
 
+    def test_a_standing_task_that_ends_at_once_is_restarted_with_growing_delays(
+        self,
+    ) -> None:
+        """Without a delay it was started some 400 times a second."""
+        served = ServedWorld()
+        served.callers.submit("watch", kind="tension_watch", work={"run_ms": 0})
+        served.callers.run(10_000)
+        runs = served.world.verdict().intervals["counter/zadar/watch"]
+        self.assertIn(len(runs), range(3, 6))
+
     def test_a_standing_request_survives_its_leader(self) -> None:
         served = ServedWorld()
         served.callers.submit("watch", kind="tension_watch", work={"run_ms": None})
