Break each mechanism once and guard it by a scenario

Cause: trials that broke the settling wait, the record before the start and the resolution of intents passed all scenarios. Change: three scenarios for the exact orders in which these mechanisms matter.

--- a/features/outcomes.feature
+++ b/features/outcomes.feature
@@ -167,3 +167,31 @@
     And the caller of "job" asks again
     And 10 s pass
     Then the caller of "job" is told done
+
+  @at_most_once
+  Scenario: The leader is killed and the workers restart while a recorded request runs
+    Given a zone with 2 entry hosts and 4 workers
+    When a caller submits "order" that is not repeatable and runs for 2000 ms
+    And 0.2 s pass
+    And the leader is killed
+    And every worker restarts
+    And another entry host takes over
+    And the caller of "order" asks again
+    And 5 s pass
+    Then "order" ran exactly once
+    And the caller of "order" is told unknown
+
+  @at_most_once
+  Scenario: The platform goes down before the record of a start is written
+    Given a zone with 2 entry hosts and 4 workers
+    When the platform goes down
+    And a caller submits "order" that is not repeatable and runs for 100 ms
+    And 0.5 s pass
+    And the leader is killed
+    And 70 s pass
+    And the platform comes back
+    And another entry host takes over
+    And the caller of "order" asks again
+    And 5 s pass
+    Then "order" ran exactly once
+    And the caller of "order" is told done
--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -110,3 +110,19 @@
     And callers submit 20 requests of 30 processors at once
     And 5 s pass
     Then every caller is told done
+
+  @no_double_run
+  Scenario: Workers that restart forget the claim of a leader that is paused
+    Given a zone with 2 entry hosts and 4 workers
+    When the leader is cut off from the platform
+    And 2 s pass
+    And a caller submits "check" that runs for 20000 ms
+    And the leader is paused between its decision to start and its sending
+    And another entry host is elected
+    And every worker restarts
+    And 0.7 s pass
+    And the leader wakes
+    And another entry host takes over
+    And the caller of "check" asks again
+    And 25 s pass
+    Then "check" ran at most once at a time
--- a/features/steps/zone_steps.py
+++ b/features/steps/zone_steps.py
@@ -139,6 +139,16 @@
     context.served.wait_for_successor()
 
 
+@when("another entry host is elected")
+def when_elected(context: Any) -> None:
+    served = context.served
+    found = served.world.run_until(
+        lambda: any(served.world.scheduler(name).epoch for name in served.others),
+        10_000,
+    )
+    assert found, "no other entry host was elected within 10 s"
+
+
 @when("the platform goes down")
 def when_platform_down(context: Any) -> None:
     context.served.world.faults.table_down = True
@@ -224,6 +234,13 @@
     assert len(runs) <= 1, runs
 
 
+@then('"{name}" ran at most once at a time')
+def then_never_twice_at_once(context: Any, name: str) -> None:
+    verdict = context.served.world.verdict()
+    assert verdict.intervals.get(f"counter/zadar/{name}"), "it never ran"
+    assert not verdict.ran_twice_at_once, verdict.evidence
+
+
 @then('"{name}" is still running on one worker')
 def then_still_running(context: Any, name: str) -> None:
     running = [run for run in context.served.runs(name) if run.end_ms is None]
