Count a standing request only when its cancellation holds

Cause: a standing request whose cancellation had no effect was counted as answered when the count fell between two of its runs. Change: the cancellation must be confirmed and no run may begin after it.

--- a/packages/bench/src/marigoldpath_bench/demo/_judge.py
+++ b/packages/bench/src/marigoldpath_bench/demo/_judge.py
@@ -11,9 +11,9 @@
     """Counts of a run. `evidence` has one line for each thing that went wrong.
 
     A request is answered when its caller got the whole answer; a standing one when it
-    was accepted, ran and, after its cancellation, no longer runs. It is refused when
-    its caller was told so and no worker ever started it. It is lost when its caller
-    never learnt its end or was told an end that the records contradict.
+    was accepted, ran, and was not started again after its cancellation was confirmed.
+    It is refused when its caller was told so and no worker ever started it. It is lost
+    when its caller never learnt its end or was told one that the records contradict.
     """
 
     requests: int
@@ -40,9 +40,16 @@
 
 
 def summarise(
-    names: Iterable[str], results: Iterable[CallResult], verdict: Verdict
+    names: Iterable[str],
+    results: Iterable[CallResult],
+    verdict: Verdict,
+    cancelled_ms: dict[str, int],
 ) -> Summary:
-    """Return the counts for the requests named, each of which must have a result."""
+    """Return the counts for the requests named, each of which must have a result.
+
+    `cancelled_ms` holds when each standing request was confirmed to be cancelled, on
+    the common clock of the records.
+    """
     by_name = {result.name: result for result in results}
     answered = refused = lost = total = 0
     evidence = list(verdict.evidence)
@@ -53,7 +60,7 @@
         if result is None:
             lost += 1
             evidence.append(f"lost: {name} has no end")
-        elif _is_answered(result, runs):
+        elif _is_answered(result, runs, cancelled_ms.get(name)):
             answered += 1
         elif result.ending is Ending.NOT_RUN and not runs:
             refused += 1
@@ -74,11 +81,20 @@
     )
 
 
-def _is_answered(result: CallResult, runs: list[Interval]) -> bool:
+def _is_answered(
+    result: CallResult, runs: list[Interval], cancelled_ms: int | None
+) -> bool:
     if result.ending is Ending.DONE:
         return any(run.status == "done" for run in runs)
     if result.ending is Ending.FAILED:
         return any(run.status == "failed" for run in runs)
     if result.ending is Ending.ACCEPTED:
-        return bool(runs) and all(run.end_ms is not None for run in runs)
+        return cancelled_ms is not None and _ended_by(runs, cancelled_ms)
     return False
+
+
+def _ended_by(runs: list[Interval], cancelled_ms: int) -> bool:
+    """Return whether there were runs, all ended, and none began after the time."""
+    return bool(runs) and all(
+        run.end_ms is not None and run.start_ms <= cancelled_ms for run in runs
+    )
--- a/packages/bench/src/marigoldpath_bench/demo/_run.py
+++ b/packages/bench/src/marigoldpath_bench/demo/_run.py
@@ -25,6 +25,7 @@
     tally_by_kind,
 )
 from marigoldpath_bench.oracle import judge, read_records
+from marigoldpath_bench.server import now_ms
 from marigoldpath_bench.trace import TraceItem, TraceSettings, generate_trace
 
 from ._judge import Summary, summarise
@@ -57,7 +58,7 @@
     )
     _tell(f"files of this run are in run/{run_folder.name}")
     with Fleet(plan, settings.daemon_python) as fleet:
-        results = curio.run(_run, fleet, deployment, trace, settings)
+        results, cancelled = curio.run(_run, fleet, deployment, trace, settings)
     verdict = judge(read_records(plan.record_paths))
     for tally in tally_by_kind(results):
         _tell(
@@ -66,14 +67,15 @@
         )
     runs = sum(len(each) for each in verdict.intervals.values())
     _tell(f"the workers recorded {runs} runs, {verdict.overused} of them overused")
-    summary = summarise([_name(item) for item in trace], results, verdict)
+    summary = summarise([_name(item) for item in trace], results, verdict, cancelled)
     _write_evidence(run_folder / "evidence.txt", summary)
     return summary
 
 
 async def _run(
     fleet: Fleet, deployment: Deployment, trace: list[TraceItem], settings: DemoSettings
-) -> list[CallResult]:
+) -> tuple[list[CallResult], dict[str, int]]:
+    """Return the callers' results and when standing requests were cancelled."""
     started_s = time.monotonic()
     await fleet.start()
     _tell(f"all zones are served after {time.monotonic() - started_s:.1f} s")
@@ -84,10 +86,10 @@
         sending = await tasks.spawn(client.run, trace)
     results = sending.result
     _tell(f"the last caller had its answer after {time.monotonic() - started_s:.1f} s")
-    await _end_standing(fleet, client, results)
+    cancelled = await _end_standing(fleet, client, results)
     await client.close()
     await fleet.close()
-    return results
+    return results, cancelled
 
 
 async def _kill_leader(fleet: Fleet, zone: str, after_s: float) -> None:
@@ -101,16 +103,23 @@
 
 async def _end_standing(
     fleet: Fleet, client: LoadClient, results: list[CallResult]
-) -> None:
-    """Wait until standing requests have run, cancel them, and wait for their ends."""
+) -> dict[str, int]:
+    """Wait until standing requests have run, cancel them, and wait for their ends.
+
+    Return when each cancellation was confirmed.
+    """
+    cancelled: dict[str, int] = {}
     standing = [each for each in results if each.ending is Ending.ACCEPTED]
     names = {each.name for each in standing}
     await _wait_runs(fleet, names, STANDING_START_S, running=True)
     for result in standing:
         status, code = await client.cancel(result)
-        if status not in CONFIRMED:
+        if status in CONFIRMED:
+            cancelled[result.name] = now_ms()
+        else:
             _tell(f"cancellation of {result.name}: {status} {code}")
     await _wait_runs(fleet, names, STANDING_END_S, running=False)
+    return cancelled
 
 
 async def _wait_runs(
--- a/tests/bench/test_demo.py
+++ b/tests/bench/test_demo.py
@@ -1,6 +1,7 @@
 """Tests of how a run is summed up."""
 
 import unittest
+from typing import ClassVar
 
 from marigoldpath_bench.demo import Summary, summarise
 from marigoldpath_bench.load import CallResult, Ending
@@ -17,10 +18,12 @@
 
 
 class SummaryTests(unittest.TestCase):
+    cancelled: ClassVar[dict[str, int]] = {"t/z/1": 5}
+
     def summarise(self, ending: Ending | None, *runs: Interval) -> Summary:
         verdict = Verdict(0, 0, 0, 0, (), {"t/z/1": list(runs)} if runs else {})
         results = [] if ending is None else [result(ending)]
-        return summarise(["t/z/1"], results, verdict)
+        return summarise(["t/z/1"], results, verdict, self.cancelled)
 
     def test_an_answer_that_a_worker_gave_counts(self) -> None:
         summary = self.summarise(Ending.DONE, run())
@@ -42,3 +45,9 @@
         self.assertEqual(self.summarise(Ending.ACCEPTED, run("stopped")).answered, 1)
         self.assertEqual(self.summarise(Ending.ACCEPTED, run("", None)).lost, 1)
         self.assertEqual(self.summarise(Ending.ACCEPTED).lost, 1)
+        later = run()._replace(start_ms=6, end_ms=9)
+        self.assertEqual(self.summarise(Ending.ACCEPTED, run(), later).lost, 1)
+
+    def test_a_standing_request_that_was_not_cancelled_is_lost(self) -> None:
+        self.cancelled = {}  # type: ignore[misc]
+        self.assertEqual(self.summarise(Ending.ACCEPTED, run()).lost, 1)
