Never tell 'not run' while a copy of the request may be on its way

Cause: after a lost reply the second copy could be refused while the first was still in transit, and the caller was told not run. Change: a call with such a copy ends as unknown; moves end at the deadline.

--- a/packages/node/src/marigoldpath_node/peers/_calls.py
+++ b/packages/node/src/marigoldpath_node/peers/_calls.py
@@ -10,14 +10,21 @@
 
 
 class Call:
-    """One caller's wait for the outcome of one request."""
+    """One caller's wait for the outcome of one request.
+
+    `sent` means that a leader has or may have the request; `ambiguous` that a
+    submission got no reply, so that a copy may reach a leader even after the request
+    was refused.
+    """
 
     def __init__(self, number: int, key: RequestKey) -> None:
         self.number = number
         self.key = key
         self.outcome: Outcome | None = None
         self.sent = False
+        self.ambiguous = False
         self.opened_ms = clock_ms()
+        self.move_until_ms = self.opened_ms
         self._ended = curio.Event()
 
     async def wait(self, seconds: float) -> Outcome | None:
@@ -29,7 +36,7 @@
     def reopen(self) -> None:
         """Wait again, for the outcome that the zone's next leader gives."""
         assert self.outcome is not None
-        self.sent = self.outcome.kind is not OutcomeKind.NOT_RUN
+        self.sent = self.ambiguous or self.outcome.kind is not OutcomeKind.NOT_RUN
         self.outcome = None
         self._ended.clear()
 
--- a/packages/node/src/marigoldpath_node/peers/_forwarder.py
+++ b/packages/node/src/marigoldpath_node/peers/_forwarder.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from marigoldpath_core.requests import Outcome, Request, RequestKey
+from marigoldpath_core.requests import Outcome, OutcomeKind, Request, RequestKey
 from marigoldpath_core.routing import (
     LeaderView,
     Recovery,
@@ -92,18 +92,18 @@
     async def _call(self, submission: Submission, wait_ms: int) -> Outcome:
         self._budget.count_request(clock_ms())
         call = self._calls.open(submission.key)
+        call.move_until_ms = call.opened_ms + wait_ms - MARGIN_MS
         try:
-            return await curio.timeout_after(
+            outcome = await curio.timeout_after(
                 wait_ms / 1_000, self._submit_and_wait, call, submission
             )
         except curio.TaskTimeout:
-            if call.outcome is not None:
-                return call.outcome
-            if call.sent:
-                return unknown(call.key, "no outcome came before the deadline")
-            return not_run(call.key, "no_leader", "no leader took the request in time")
+            outcome = _outcome_at_deadline(call)
         finally:
             self._calls.close(call)
+        if call.ambiguous and outcome.kind is OutcomeKind.NOT_RUN:
+            return unknown(call.key, "a copy of the request may still be on its way")
+        return outcome
 
     async def _submit_and_wait(self, call: Call, submission: Submission) -> Outcome:
         leader: LeaderView | None = None
@@ -132,6 +132,8 @@
             if outcome is not None:
                 moving = True
                 leader = await self._move(call, submission)
+                if leader is None:
+                    return outcome
                 continue
             checks += 1
             zone = call.key.availability_zone
@@ -145,13 +147,13 @@
                 return outcome
             leader = newest
 
-    async def _move(self, call: Call, submission: Submission) -> LeaderView:
-        """Submit to the zone's next leader, as soon as there is one."""
+    async def _move(self, call: Call, submission: Submission) -> LeaderView | None:
+        """Submit to the zone's next leader; None when there is none in time."""
         call.reopen()
         self._observer.metrics.count("peer.moves")
         zone = call.key.availability_zone
         pause_s = FIRST_PAUSE_S
-        while True:
+        while clock_ms() < call.move_until_ms:
             self._leaders.views.doubt(zone)
             await curio.sleep(pause_s)
             pause_s = min(LAST_PAUSE_S, 2 * pause_s)
@@ -162,6 +164,7 @@
                 self._observer.log.debug(
                     "no next leader yet", request=str(call.key), reason=str(fault)
                 )
+        return None
 
     async def _recover(
         self,
@@ -181,7 +184,7 @@
             decision=decision.value,
         )
         if call.outcome is not None:
-            return call.outcome
+            return None
         if decision == Recovery.ANSWER:
             return outcome
         if decision == Recovery.UNKNOWN:
@@ -214,5 +217,13 @@
         return facts, outcome
 
 
+def _outcome_at_deadline(call: Call) -> Outcome:
+    if call.outcome is not None:
+        return call.outcome
+    if call.sent:
+        return unknown(call.key, "no outcome came before the deadline")
+    return not_run(call.key, "no_leader", "no leader took the request in time")
+
+
 def _same(one: LeaderView, other: LeaderView) -> bool:
     return one[1:4] == other[1:4]
--- a/packages/node/src/marigoldpath_node/peers/_submitter.py
+++ b/packages/node/src/marigoldpath_node/peers/_submitter.py
@@ -124,6 +124,7 @@
             raise
         except BaseException:
             # No usable reply, or the caller's time ended while this was in flight.
+            call.ambiguous = call.ambiguous or parcel.taken
             call.sent = call.sent or parcel.taken
             raise
         self._observer.metrics.count("peer.submitted")
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -1,5 +1,6 @@
 """Tests of forwarding between entry hosts, on loopback sockets."""
 
+import json
 import unittest
 from typing import Any
 from unittest import mock
@@ -20,9 +21,10 @@
     Parcel,
     PeerBusyError,
     PeerReplyError,
+    encode_outcome,
 )
 
-from .fakes import BODY, KEY, EntryHostUnderTest, StandIn, run
+from .fakes import BODY, KEY, EntryHostUnderTest, StandIn, make_client, run
 
 ROW = ("GET", "/v1/rows/leader/rijeka")
 SUBMIT = ("POST", "/v1/peer/submit")
@@ -289,6 +291,27 @@
         # The first submission may still be on its way, so this is not "not run".
         self.assertEqual((status, reply["outcome"]), (504, "unknown"))
 
+    def test_a_refusal_of_a_second_copy_says_nothing_of_the_first(self) -> None:
+        replies: list[Any] = ["lost"]
+
+        async def refuse(request) -> Any:
+            body = json.loads(request.body)
+            call = body["requests"][0]["call"]
+            refused = Outcome(REMOTE_KEY, OutcomeKind.NOT_RUN, "queue_full")
+            payload = encode_outcome(Origin("e1", call), refused)
+            client, address = make_client(), body["origin"]["address"]
+            value = {"outcomes": [payload]}
+            await client.request("POST", address, "/v1/peer/outcomes", value=value)
+            return {"taken": 1}
+
+        status, reply, _ = self.submit(
+            {
+                SUBMIT: lambda request: replies.pop() if replies else refuse(request),
+                STATE: {"states": {str(REMOTE_KEY): None}},
+            }
+        )
+        self.assertEqual((status, reply["outcome"]), (504, "unknown"))
+
     def test_a_taken_request_without_an_outcome_ends_as_unknown(self) -> None:
         status, reply, _ = self.submit({SUBMIT: {"taken": 1}}, deadline_ms=1)
         self.assertEqual((status, reply["outcome"]), (504, "unknown"))
