--- a/packages/core/src/marigoldpath_core/placement/_workers.py
+++ b/packages/core/src/marigoldpath_core/placement/_workers.py
@@ -13,6 +13,8 @@
 from ._policies import placement_policies
 
 Group = tuple[str, str]
+# Stands for a task that holds nothing, of which any number fits.
+MOST_TASKS = 1_000_000
 Counts = dict[str, int]
 NO_COUNTS: Counts = {}
 
@@ -126,7 +128,7 @@
             self.release(name, task)
             view = self._views[name]
         self._hold(view, HeldTask(task, size, kind, team))
-        self._store(view, view.with_used(view.used.plus(size)))
+        self._use(view, view.used.plus(size), self._used.plus(size))
 
     def release(self, name: str, task: str) -> HeldTask | None:
         """Free what a task holds; None if the worker does not hold it."""
@@ -135,7 +137,7 @@
             return None
         view = self._views[name]
         self._count(view, held, -1)
-        self._store(view, view.with_used(view.used.minus(held.size)))
+        self._use(view, view.used.minus(held.size), self._used.minus(held.size))
         self._freed += 1
         return held
 
@@ -194,6 +196,14 @@
         faults = [size.exceeding(capacity) for capacity in self._capacities]
         return min(faults, key=len, default=[])
 
+    def most_tasks(self, size: Size) -> int:
+        """Return how many tasks of a size the zone holds at once when empty."""
+        total = 0
+        for capacity, copies in self._capacities.items():
+            counts = [have // need for have, need in zip(capacity, size) if need]
+            total += copies * min(counts, default=MOST_TASKS)
+        return total
+
     def reserve(self, reservation: str, size: Size, count: int = 1) -> bool:
         """Keep workers free for a request that does not fit yet.
 
@@ -303,6 +313,14 @@
             self._freed += 1
             self._store(view, view._replace(**flags))  # type: ignore[arg-type]
 
+    def _use(self, view: WorkerView, used: Size, total: Size) -> None:
+        changed = view.with_used(used)
+        self._views[view.name] = changed
+        if changed.is_open:
+            self._used = total
+            self._index.put(changed)
+            self._racks[view.rack].put(changed)
+
     def _store(self, old: WorkerView | None, new: WorkerView | None) -> None:
         was_open = old is not None and old.is_open
         if old is not None and was_open:
