Shorten the node's tests by a decorator

Cause: each test wrapped its coroutine by hand; the tests were 39% of the code. Change: kernel_test runs a test method in a kernel; no check is changed. Result: python -m unittest discover -s tests/node: 84 tests pass, as before.

--- a/tests/node/fakes.py
+++ b/tests/node/fakes.py
@@ -3,6 +3,7 @@
 import json
 import os
 from collections.abc import Awaitable, Callable
+from functools import wraps
 from typing import Any
 
 import curio
@@ -60,6 +61,16 @@
     curio.run(bounded)
 
 
+def kernel_test(test: Callable[[Any], Awaitable[None]]) -> Callable[[Any], None]:
+    """Make a test method of a coroutine function."""
+
+    @wraps(test)
+    def run_test(case: Any) -> None:
+        run(lambda: test(case))
+
+    return run_test
+
+
 class FakeCore:
     """Answers `echo` requests at once and holds the others; keeps all events."""
 
--- a/tests/node/test_api.py
+++ b/tests/node/test_api.py
@@ -10,7 +10,7 @@
 from marigoldpath_core.settings import AccessKey, ListenSettings
 from marigoldpath_node.http import HttpClient, HttpClientSettings
 
-from .fakes import BODY, KEY, EntryHostUnderTest, StandIn, run
+from .fakes import BODY, KEY, EntryHostUnderTest, StandIn, kernel_test, run
 
 PATH = "/v1/requests/t/zadar/r1"
 KEYS = (
@@ -166,21 +166,17 @@
 
         on_host(use, keys=KEYS)
 
-    def test_entry_hosts_with_the_same_keys_forward_to_each_other(self) -> None:
-        async def use() -> None:
-            async with (
-                StandIn() as platform,
-                EntryHostUnderTest(
-                    platform, host="r1", zone="rijeka", keys=KEYS
-                ) as leader,
-                EntryHostUnderTest(platform, keys=KEYS) as origin,
-            ):
-                platform.answers["GET", "/v1/rows/leader/rijeka"] = leader.leader_row()
-                body = {**BODY, "availability_zone": "rijeka"}
-                reply = await origin.call("POST", "/v1/requests", body, "new")
-                self.assertEqual(reply[0], 200)
-
-        run(use)
+    @kernel_test
+    async def test_entry_hosts_with_the_same_keys_forward_to_each_other(self) -> None:
+        async with (
+            StandIn() as platform,
+            EntryHostUnderTest(platform, host="r1", zone="rijeka", keys=KEYS) as leader,
+            EntryHostUnderTest(platform, keys=KEYS) as origin,
+        ):
+            platform.answers["GET", "/v1/rows/leader/rijeka"] = leader.leader_row()
+            body = {**BODY, "availability_zone": "rijeka"}
+            reply = await origin.call("POST", "/v1/requests", body, "new")
+            self.assertEqual(reply[0], 200)
 
 
 class DrainTests(unittest.TestCase):
--- a/tests/node/test_effects.py
+++ b/tests/node/test_effects.py
@@ -25,7 +25,7 @@
 from marigoldpath_node.platform import create_platform_client
 from marigoldpath_node.workers import create_worker_client
 
-from .fakes import StandIn, make_client, make_settings, quiet_observer, run
+from .fakes import StandIn, kernel_test, make_client, make_settings, quiet_observer
 
 REPORT = {"clock_ms": 1, "incarnation": "i", "tasks": []}
 
@@ -73,84 +73,74 @@
 
 
 class BatchTests(unittest.TestCase):
-    def test_starts_of_one_turn_to_one_worker_share_a_post(self) -> None:
-        async def use() -> None:
-            async with StandIn() as worker:
-                worker.answers["POST", "/v1/start"] = accept
-                world = World({"w1": worker.address})
-                events = await world.perform(starts("w1", "a"), starts("w1", "b", "c"))
-                self.assertEqual([type(event) for event in events], [StartsReplied])
-                body = worker.bodies("/v1/start")[0]
-                self.assertEqual([s["task"] for s in body["starts"]], ["a", "b", "c"])
-
-        run(use)
-
-    def test_starts_of_two_holders_are_not_merged(self) -> None:
-        async def use() -> None:
-            async with StandIn() as worker:
-                worker.answers["POST", "/v1/start"] = accept
-                world = World({"w1": worker.address})
-                await world.perform(starts("w1", "a"), starts("w1", "b", holder="e2"))
-                holders = [body["holder"] for body in worker.bodies("/v1/start")]
-                self.assertEqual(sorted(holders), ["e1", "e2"])
-
-        run(use)
+    @kernel_test
+    async def test_starts_of_one_turn_to_one_worker_share_a_post(self) -> None:
+        async with StandIn() as worker:
+            worker.answers["POST", "/v1/start"] = accept
+            world = World({"w1": worker.address})
+            events = await world.perform(starts("w1", "a"), starts("w1", "b", "c"))
+            self.assertEqual([type(event) for event in events], [StartsReplied])
+            body = worker.bodies("/v1/start")[0]
+            self.assertEqual([s["task"] for s in body["starts"]], ["a", "b", "c"])
+
+    @kernel_test
+    async def test_starts_of_two_holders_are_not_merged(self) -> None:
+        async with StandIn() as worker:
+            worker.answers["POST", "/v1/start"] = accept
+            world = World({"w1": worker.address})
+            await world.perform(starts("w1", "a"), starts("w1", "b", holder="e2"))
+            holders = [body["holder"] for body in worker.bodies("/v1/start")]
+            self.assertEqual(sorted(holders), ["e1", "e2"])
 
 
 class FailureTests(unittest.TestCase):
-    def test_starts_that_cannot_have_arrived_are_told_apart(self) -> None:
-        async def use() -> None:
-            async with StandIn() as worker:
-                worker.answers["POST", "/v1/start"] = "lost"
-                world = World({"w1": worker.address, "w2": "127.0.0.1:1"})
-                events = await world.perform(
-                    starts("w1", "a"), starts("w2", "b"), starts("w3", "c")
-                )
-                expected = {
-                    StartsFailed("w1", ("a",), True),
-                    StartsFailed("w2", ("b",), False),
-                    StartsFailed("w3", ("c",), False),
-                }
-                self.assertEqual(set(events), expected)
-
-        run(use)
-
-    def test_every_effect_is_answered_while_all_is_down(self) -> None:
-        async def use() -> None:
-            world = World({"w1": "127.0.0.1:1"})
+    @kernel_test
+    async def test_starts_that_cannot_have_arrived_are_told_apart(self) -> None:
+        async with StandIn() as worker:
+            worker.answers["POST", "/v1/start"] = "lost"
+            world = World({"w1": worker.address, "w2": "127.0.0.1:1"})
             events = await world.perform(
-                ReadRow("a"), WriteRow("b", {}, 1), ListTasks("w1")
+                starts("w1", "a"), starts("w2", "b"), starts("w3", "c")
             )
-            self.assertIn(RowReadFailed("a"), events)
-            self.assertIn(RowWriteReplied("b", WriteStatus.UNKNOWN), events)
-            self.assertIn(WorkerFailed, [type(event) for event in events])
-
-        run(use)
+            expected = {
+                StartsFailed("w1", ("a",), True),
+                StartsFailed("w2", ("b",), False),
+                StartsFailed("w3", ("c",), False),
+            }
+            self.assertEqual(set(events), expected)
+
+    @kernel_test
+    async def test_every_effect_is_answered_while_all_is_down(self) -> None:
+        world = World({"w1": "127.0.0.1:1"})
+        events = await world.perform(
+            ReadRow("a"), WriteRow("b", {}, 1), ListTasks("w1")
+        )
+        self.assertIn(RowReadFailed("a"), events)
+        self.assertIn(RowWriteReplied("b", WriteStatus.UNKNOWN), events)
+        self.assertIn(WorkerFailed, [type(event) for event in events])
 
 
 class IsolationTests(unittest.TestCase):
-    def test_a_worker_that_hangs_holds_up_no_other(self) -> None:
+    @kernel_test
+    async def test_a_worker_that_hangs_holds_up_no_other(self) -> None:
         async def hang(request):
             await curio.sleep(0.5)
             return REPORT
 
-        async def use() -> None:
-            async with StandIn() as slow, StandIn() as quick:
-                slow.answers["GET", "/v1/tasks"] = lambda request: hang(request)
-                quick.answers["GET", "/v1/tasks"] = REPORT
-                world = World({"w1": slow.address, "w2": quick.address})
-                many = [ListTasks("w1") for _ in range(20)]
-                await world.performer.submit([*many, ListTasks("w2")])
-                async with curio.timeout_after(0.4):
-                    while not world.events:
-                        await curio.sleep(0.005)
-                event = world.events[0]
-                assert isinstance(event, TasksListed)
-                self.assertEqual(event.worker, "w2")
-                # The number in flight to the slow worker is bounded.
-                self.assertLessEqual(len(slow.requests), 4)
-
-        run(use)
+        async with StandIn() as slow, StandIn() as quick:
+            slow.answers["GET", "/v1/tasks"] = lambda request: hang(request)
+            quick.answers["GET", "/v1/tasks"] = REPORT
+            world = World({"w1": slow.address, "w2": quick.address})
+            many = [ListTasks("w1") for _ in range(20)]
+            await world.performer.submit([*many, ListTasks("w2")])
+            async with curio.timeout_after(0.4):
+                while not world.events:
+                    await curio.sleep(0.005)
+            event = world.events[0]
+            assert isinstance(event, TasksListed)
+            self.assertEqual(event.worker, "w2")
+            # The number in flight to the slow worker is bounded.
+            self.assertLessEqual(len(slow.requests), 4)
 
 
 if __name__ == "__main__":
--- a/tests/node/test_peers.py
+++ b/tests/node/test_peers.py
@@ -24,7 +24,7 @@
     encode_outcome,
 )
 
-from .fakes import BODY, KEY, EntryHostUnderTest, StandIn, make_client, run
+from .fakes import BODY, KEY, EntryHostUnderTest, StandIn, kernel_test, make_client, run
 
 ROW = ("GET", "/v1/rows/leader/rijeka")
 SUBMIT = ("POST", "/v1/peer/submit")
@@ -39,7 +39,8 @@
 
 
 class BatchSenderTests(unittest.TestCase):
-    def test_items_that_come_during_a_post_go_with_the_next(self) -> None:
+    @kernel_test
+    async def test_items_that_come_during_a_post_go_with_the_next(self) -> None:
         batches: list[list[Any]] = []
 
         async def post(values: list[Any]) -> Any:
@@ -47,150 +48,133 @@
             await curio.sleep(0.05)
             return len(values)
 
-        async def use() -> None:
-            sender = BatchSender(post)
-            async with curio.TaskGroup() as tasks:
-                await tasks.spawn(sender.send, Parcel(1, 1))
-                await curio.sleep(0.01)
-                for value in (2, 3):
-                    await tasks.spawn(sender.send, Parcel(value, 1))
-            self.assertEqual(batches, [[1], [2, 3]])
-            self.assertTrue(sender.idle)
-
-        run(use)
+        sender = BatchSender(post)
+        async with curio.TaskGroup() as tasks:
+            await tasks.spawn(sender.send, Parcel(1, 1))
+            await curio.sleep(0.01)
+            for value in (2, 3):
+                await tasks.spawn(sender.send, Parcel(value, 1))
+        self.assertEqual(batches, [[1], [2, 3]])
+        self.assertTrue(sender.idle)
 
-    def test_an_item_given_up_before_its_post_is_not_sent(self) -> None:
+    @kernel_test
+    async def test_an_item_given_up_before_its_post_is_not_sent(self) -> None:
         batches: list[list[Any]] = []
 
         async def post(values: list[Any]) -> Any:
             batches.append(values)
             await curio.sleep(0.05)
 
-        async def use() -> None:
-            sender = BatchSender(post)
-            first = await curio.spawn(sender.send, Parcel(1, 1))
-            await curio.sleep(0.01)
-            parcel = Parcel(2, 1)
-            with self.assertRaises(curio.TaskTimeout):
-                await curio.timeout_after(0.01, sender.send, parcel)
-            await first.join()
-            await curio.sleep(0.02)
-            self.assertFalse(parcel.taken)
-            self.assertEqual(batches, [[1]])
-
-        run(use)
-
-    def test_each_item_of_a_failed_post_gets_the_error(self) -> None:
+        sender = BatchSender(post)
+        first = await curio.spawn(sender.send, Parcel(1, 1))
+        await curio.sleep(0.01)
+        parcel = Parcel(2, 1)
+        with self.assertRaises(curio.TaskTimeout):
+            await curio.timeout_after(0.01, sender.send, parcel)
+        await first.join()
+        await curio.sleep(0.02)
+        self.assertFalse(parcel.taken)
+        self.assertEqual(batches, [[1]])
+
+    @kernel_test
+    async def test_each_item_of_a_failed_post_gets_the_error(self) -> None:
         async def post(_values: list[Any]) -> Any:
             raise PeerReplyError("lost")
 
-        async def use() -> None:
-            sender = BatchSender(post)
-            for _ in range(2):
-                with self.assertRaises(PeerReplyError):
-                    await sender.send(Parcel(1, 1))
-
-        run(use)
+        sender = BatchSender(post)
+        for _ in range(2):
+            with self.assertRaises(PeerReplyError):
+                await sender.send(Parcel(1, 1))
 
 
 class CallTableTests(unittest.TestCase):
-    def test_a_late_outcome_of_another_request_is_not_taken(self) -> None:
-        async def use() -> None:
-            calls = CallTable()
-            call = calls.open(KEY)
-            other = Outcome(KEY._replace(id="r2"), OutcomeKind.DONE)
-            self.assertFalse(await calls.end(call.number, other))
-            self.assertIsNone(call.outcome)
-            self.assertTrue(await calls.end(call.number, Outcome(KEY, "done")))  # type: ignore[arg-type]
-
-        run(use)
+    @kernel_test
+    async def test_a_late_outcome_of_another_request_is_not_taken(self) -> None:
+        calls = CallTable()
+        call = calls.open(KEY)
+        other = Outcome(KEY._replace(id="r2"), OutcomeKind.DONE)
+        self.assertFalse(await calls.end(call.number, other))
+        self.assertIsNone(call.outcome)
+        self.assertTrue(await calls.end(call.number, Outcome(KEY, "done")))  # type: ignore[arg-type]
 
     def test_numbers_of_a_restarted_daemon_do_not_meet_the_old_ones(self) -> None:
         self.assertNotEqual(CallTable().open(KEY).number, CallTable().open(KEY).number)
 
 
 class ForwardingTests(unittest.TestCase):
-    def test_a_request_reaches_the_leader_of_its_zone_and_the_answer_returns(
+    @kernel_test
+    async def test_a_request_reaches_the_leader_of_its_zone_and_the_answer_returns(
         self,
     ) -> None:
-        async def use() -> None:
-            async with (
-                StandIn() as platform,
-                EntryHostUnderTest(platform, host="r1", zone="rijeka") as leader,
-                EntryHostUnderTest(platform) as origin,
-            ):
-                platform.answers[ROW] = leader.leader_row()
-                status, reply = await origin.submit(**REMOTE)
-                self.assertEqual(status, 200)
-                self.assertEqual(reply["answer"]["text"], "answer of t/rijeka/r1")
-                self.assertEqual(origin.core.of_type(RequestSubmitted), [])
-
-        run(use)
-
-    def test_a_cancellation_and_a_question_take_the_same_way(self) -> None:
-        async def use() -> None:
-            async with (
-                StandIn() as platform,
-                EntryHostUnderTest(platform, host="r1", zone="rijeka") as leader,
-                EntryHostUnderTest(platform) as origin,
-            ):
-                platform.answers[ROW] = leader.leader_row()
-                path = "/v1/requests/t/rijeka/r1"
-                self.assertEqual((await origin.call("GET", path))[0], 404)
-                leader.core.states[REMOTE_KEY] = {"state": "waiting", "outcome": None}
-                state = await origin.call("GET", path)
-                self.assertEqual(state, (200, {"state": "waiting", "outcome": None}))
-                _, reply = await origin.call("DELETE", path)
-                self.assertEqual(reply["code"], "cancelled")
-
-        run(use)
-
-    def test_one_redirect_is_followed_and_a_second_is_not(self) -> None:
-        async def use() -> None:
-            async with (
-                StandIn() as platform,
-                EntryHostUnderTest(platform, host="r1", zone="rijeka") as leader,
-                EntryHostUnderTest(
-                    platform, host="r2", zone="rijeka", leads=False
-                ) as follower,
-                EntryHostUnderTest(platform) as origin,
-                StandIn() as liar,
-            ):
-                platform.answers[ROW] = follower.leader_row()
-                beacon = {
-                    "availability_zone": "rijeka",
-                    "epoch": 2,
-                    "host": "r1",
-                    "address": leader.address,
-                }
-                await follower.call("POST", "/v1/peer/beacon", beacon)
-                self.assertEqual((await origin.submit(**REMOTE))[0], 200)
-
-                beacon.update(epoch=3, host="r3", address=liar.address)
-                named = {**beacon, "epoch": 4, "host": "r4", "address": leader.address}
-                liar.answers[SUBMIT] = {"redirect": named}
-                await follower.call("POST", "/v1/peer/beacon", beacon)
-                beacon.update(epoch=3, host="r2", address=follower.address)
-                await origin.call("POST", "/v1/peer/beacon", beacon)
-                status, reply = await origin.submit(**REMOTE, id="r9")
-                self.assertEqual((status, reply["outcome"]), (503, "not_run"))
-                self.assertEqual(len(leader.core.of_type(RequestSubmitted)), 1)
-
-        run(use)
-
-    def test_a_leader_that_cannot_be_reached_ran_nothing(self) -> None:
-        async def use() -> None:
-            async with StandIn() as platform, EntryHostUnderTest(platform) as origin:
-                status, reply = await origin.submit(**REMOTE)
-                self.assertEqual((status, reply["code"]), (503, "no_leader"))
-                platform.answers[ROW] = row_of("127.0.0.1:1")
-                await curio.sleep(1.01)
-                status, reply = await origin.submit(**REMOTE)
-                self.assertEqual((status, reply["code"]), (503, "unreachable"))
-                self.assertEqual(reply["outcome"], "not_run")
-                self.assertGreater(reply["retry_after_ms"], 0)
-
-        run(use)
+        async with (
+            StandIn() as platform,
+            EntryHostUnderTest(platform, host="r1", zone="rijeka") as leader,
+            EntryHostUnderTest(platform) as origin,
+        ):
+            platform.answers[ROW] = leader.leader_row()
+            status, reply = await origin.submit(**REMOTE)
+            self.assertEqual(status, 200)
+            self.assertEqual(reply["answer"]["text"], "answer of t/rijeka/r1")
+            self.assertEqual(origin.core.of_type(RequestSubmitted), [])
+
+    @kernel_test
+    async def test_a_cancellation_and_a_question_take_the_same_way(self) -> None:
+        async with (
+            StandIn() as platform,
+            EntryHostUnderTest(platform, host="r1", zone="rijeka") as leader,
+            EntryHostUnderTest(platform) as origin,
+        ):
+            platform.answers[ROW] = leader.leader_row()
+            path = "/v1/requests/t/rijeka/r1"
+            self.assertEqual((await origin.call("GET", path))[0], 404)
+            leader.core.states[REMOTE_KEY] = {"state": "waiting", "outcome": None}
+            state = await origin.call("GET", path)
+            self.assertEqual(state, (200, {"state": "waiting", "outcome": None}))
+            _, reply = await origin.call("DELETE", path)
+            self.assertEqual(reply["code"], "cancelled")
+
+    @kernel_test
+    async def test_one_redirect_is_followed_and_a_second_is_not(self) -> None:
+        async with (
+            StandIn() as platform,
+            EntryHostUnderTest(platform, host="r1", zone="rijeka") as leader,
+            EntryHostUnderTest(
+                platform, host="r2", zone="rijeka", leads=False
+            ) as follower,
+            EntryHostUnderTest(platform) as origin,
+            StandIn() as liar,
+        ):
+            platform.answers[ROW] = follower.leader_row()
+            beacon = {
+                "availability_zone": "rijeka",
+                "epoch": 2,
+                "host": "r1",
+                "address": leader.address,
+            }
+            await follower.call("POST", "/v1/peer/beacon", beacon)
+            self.assertEqual((await origin.submit(**REMOTE))[0], 200)
+
+            beacon.update(epoch=3, host="r3", address=liar.address)
+            named = {**beacon, "epoch": 4, "host": "r4", "address": leader.address}
+            liar.answers[SUBMIT] = {"redirect": named}
+            await follower.call("POST", "/v1/peer/beacon", beacon)
+            beacon.update(epoch=3, host="r2", address=follower.address)
+            await origin.call("POST", "/v1/peer/beacon", beacon)
+            status, reply = await origin.submit(**REMOTE, id="r9")
+            self.assertEqual((status, reply["outcome"]), (503, "not_run"))
+            self.assertEqual(len(leader.core.of_type(RequestSubmitted)), 1)
+
+    @kernel_test
+    async def test_a_leader_that_cannot_be_reached_ran_nothing(self) -> None:
+        async with StandIn() as platform, EntryHostUnderTest(platform) as origin:
+            status, reply = await origin.submit(**REMOTE)
+            self.assertEqual((status, reply["code"]), (503, "no_leader"))
+            platform.answers[ROW] = row_of("127.0.0.1:1")
+            await curio.sleep(1.01)
+            status, reply = await origin.submit(**REMOTE)
+            self.assertEqual((status, reply["code"]), (503, "unreachable"))
+            self.assertEqual(reply["outcome"], "not_run")
+            self.assertGreater(reply["retry_after_ms"], 0)
 
 
 class NextLeaderTests(unittest.TestCase):
@@ -318,73 +302,65 @@
 
 
 class DeliveryTests(unittest.TestCase):
-    def test_an_outcome_that_nobody_waits_for_is_told_to_the_core(self) -> None:
-        async def use() -> None:
-            async with (
-                StandIn() as platform,
-                EntryHostUnderTest(platform, host="r1", zone="rijeka") as leader,
-                EntryHostUnderTest(platform) as origin,
-            ):
-                body = {
-                    "availability_zone": "rijeka",
-                    "requests": [{"call": 5, "request": {**BODY, **REMOTE}}],
-                    "origin": {"host": "e1", "address": origin.address},
-                    "hops": 1,
-                }
-                await leader.call("POST", "/v1/peer/submit", body)
-                while not leader.core.of_type(OutcomeRefusedByOrigin):
-                    await curio.sleep(0.01)
-                refused = leader.core.of_type(OutcomeRefusedByOrigin)
-                self.assertEqual(refused[0].origin, Origin("e1", 5))
-
-        run(use)
+    @kernel_test
+    async def test_an_outcome_that_nobody_waits_for_is_told_to_the_core(self) -> None:
+        async with (
+            StandIn() as platform,
+            EntryHostUnderTest(platform, host="r1", zone="rijeka") as leader,
+            EntryHostUnderTest(platform) as origin,
+        ):
+            body = {
+                "availability_zone": "rijeka",
+                "requests": [{"call": 5, "request": {**BODY, **REMOTE}}],
+                "origin": {"host": "e1", "address": origin.address},
+                "hops": 1,
+            }
+            await leader.call("POST", "/v1/peer/submit", body)
+            while not leader.core.of_type(OutcomeRefusedByOrigin):
+                await curio.sleep(0.01)
+            refused = leader.core.of_type(OutcomeRefusedByOrigin)
+            self.assertEqual(refused[0].origin, Origin("e1", 5))
 
 
 class BeaconTests(unittest.TestCase):
-    def test_peers_learn_the_leader_without_the_table(self) -> None:
-        async def use() -> None:
-            async with StandIn() as platform, StandIn() as peer:
-                hosts = [
-                    {"name": name, "availability_zone": zone, "state": "live"}
-                    for name, zone in (
-                        ("e1", "zadar"),
-                        ("e2", "zadar"),
-                        ("r1", "rijeka"),
-                    )
-                ]
-                platform.answers["GET", "/v1/hosts"] = {
-                    "workers": [],
-                    "entry_hosts": [
-                        {**host, "address": peer.address} for host in hosts
-                    ],
-                }
-                peer.answers["POST", "/v1/peer/beacon"] = {}
-                async with EntryHostUnderTest(platform) as leader:
-                    while not peer.requests:
-                        await curio.sleep(0.02)
-                    beacon = peer.bodies("/v1/peer/beacon")[0]
-                    self.assertEqual(beacon["address"], leader.address)
-                    self.assertEqual((beacon["epoch"], beacon["serving"]), (1, True))
-
-        run(use)
+    @kernel_test
+    async def test_peers_learn_the_leader_without_the_table(self) -> None:
+        async with StandIn() as platform, StandIn() as peer:
+            hosts = [
+                {"name": name, "availability_zone": zone, "state": "live"}
+                for name, zone in (
+                    ("e1", "zadar"),
+                    ("e2", "zadar"),
+                    ("r1", "rijeka"),
+                )
+            ]
+            platform.answers["GET", "/v1/hosts"] = {
+                "workers": [],
+                "entry_hosts": [{**host, "address": peer.address} for host in hosts],
+            }
+            peer.answers["POST", "/v1/peer/beacon"] = {}
+            async with EntryHostUnderTest(platform) as leader:
+                while not peer.requests:
+                    await curio.sleep(0.02)
+                beacon = peer.bodies("/v1/peer/beacon")[0]
+                self.assertEqual(beacon["address"], leader.address)
+                self.assertEqual((beacon["epoch"], beacon["serving"]), (1, True))
 
 
 class BusyPeerTests(unittest.TestCase):
     @mock.patch("marigoldpath_node.peers._batches.MAX_WAITING", 2)
-    def test_a_peer_that_takes_nothing_does_not_collect_memory(self) -> None:
+    @kernel_test
+    async def test_a_peer_that_takes_nothing_does_not_collect_memory(self) -> None:
         async def post(_values: list[Any]) -> Any:
             await curio.sleep(10)
 
-        async def use() -> None:
-            sender = BatchSender(post)
-            # One is in flight and two wait for it.
-            for _ in range(3):
-                await curio.spawn(sender.send, Parcel(1, 1), daemon=True)
-                await curio.sleep(0.01)
-            with self.assertRaises(PeerBusyError):
-                await sender.send(Parcel(1, 1))
-
-        run(use)
+        sender = BatchSender(post)
+        # One is in flight and two wait for it.
+        for _ in range(3):
+            await curio.spawn(sender.send, Parcel(1, 1), daemon=True)
+            await curio.sleep(0.01)
+        with self.assertRaises(PeerBusyError):
+            await sender.send(Parcel(1, 1))
 
 
 if __name__ == "__main__":
--- a/tests/node/test_platform.py
+++ b/tests/node/test_platform.py
@@ -10,7 +10,7 @@
     create_platform_client,
 )
 
-from .fakes import StandIn, make_client, make_settings, run
+from .fakes import StandIn, kernel_test, make_client, make_settings
 
 ROW = ("PUT", "/v1/rows/leader/zadar")
 
@@ -22,64 +22,57 @@
 
 
 class RowTests(unittest.TestCase):
-    def test_a_missing_row_is_not_an_error(self) -> None:
-        async def use() -> None:
-            async with StandIn() as platform:
-                client = client_of(platform.address)
-                self.assertIsNone(await client.read_row("leader/zadar"))
-                platform.answers["GET", "/v1/rows/leader/zadar"] = {
-                    "key": "leader/zadar",
-                    "value": {"epoch": 1},
-                    "version": 7,
-                }
-                row = await client.read_row("leader/zadar")
-                self.assertEqual(row, Row("leader/zadar", {"epoch": 1}, 7))
-                self.assertEqual(platform.requests[0].headers["x-host"], "e1")
-
-        run(use)
-
-    def test_each_end_of_a_write_is_told_apart(self) -> None:
+    @kernel_test
+    async def test_a_missing_row_is_not_an_error(self) -> None:
+        async with StandIn() as platform:
+            client = client_of(platform.address)
+            self.assertIsNone(await client.read_row("leader/zadar"))
+            platform.answers["GET", "/v1/rows/leader/zadar"] = {
+                "key": "leader/zadar",
+                "value": {"epoch": 1},
+                "version": 7,
+            }
+            row = await client.read_row("leader/zadar")
+            self.assertEqual(row, Row("leader/zadar", {"epoch": 1}, 7))
+            self.assertEqual(platform.requests[0].headers["x-host"], "e1")
+
+    @kernel_test
+    async def test_each_end_of_a_write_is_told_apart(self) -> None:
         cases = {
             WriteStatus.WRITTEN: {"version": 8},
             WriteStatus.CONFLICT: json_response(412, {}),
             WriteStatus.UNKNOWN: "lost",
         }
 
-        async def use() -> None:
-            async with StandIn() as platform:
-                client = client_of(platform.address)
-                for status, answer in cases.items():
-                    platform.answers[ROW] = answer
-                    reply = await client.write_row("leader/zadar", {}, 7)
-                    self.assertEqual(reply.status, status)
-                self.assertEqual(platform.requests[0].headers["if-match"], "7")
-
-        run(use)
-
-    def test_a_write_whose_reply_is_malformed_is_unknown(self) -> None:
-        async def use() -> None:
-            async with StandIn() as platform:
-                platform.answers[ROW] = HttpResponse(200, b"[")
-                reply = await client_of(platform.address).create_row("leader/zadar", {})
-                self.assertEqual(reply.status, WriteStatus.UNKNOWN)
-                self.assertEqual(platform.requests[0].headers["if-none-match"], "*")
-
-        run(use)
-
-    def test_an_outage_is_an_error_of_this_layer(self) -> None:
-        async def use() -> None:
-            with self.assertRaises(PlatformUnreachableError):
-                await client_of("127.0.0.1:1").read_row("leader/zadar")
-            async with StandIn() as platform:
-                platform.answers["GET", "/v1/rows"] = json_response(503, {})
-                with self.assertRaises(PlatformReplyError):
-                    await client_of(platform.address).read_rows("journal/")
-
-        run(use)
+        async with StandIn() as platform:
+            client = client_of(platform.address)
+            for status, answer in cases.items():
+                platform.answers[ROW] = answer
+                reply = await client.write_row("leader/zadar", {}, 7)
+                self.assertEqual(reply.status, status)
+            self.assertEqual(platform.requests[0].headers["if-match"], "7")
+
+    @kernel_test
+    async def test_a_write_whose_reply_is_malformed_is_unknown(self) -> None:
+        async with StandIn() as platform:
+            platform.answers[ROW] = HttpResponse(200, b"[")
+            reply = await client_of(platform.address).create_row("leader/zadar", {})
+            self.assertEqual(reply.status, WriteStatus.UNKNOWN)
+            self.assertEqual(platform.requests[0].headers["if-none-match"], "*")
+
+    @kernel_test
+    async def test_an_outage_is_an_error_of_this_layer(self) -> None:
+        with self.assertRaises(PlatformUnreachableError):
+            await client_of("127.0.0.1:1").read_row("leader/zadar")
+        async with StandIn() as platform:
+            platform.answers["GET", "/v1/rows"] = json_response(503, {})
+            with self.assertRaises(PlatformReplyError):
+                await client_of(platform.address).read_rows("journal/")
 
 
 class HostListTests(unittest.TestCase):
-    def test_an_unchanged_list_is_not_sent_again(self) -> None:
+    @kernel_test
+    async def test_an_unchanged_list_is_not_sent_again(self) -> None:
         listed = {
             "workers": [
                 {
@@ -99,15 +92,12 @@
                 return HttpResponse(304)
             return json_response(200, listed, {"etag": '"1"'})
 
-        async def use() -> None:
-            async with StandIn() as platform:
-                platform.answers["GET", "/v1/hosts"] = answer
-                client = client_of(platform.address)
-                first = await client.hosts()
-                self.assertEqual(first.workers[0].state, HostState.LEAVING)
-                self.assertIs(await client.hosts(), first)
-
-        run(use)
+        async with StandIn() as platform:
+            platform.answers["GET", "/v1/hosts"] = answer
+            client = client_of(platform.address)
+            first = await client.hosts()
+            self.assertEqual(first.workers[0].state, HostState.LEAVING)
+            self.assertIs(await client.hosts(), first)
 
 
 if __name__ == "__main__":
--- a/tests/node/test_runtime.py
+++ b/tests/node/test_runtime.py
@@ -19,7 +19,15 @@
 from marigoldpath_node.runtime import HostDirectory, Runtime
 from marigoldpath_node.workers import create_worker_client
 
-from .fakes import FakeCore, StandIn, make_client, make_settings, quiet_observer, run
+from .fakes import (
+    FakeCore,
+    StandIn,
+    kernel_test,
+    make_client,
+    make_settings,
+    quiet_observer,
+    run,
+)
 
 WHOLE = hashlib.sha256(b"abc").hexdigest()
 
@@ -70,46 +78,42 @@
 
 
 class TickTests(unittest.TestCase):
-    def test_the_core_gets_time_and_hosts_while_the_platform_is_down(self) -> None:
-        async def use() -> None:
-            async with StandIn() as platform:
-                world = World(FakeCore(make_settings()), platform)
-                await world.until(lambda: len(world.core.of_type(Tick)) > 2)
-                self.assertEqual(world.core.of_type(HostsListed), [])
-
-        run(use)
-
-    def test_an_event_brings_the_next_tick_forward(self) -> None:
-        async def use() -> None:
-            async with StandIn() as platform:
-                core = FakeCore(make_settings())
-                core.tick_ms = 10_000
-                world = World(core, platform)
-                task = await curio.spawn(world.runtime.run)
-                await curio.sleep(0.1)
-                self.assertEqual(len(core.of_type(Tick)), 1)
-                core.tick_ms = 10
-                await world.runtime.feed(EventsPolled("w", 1, "i"))
-                await curio.sleep(0.1)
-                self.assertGreater(len(core.of_type(Tick)), 2)
-                await task.cancel()
-
-        run(use)
-
-    def test_an_event_that_the_core_fails_on_does_not_end_the_loop(self) -> None:
+    @kernel_test
+    async def test_the_core_gets_time_and_hosts_while_the_platform_is_down(
+        self,
+    ) -> None:
+        async with StandIn() as platform:
+            world = World(FakeCore(make_settings()), platform)
+            await world.until(lambda: len(world.core.of_type(Tick)) > 2)
+            self.assertEqual(world.core.of_type(HostsListed), [])
+
+    @kernel_test
+    async def test_an_event_brings_the_next_tick_forward(self) -> None:
+        async with StandIn() as platform:
+            core = FakeCore(make_settings())
+            core.tick_ms = 10_000
+            world = World(core, platform)
+            task = await curio.spawn(world.runtime.run)
+            await curio.sleep(0.1)
+            self.assertEqual(len(core.of_type(Tick)), 1)
+            core.tick_ms = 10
+            await world.runtime.feed(EventsPolled("w", 1, "i"))
+            await curio.sleep(0.1)
+            self.assertGreater(len(core.of_type(Tick)), 2)
+            await task.cancel()
+
+    @kernel_test
+    async def test_an_event_that_the_core_fails_on_does_not_end_the_loop(self) -> None:
         def fail(event):
             raise RuntimeError("a fault in the core")
 
-        async def use() -> None:
-            async with StandIn() as platform:
-                core = FakeCore(make_settings())
-                core.replies[EventsPolled] = fail
-                core.replies[Tick] = lambda event: [Log("x", {"event": 1, "a": 2})]
-                world = World(core, platform)
-                await world.runtime.feed(EventsPolled("w", 1, "i"))
-                await world.until(lambda: len(core.of_type(Tick)) > 1)
-
-        run(use)
+        async with StandIn() as platform:
+            core = FakeCore(make_settings())
+            core.replies[EventsPolled] = fail
+            core.replies[Tick] = lambda event: [Log("x", {"event": 1, "a": 2})]
+            world = World(core, platform)
+            await world.runtime.feed(EventsPolled("w", 1, "i"))
+            await world.until(lambda: len(core.of_type(Tick)) > 1)
 
 
 class PollTests(unittest.TestCase):
@@ -164,22 +168,20 @@
         _, polls = self.poll(replies, lambda core: len(core.of_type(TaskEnded)) > 1)
         self.assertEqual(polls[:3], ["0", "7", "0"])
 
-    def test_a_host_that_does_not_lead_asks_no_worker(self) -> None:
-        async def use() -> None:
-            async with StandIn() as platform, StandIn() as worker:
-                platform.answers["GET", "/v1/hosts"] = hosts_of(worker)
-                worker.answers["GET", "/v1/events"] = events_reply()
-                worker.answers["GET", "/v1/usage"] = {
-                    "usages": [{"task": "a", "size": {"slots": 1}}]
-                }
-                core = FakeCore(make_settings(), leads=False)
-                world = World(core, platform)
-                await world.until(lambda: len(core.of_type(Tick)) > 4)
-                self.assertEqual(worker.requests, [])
-                core.workers_to_poll = frozenset({"w1"})
-                await world.until(lambda: core.of_type(UsageReported))
-
-        run(use)
+    @kernel_test
+    async def test_a_host_that_does_not_lead_asks_no_worker(self) -> None:
+        async with StandIn() as platform, StandIn() as worker:
+            platform.answers["GET", "/v1/hosts"] = hosts_of(worker)
+            worker.answers["GET", "/v1/events"] = events_reply()
+            worker.answers["GET", "/v1/usage"] = {
+                "usages": [{"task": "a", "size": {"slots": 1}}]
+            }
+            core = FakeCore(make_settings(), leads=False)
+            world = World(core, platform)
+            await world.until(lambda: len(core.of_type(Tick)) > 4)
+            self.assertEqual(worker.requests, [])
+            core.workers_to_poll = frozenset({"w1"})
+            await world.until(lambda: core.of_type(UsageReported))
 
 
 class HostDirectoryTests(unittest.TestCase):
