--- a/packages/core/src/marigoldpath_core/journal/_journal.py
+++ b/packages/core/src/marigoldpath_core/journal/_journal.py
@@ -123,7 +123,10 @@
 
     @property
     def unconfirmed(self) -> Unconfirmed:
-        """Return what became of the entries not confirmed when writing ended."""
+        """Return what became of entries that had no confirmation.
+
+        It is about the last time that writing ended: lost, closed or opened again.
+        """
         return self._unconfirmed
 
     @property
@@ -176,7 +179,7 @@
     def withdraw(self, ticket: int) -> bool:
         """Take back an entry; False when its row may be written already."""
         for pending in self._pending:
-            if pending.ticket == ticket:
+            if pending.ticket == ticket != _NO_TICKET:
                 self._pending.remove(pending)
                 return True
         return False
@@ -302,10 +305,11 @@
         return [Log("journal_lost", {"epoch": self._epoch, "higher_epoch": epoch})]
 
     def _stop(self, phase: _Phase) -> None:
+        if self._writing:
+            self._unconfirmed = Unconfirmed(
+                tuple(_tickets(self._pending)), tuple(_tickets(self._in_flight))
+            )
         self._phase = phase
-        self._unconfirmed = Unconfirmed(
-            tuple(_tickets(self._pending)), tuple(_tickets(self._in_flight))
-        )
         self._named = None
         self._pending.clear()
         self._in_flight = []
