--- a/packages/core/src/marigoldpath_core/report/__init__.py
+++ b/packages/core/src/marigoldpath_core/report/__init__.py
@@ -1,6 +1,7 @@
 """The day's report as data, for planners."""
 
 from . import _sections  # noqa: F401
+from ._book import DayBook
 from ._codec import DayPayload, decode_day, encode_day
 from ._counters import DayCounters
 from ._day import (
@@ -18,6 +19,7 @@
     wait_at,
     wait_class,
 )
+from ._flood_watch import FloodWatch, time_of_day
 from ._merge import merge_days
 from ._report import (
     REPORT_SECTIONS,
@@ -37,11 +39,13 @@
     "REPORT_SECTIONS",
     "WAIT_BOUNDS_MS",
     "WAIT_CLASSES",
+    "DayBook",
     "DayCounters",
     "DayPayload",
     "DayRecord",
     "Flood",
     "FloodShare",
+    "FloodWatch",
     "HostRemoval",
     "KindDay",
     "Refusal",
@@ -59,6 +63,7 @@
     "make_report",
     "merge_days",
     "report_section",
+    "time_of_day",
     "wait_at",
     "wait_class",
 ]
--- a/packages/core/src/marigoldpath_core/report/_counters.py
+++ b/packages/core/src/marigoldpath_core/report/_counters.py
@@ -59,6 +59,11 @@
         self._hours[kind][hour] += 1
         self._count_team(team, done=1, cpu_ms=cpu_ms)
 
+    def held(self, kind: str, team: str, cpu_ms: int) -> None:
+        """Count processor time that tasks held; `cpu_ms` is cores times run time."""
+        self._kinds[kind]["cpu_ms"] += cpu_ms
+        self._count_team(team, cpu_ms=cpu_ms)
+
     def cancelled(self, kind: str) -> None:
         """Count a request that its caller cancelled."""
         self._kinds[kind]["cancelled"] += 1
--- a/packages/core/src/marigoldpath_core/report/_words.py
+++ b/packages/core/src/marigoldpath_core/report/_words.py
@@ -10,6 +10,7 @@
     "capacity": "no worker had room",
     "quota": "the team had reached its quota",
     "ceiling": "the kind had reached its ceiling",
+    "floor": "the free room was kept for other kinds",
     "priority": "more urgent work went first",
     "gang": "not all tasks of the job fitted at once",
     "leader_change": "another entry host took over the zone",
@@ -83,6 +84,12 @@
 def _too_large(refusal: Refusal) -> str:
     if not refusal.needed:
         return ""
+    if refusal.field == "tasks":
+        return (
+            f"The zone holds {counted(refusal.limit, 'task')} of this size at once. "
+            f"Ask for at most as many instead of {refusal.needed:,}, or for smaller "
+            f"tasks."
+        )
     return (
         f"No worker is that large. Ask for at most "
         f"{amount(refusal.field, refusal.limit)} a task instead of "
@@ -119,6 +126,11 @@
     )
 
 
+@advises("id_conflict")
+def _id_conflict(refusal: Refusal) -> str:
+    return "Give each piece of work an id of its own: these ids were used before."
+
+
 @advises("unknown_kind")
 def _unknown_kind(refusal: Refusal) -> str:
     return f"Add a kind row for {refusal.kind} to the sheet, or correct the name."
--- a/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
@@ -14,6 +14,7 @@
 from marigoldpath_core.requests import OutcomeKind, Request, task_id
 
 from ._codes import Code
+from ._day import note_first_start
 from ._outcomes import end_request
 from ._zone import Ticket, TicketPurpose, Zone
 
@@ -102,6 +103,8 @@
     if any(limit is None for limit in limits.values()):
         requeue(zone, state, now_ms, "the claim on a worker was lost before the start")
         return
+    if state.attempt % ATTEMPTS_PER_TERM == 1:
+        note_first_start(zone, state, now_ms)
     request = state.request
     work = {**request.work, "repeatable": request.repeatable}
     lease_ms = zone.settings.leadership.task_lease_ms
--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -23,7 +23,7 @@
     request, origin = event.request, event.origin
     state = zone.ledger.get(request.key)
     if not zone.is_serving(now_ms) or (zone.is_draining and state is None):
-        refuse(zone, _not_serving(zone, request, now_ms), origin)
+        refuse(zone, request, _not_serving(zone, request, now_ms), origin)
         return
     if state is None:
         _submit_new(zone, event, now_ms)
@@ -32,7 +32,8 @@
         _submit_again(zone, state, request, origin)
     elif _content(state.request) != _content(request):
         message = f"id {request.key.id!r} was used for a request of other content"
-        refuse(zone, _refusal(request, Code.ID_CONFLICT, message, "id"), origin)
+        refusal = _refusal(request, Code.ID_CONFLICT, message, "id")
+        refuse(zone, request, refusal, origin)
     else:
         _submit_again(zone, state, request, origin)
 
@@ -156,8 +157,9 @@
     request, origin = event.request, event.origin
     refusal = _check(zone, request, now_ms)
     if refusal is not None:
-        refuse(zone, refusal, origin)
+        refuse(zone, request, refusal, origin)
         return
+    zone.day.submitted(request.kind)
     state = RequestState(request, now_ms)
     state.traceparent = event.traceparent
     state.history.add(now_ms, "submitted", f"through {origin.host}")
--- a/packages/core/src/marigoldpath_core/scheduler/_outcomes.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_outcomes.py
@@ -3,9 +3,10 @@
 from marigoldpath_core.journal import Finished
 from marigoldpath_core.ledger import RequestPhase, RequestState
 from marigoldpath_core.messages import SendOutcome
-from marigoldpath_core.requests import Answer, Origin, Outcome, OutcomeKind
+from marigoldpath_core.requests import Answer, Origin, Outcome, OutcomeKind, Request
 
 from ._codes import Code
+from ._day import note_ended, note_turned_away
 from ._zone import Zone
 
 RETRY_SOON_MS = 500
@@ -46,6 +47,7 @@
     )
     state.history.add(now_ms, str(kind), code or message)
     zone.count(f"outcome.{kind}")
+    note_ended(zone, state, now_ms)
     if state.is_recorded:
         zone.journal.append(Finished(state.request.key, kind, answer, now_ms), now_ms)
     for origin in state.origins:
@@ -59,7 +61,10 @@
         zone.ledger.ended(state, now_ms)
 
 
-def refuse(zone: Zone, outcome: Outcome, origin: Origin | None) -> None:
+def refuse(
+    zone: Zone, request: Request, outcome: Outcome, origin: Origin | None
+) -> None:
     """Refuse a submission that left no trace in the ledger."""
     zone.count(f"refused.{outcome.code}")
+    note_turned_away(zone, request, outcome)
     reply(zone, origin, outcome)
--- a/packages/core/src/marigoldpath_core/scheduler/_recovery.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_recovery.py
@@ -61,6 +61,7 @@
     watch.is_held = True
     watch.held_clock_ms = change.report.clock_ms
     reconcile(zone, change.worker, change.report, now_ms)
+    zone.day.host_back(change.worker, "unreachable", now_ms)
     make_placeable(zone, change.worker, watch)
 
 
@@ -68,6 +69,7 @@
 def on_worker_lost(zone: Zone, change: WorkerLost, now_ms: int) -> None:
     """Place nothing more on a worker; its tasks count until their leases are over."""
     zone.watch(change.worker).is_held = False
+    zone.day.host_out(change.worker, "unreachable", now_ms)
     if change.worker in zone.workers:
         zone.workers.set_placeable(change.worker, False)
     zone.log("worker_lost", "warning", worker=change.worker, reason=change.reason)
--- a/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
@@ -14,11 +14,13 @@
     Tick,
 )
 from marigoldpath_core.registry import Registry
+from marigoldpath_core.report import DayRecord
 from marigoldpath_core.requests import OutcomeKind, RequestKey
 from marigoldpath_core.settings import DaemonSettings
 
 from . import _intake, _leases, _recovery, _tasks
 from ._codes import Code
+from ._day import day_record, note_tick
 from ._dispatch import dispatch, requeue, restore_delayed, send_starts
 from ._outcomes import end_request
 from ._zone import TicketPurpose, Zone, ZonePhase, change_handlers, handlers
@@ -138,6 +140,10 @@
             "configuration": zone.configuration.version,
         }
 
+    def day_record(self, now_ms: int) -> DayRecord:
+        """Return what this leader counted today, for the report."""
+        return day_record(self._zone, now_ms)
+
     def _apply(self, step: Step, now_ms: int) -> None:
         zone = self._zone
         for change in step.changes:
@@ -180,6 +186,8 @@
                 zone.workers.add(host)
                 if host.state is HostState.LEAVING:
                     self._move_from(name, now_ms)
+                else:
+                    zone.day.host_back(name, "leaving", now_ms)
         zone.hosts = own
         zone.entry_hosts = event.entry_hosts
         zone.queue.set_capacity(zone.workers.capacity)
@@ -188,6 +196,7 @@
         """Move long-running tasks off a leaving worker; the others finish there."""
         zone = self._zone
         zone.log("worker_leaving", worker=worker)
+        zone.day.host_out(worker, "leaving", now_ms)
         for state, task in zone.ledger.tasks_on(worker):
             kind = zone.kinds.get(state.request.kind)
             moves = kind is not None and (kind.standing or kind.checkpoint)
@@ -221,6 +230,7 @@
             )
         zone.queue.set_capacity(zone.workers.capacity)
         zone.has_work = True
+        note_tick(zone, now_ms)
         _intake.refuse_unrecorded(zone, now_ms)
         restore_delayed(zone, now_ms)
         if zone.journal.needs_snapshot:
--- a/packages/core/src/marigoldpath_core/scheduler/_tasks.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_tasks.py
@@ -23,6 +23,7 @@
 )
 
 from ._codes import Code
+from ._day import note_task_ended
 from ._dispatch import STEADY_RUN_MS, free, is_standing, requeue, requeue_later
 from ._outcomes import end_request
 from ._zone import Zone, handlers
@@ -74,6 +75,7 @@
     task.phase = TaskPhase.ENDED
     state.has_run = True
     task.status, task.answer = event.status, event.answer
+    note_task_ended(zone, state, task, now_ms)
     zone.health.ended(
         task.worker,
         state.request.key,
@@ -146,6 +148,7 @@
     task.phase = TaskPhase.ENDED
     state.has_run = True
     task.status = TaskStatus.LAPSED
+    note_task_ended(zone, state, task, now_ms)
     zone.workers.release(task.worker, task.task)
     state.history.add(now_ms, "lost", reason)
     zone.log("task_lost", "warning", task=task.task, worker=task.worker, reason=reason)
--- a/packages/core/src/marigoldpath_core/scheduler/_zone.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_zone.py
@@ -20,6 +20,7 @@
 )
 from marigoldpath_core.placement import Workers
 from marigoldpath_core.registry import Registry
+from marigoldpath_core.report import DayBook
 from marigoldpath_core.requests import RequestKey
 from marigoldpath_core.settings import DaemonSettings
 
@@ -108,6 +109,7 @@
         self._starts: dict[str, list[Start]] = {}
         self.kinds: dict[str, WorkKind] = {}
         self.counts: dict[str, int] = {}
+        self.day = DayBook(settings.availability_zone)
         self.clear()
 
     def clear(self) -> None:
@@ -133,6 +135,7 @@
         self.parked: list[RequestState] = []
         self.delayed: list[tuple[int, RequestKey]] = []
         self.has_work = False
+        self.blocked: dict[tuple[str, str], tuple[str, int]] = {}
         self._starts.clear()
         self.configure(self.configuration)
         for host in self.hosts.values():
--- a/tests/core/test_report.py
+++ b/tests/core/test_report.py
@@ -3,15 +3,18 @@
 import json
 import unittest
 
+from marigoldpath_bench.world import Callers, Faults, World, WorldSettings
 from marigoldpath_core.configuration import Configuration, WorkKind
 from marigoldpath_core.report import (
     REPORT_SECTIONS,
     WAIT_BOUNDS_MS,
     WAIT_CLASSES,
+    DayBook,
     DayCounters,
     DayRecord,
     Flood,
     FloodShare,
+    FloodWatch,
     HostRemoval,
     KindDay,
     Refusal,
@@ -25,6 +28,7 @@
     wait_at,
     wait_class,
 )
+from marigoldpath_core.requests import Size
 
 
 def waits(**by_ms: int) -> tuple[int, ...]:
@@ -125,6 +129,106 @@
         self.assertEqual(record.kinds[0].refused, 3_000)
 
 
+class DayBookTests(unittest.TestCase):
+    def test_a_new_day_begins_at_nought_and_keeps_the_last_one(self) -> None:
+        book = DayBook("zadar")
+        noon = 86_400_000 * 3 // 2
+        book.advance(noon)
+        book.submitted("plan")
+        book.host_out("w1", "failing", noon)
+        self.assertFalse(book.is_over(noon + 1_000))
+        tomorrow = noon + 86_400_000
+        self.assertTrue(book.is_over(tomorrow))
+        book.begin_day(tomorrow, book.record({}, {}, tomorrow))
+        record = book.record({}, {}, tomorrow)
+        assert book.last is not None
+        self.assertEqual((book.last.day, record.day), ("1970-01-02", "1970-01-03"))
+        self.assertEqual((book.last.kinds[0].submitted, record.kinds), (1, ()))
+        self.assertEqual([host.host for host in record.hosts], ["w1"])
+
+    def test_a_long_running_task_is_charged_once_for_each_part_of_its_run(self) -> None:
+        """Charging the whole run at each report doubled the core hours."""
+        book = DayBook("zadar")
+        for now_ms in (3_000, 5_000, 9_000):
+            book.charge("watch#1.0", "watch", "loft", 2_000, (1_000, now_ms))
+        record = book.record({}, {}, 9_000)
+        self.assertEqual(record.kinds[0].cpu_seconds, 16)
+        self.assertEqual(record.teams[0].cpu_seconds, 16)
+
+
+class FloodWatchTests(unittest.TestCase):
+    def test_a_flood_is_told_with_what_other_kinds_kept(self) -> None:
+        watch = FloodWatch()
+        ended = []
+        for second in range(121):
+            flooding = 60 <= second < 100
+            for _ in range(50 if flooding else 2):
+                watch.asked("plan")
+            for kind, count in (("plan", 2), ("check", 1 if flooding else 4)):
+                for _ in range(count):
+                    watch.started(kind)
+                    watch.done(kind)
+            ended.extend(watch.advance(second * 1_000))
+        (flood,) = ended
+        self.assertEqual(flood[:3], ("plan", "00:01", 1))
+        kept = {share.kind: share[1:] for share in flood.shares}
+        self.assertAlmostEqual(kept["check"][0], 240, delta=10)
+        self.assertAlmostEqual(kept["check"][1], 60, delta=20)
+
+    def test_a_busy_kind_that_gets_what_it_asks_for_is_no_flood(self) -> None:
+        watch = FloodWatch()
+        for second in range(60):
+            for _ in range(500):
+                watch.asked("check")
+                watch.started("check")
+            self.assertEqual(watch.advance(second * 1_000), [])
+        self.assertEqual(watch.in_progress(60_000), [])
+
+
+class SchedulerDayTests(unittest.TestCase):
+    """What the zone's leader counts, on the message-driven world."""
+
+    def setUp(self) -> None:
+        self.world = World(WorldSettings(workers=1), Faults(1))
+        self.callers = Callers(self.world)
+        assert self.world.run_until(lambda: bool(self.world.serving), 15_000)
+
+    def record(self) -> DayRecord:
+        (leader,) = self.world.serving
+        return self.world.scheduler(leader).day_record(self.world.now_ms)
+
+    def test_every_request_is_in_exactly_one_column(self) -> None:
+        """A request that was counted twice or not at all made the sums disagree."""
+        self.callers.submit("done", work={"run_ms": 100})
+        self.callers.submit("large", size=Size(1, 300_000, 0, 1, 1))
+        self.callers.submit("cancelled", work={"run_ms": 60_000})
+        self.callers.submit("running", work={"run_ms": 60_000})
+        self.callers.run(500)
+        self.callers.cancel("cancelled")
+        self.callers.run(1_000)
+        (kind,) = [k for k in self.record().kinds if k.kind == "alignment_check"]
+        self.assertEqual(kind[1:8], (4, 1, 1, 0, 1, 0, 1))
+        self.assertEqual(kind.cpu_seconds, 2)
+        (refusal,) = self.record().refusals
+        self.assertEqual(refusal[3:7], ("memory_mb", 1, 300_000, 256_000))
+
+    def test_a_wait_has_its_cause_and_a_request_that_starts_at_once_none(self) -> None:
+        whole = Size(64_000, 1_000, 0, 1, 1)
+        self.callers.submit("first", size=whole, work={"run_ms": 3_000})
+        self.callers.run(200)
+        self.callers.submit("second", size=whole, work={"run_ms": 100})
+        self.callers.run(5_000)
+        (cause,) = self.record().wait_causes
+        self.assertEqual(cause[:3], ("alignment_check", "capacity", 1))
+        self.assertAlmostEqual(cause.total_ms, 2_900, delta=300)
+
+    def test_a_worker_that_leaves_is_named(self) -> None:
+        self.world.leaving.add("w1")
+        self.callers.run(2_000)
+        (host,) = self.record().hosts
+        self.assertEqual((host.host, host.cause, host.back_at), ("w1", "leaving", ""))
+
+
 class DayRecordTests(unittest.TestCase):
     def test_the_json_form_keeps_everything(self) -> None:
         payload = json.loads(json.dumps(encode_day(sample_day())))
