Keep accepted requests that ended without a run

Change: such a request keeps its outcome for the retention of recorded ones; a cancellation keeps its code over a change of leader.

--- a/packages/core/src/marigoldpath_core/ledger/_ledger.py
+++ b/packages/core/src/marigoldpath_core/ledger/_ledger.py
@@ -11,8 +11,8 @@
 class Ledger:
     """Finds requests and tasks, and forgets ended requests after a while.
 
-    A request that is not repeatable is remembered longer, because its caller may
-    come back with the same identity and must not have it run again.
+    A recorded request is remembered longer: its caller may come back much later for
+    the answer, and one that is not repeatable must not run again.
     """
 
     def __init__(self, retention_ms: int, record_retention_ms: int) -> None:
@@ -74,7 +74,7 @@
         """Note the end of a request and begin its retention."""
         state.phase = RequestPhase.ENDED
         state.ended_at_ms = now_ms
-        queue = self._ended if state.request.repeatable else self._ended_recorded
+        queue = self._ended_recorded if state.is_recorded else self._ended
         queue.append((now_ms, state.request.key))
 
     def expire(self, now_ms: int) -> None:
--- a/packages/core/src/marigoldpath_core/ledger/_state.py
+++ b/packages/core/src/marigoldpath_core/ledger/_state.py
@@ -74,7 +74,8 @@
     """One request, its attempt in progress and its outcome.
 
     `is_adopted` marks a request that is known only from a worker's list, so that
-    its content has yet to be learned from its caller or the journal. `has_run` tells
+    its content has yet to be learned from its caller or the journal. `is_accepted`
+    tells that a caller was told that it waits. `has_run` tells
     that some attempt was started, so that its caller must not be told "not run".
     """
 
@@ -85,6 +86,7 @@
         "failures",
         "has_run",
         "history",
+        "is_accepted",
         "is_adopted",
         "is_cancelled",
         "is_recorded",
@@ -111,6 +113,7 @@
         self.failures = 0
         self.has_run = False
         self.is_recorded = False
+        self.is_accepted = False
         self.is_adopted = False
         self.is_cancelled = False
         self.cancel_reason = ""
--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -25,6 +25,9 @@
     if not zone.is_serving(now_ms) or (zone.is_draining and state is None):
         refuse(zone, _not_serving(zone, request, now_ms), origin)
         return
+    if state is not None and _may_be_tried_again(state):
+        zone.ledger.forget(request.key)
+        state = None
     if state is None:
         _submit_new(zone, event, now_ms)
     elif state.is_adopted:
@@ -173,6 +176,16 @@
     enqueue(zone, state, now_ms)
 
 
+def _may_be_tried_again(state: RequestState) -> bool:
+    """Return whether a request ended without a run and was not cancelled."""
+    outcome = state.outcome
+    return (
+        outcome is not None
+        and outcome.kind is OutcomeKind.NOT_RUN
+        and outcome.code != Code.CANCELLED
+    )
+
+
 def _learn_request(
     zone: Zone, state: RequestState, request: Request, now_ms: int
 ) -> None:
--- a/packages/core/src/marigoldpath_core/scheduler/_outcomes.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_outcomes.py
@@ -52,7 +52,8 @@
         zone.effects.append(SendOutcome(origin, state.outcome, state.traceparent))
     state.origins.clear()
     zone.unresolved.pop(state.request.key, None)
-    if kind is OutcomeKind.NOT_RUN and code != Code.CANCELLED:
+    is_refusal = kind is OutcomeKind.NOT_RUN and code != Code.CANCELLED
+    if is_refusal and not state.is_accepted:
         state.phase = RequestPhase.ENDED
         zone.ledger.forget(state.request.key)
     else:
--- a/packages/core/src/marigoldpath_core/scheduler/_recovery.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_recovery.py
@@ -125,6 +125,7 @@
     else:
         state.request = state.request._replace(repeatable=False)
     state.is_recorded = True
+    state.is_accepted = is_accepted_to_wait(zone, state.request)
     state.history.add(now_ms, "recovered", "from the journal")
     if recovered.outcome is not None:
         _load_finished(zone, state, recovered, now_ms)
@@ -137,11 +138,11 @@
 def _load_finished(
     zone: Zone, state: RequestState, recovered: RecoveredRequest, now_ms: int
 ) -> None:
-    if recovered.outcome is OutcomeKind.NOT_RUN:
-        zone.ledger.forget(recovered.key)
-        return
     state.outcome = Outcome(
-        recovered.key, recovered.outcome or OutcomeKind.UNKNOWN, answer=recovered.answer
+        recovered.key,
+        recovered.outcome or OutcomeKind.UNKNOWN,
+        code=Code.CANCELLED if recovered.cancelled else "",
+        answer=recovered.answer,
     )
     zone.ledger.ended(state, now_ms)
 
@@ -193,6 +194,7 @@
     """Tell the callers of a request that it is accepted to wait."""
     if not is_accepted_to_wait(zone, state.request):
         return
+    state.is_accepted = True
     accepted = Outcome(state.request.key, OutcomeKind.ACCEPTED)
     zone.effects.extend(SendOutcome(origin, accepted) for origin in state.origins)
     state.origins.clear()
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -90,6 +90,25 @@
         runs = served.world.verdict().intervals["counter/zadar/plan"]
         self.assertEqual([run.status for run in runs], ["done"])
 
+    def test_an_accepted_request_whose_deadline_passed_is_not_forgotten(self) -> None:
+        """A caller that asked for its plan later was told that it is unknown."""
+        served = ServedWorld(workers=1)
+        served.callers.submit("first", size=Size(64_000), work={"run_ms": 3_000})
+        served.callers.submit(
+            "plan",
+            kind="cord_path_plan",
+            wait=False,
+            deadline_ms=500,
+            size=Size(64_000),
+        )
+        served.callers.run(2_000)
+        key = served.callers.call("plan").request.key
+        state = served.world.scheduler(served.world.serving[0]).request_state(key)
+        assert state is not None
+        self.assertEqual(
+            (state["outcome"], state["code"]), ("not_run", "deadline_passed")
+        )
+
 
 class CancelTests(unittest.TestCase):
     def test_a_running_task_is_stopped_and_does_not_come_back(self) -> None:
