Try the largest of a team's oldest requests first

Change: of the requests that a search tries, the largest come first; the oldest goes first after 32 others overtook it.

--- a/packages/core/src/marigoldpath_core/admission/_lane.py
+++ b/packages/core/src/marigoldpath_core/admission/_lane.py
@@ -15,10 +15,13 @@
 # of 16 requests the packing was 0.7% worse.
 TEAMS_TRIED = 8
 REQUESTS_TRIED = 16
+# So many requests of the same team may overtake its oldest. Largest first packs the
+# mixed trace 1% better than first-in-first-out.
+MOST_OVERTAKEN = 32
 
 
 class Lane:
-    """Waiting requests of a kind: teams take turns, each first-in-first-out.
+    """Waiting requests of a kind: teams take turns, each by age and size.
 
     `virtual_time` is the number of started tasks over the kind's weight.
     """
@@ -30,6 +33,7 @@
         self._length = 0
         self._teams: dict[str, OrderedDict[RequestKey, QueuedRequest]] = {}
         self._team_times: dict[str, float] = {}
+        self._overtaken: dict[str, int] = {}
 
     def __len__(self) -> int:
         return self._length
@@ -48,10 +52,14 @@
         waiting[queued.key] = queued
         self._length += 1
 
-    def discard(self, queued: QueuedRequest) -> None:
+    def discard(self, queued: QueuedRequest, started: bool) -> None:
         """Remove a request in constant time."""
         team = queued.key.team
         waiting = self._teams[team]
+        if next(iter(waiting)) == queued.key:
+            self._overtaken.pop(team, None)
+        elif started:
+            self._overtaken[team] = self._overtaken.get(team, 0) + 1
         del waiting[queued.key]
         self._length -= 1
         if not waiting:
@@ -65,10 +73,25 @@
         self._team_times[team] = self._team_time(team) + tasks / max(team_weight, 1)
 
     def heads(self) -> Iterator[QueuedRequest]:
-        """Yield the requests to try next, first those of the team whose turn it is."""
+        """Yield the requests to try next, first those of the team whose turn it is.
+
+        Of a team's oldest requests the largest come first, because small ones fit
+        nearly always. The oldest goes first once enough others have overtaken it.
+        """
         teams = sorted(self._teams, key=lambda team: (self._team_time(team), team))
         for team in teams[:TEAMS_TRIED]:
-            yield from list(islice(self._teams[team].values(), REQUESTS_TRIED))
+            tried = list(islice(self._teams[team].values(), REQUESTS_TRIED))
+            if len(tried) > 1:
+                first = tried[0]
+                tried.sort(key=_volume, reverse=True)
+                if self._overtaken.get(team, 0) >= MOST_OVERTAKEN:
+                    tried.remove(first)
+                    tried.insert(0, first)
+            yield from tried
 
     def _team_time(self, team: str) -> float:
         return self._team_times.get(team, 0.0)
+
+
+def _volume(queued: QueuedRequest) -> float:
+    return queued.volume
--- a/packages/core/src/marigoldpath_core/admission/_model.py
+++ b/packages/core/src/marigoldpath_core/admission/_model.py
@@ -6,13 +6,17 @@
 
 
 class QueuedRequest(NamedTuple):
-    """A waiting request; `sequence` is the order of arrival over all kinds."""
+    """A waiting request; `sequence` is the order of arrival over all kinds.
+
+    `volume` is the sum of the parts of the zone's processors and memory it needs.
+    """
 
     request: Request
     origin: Origin | None
     since_ms: int
     expires_ms: int
     sequence: int
+    volume: float = 0.0
 
     @property
     def key(self) -> RequestKey:
--- a/packages/core/src/marigoldpath_core/admission/_queue.py
+++ b/packages/core/src/marigoldpath_core/admission/_queue.py
@@ -93,7 +93,10 @@
         lane = self._lanes[request.kind]
         self._sequence += 1
         expires_ms = now_ms + request.deadline_ms
-        queued = QueuedRequest(request, origin, now_ms, expires_ms, self._sequence)
+        volume = self._shares.volume(request)
+        queued = QueuedRequest(
+            request, origin, now_ms, expires_ms, self._sequence, volume
+        )
         if not len(lane):
             active = [other.virtual_time for other in self.waiting_lanes()]
             lane.virtual_time = max(lane.virtual_time, min(active, default=0.0))
@@ -261,7 +264,7 @@
         del self._queued[key]
         self._passed_over.pop(key, None)
         lane = self._lanes[queued.request.kind]
-        lane.discard(queued)
+        lane.discard(queued, started)
         if now_ms is None:
             now_ms = queued.since_ms
         lane.drain.shrank(now_ms, len(lane), now_ms - queued.since_ms, started)
--- a/packages/core/src/marigoldpath_core/admission/_shares.py
+++ b/packages/core/src/marigoldpath_core/admission/_shares.py
@@ -68,6 +68,12 @@
         if self._observed % SHAPE_INTERVAL == 0:
             self._refresh()
 
+    def volume(self, request: Request) -> float:
+        """Return the sum of the parts of processors and memory a request needs."""
+        cpu, memory = self._capacity[0] or 1, self._capacity[1] or 1
+        size = request.size
+        return request.tasks * (size[0] / cpu + size[1] / memory)
+
     def team_weight(self, team: str) -> int:
         """Return the weight of a team's turns."""
         quota = self._quotas.get(team)
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -224,6 +224,17 @@
         queue.remove(starving.key)
         self.assertIsNone(queue.starving(10_001))
 
+    def test_larger_requests_overtake_the_oldest_only_so_often(self) -> None:
+        """Guards against a small request that waits behind ever new large ones."""
+        queue = queue_of(WorkKind("plan", queue_limit=1_000))
+        queue.set_capacity(Size(10**9, 10**9, 0, 10**6, 10**6))
+        queue.offer(request("small"), None, 0)
+        for number in range(200):
+            queue.offer(request(f"l{number}", size=Size(2_000, 2_000)), None, 0)
+        names = drain(queue, 100)
+        self.assertEqual(names[0], "l0")
+        self.assertEqual(names.index("small"), 32)
+
     def test_a_reservation_ends_after_its_hold(self) -> None:
         """Guards against workers kept empty behind tasks that never end."""
         queue = queue_of(WorkKind("plan"))
