Correct the turns of kinds and the search for starving requests

Cause: found on review: adopted tasks used up the turns of their kind, a kind that was idle while nothing waited had saved up turns, a starving request was skipped when a smaller one had found no room, and a kind that was removed answered queue_full. Change: turns are charged when a request is taken, idle kinds begin at the virtual time of the last start, a starving request is tried first.

--- a/packages/core/src/marigoldpath_core/admission/_queue.py
+++ b/packages/core/src/marigoldpath_core/admission/_queue.py
@@ -2,7 +2,7 @@
 
 import heapq
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from itertools import islice
 
 from result import Err, Ok, Result
@@ -39,10 +39,14 @@
         self._settings = settings
         self._policy = queue_policies.get(settings.queue_policy)
         self._lanes: dict[str, Lane] = {}
+        self._configured: frozenset[str] = frozenset()
         self._queued: OrderedDict[RequestKey, QueuedRequest] = OrderedDict()
         self._deadlines: list[tuple[int, int, RequestKey]] = []
         self._shares = Shares()
         self._sequence = 0
+        # The virtual time of the last start: a kind that was idle begins there and has
+        # saved up no turns.
+        self._virtual_time = 0.0
         self._passed_over: OrderedDict[RequestKey, int] = OrderedDict()
         self._starving: tuple[QueuedRequest, int] | None = None
 
@@ -55,7 +59,7 @@
     @property
     def kinds(self) -> tuple[WorkKind, ...]:
         """Return the kinds of work that are configured."""
-        return tuple(lane.kind for lane in self._lanes.values())
+        return tuple(self._lanes[name].kind for name in sorted(self._configured))
 
     def length(self, kind: str) -> int:
         """Return the number of waiting requests of a kind."""
@@ -66,15 +70,14 @@
         """Apply a configuration; requests of kinds that are gone stay queued."""
         kinds = {kind.name: kind for kind in configuration.kinds}
         for name, lane in list(self._lanes.items()):
-            if name not in kinds:
-                lane.kind = lane.kind._replace(queue_limit=0)
-                if not len(lane):
-                    del self._lanes[name]
+            if name not in kinds and not len(lane):
+                del self._lanes[name]
         for name, kind in kinds.items():
             if name in self._lanes:
                 self._lanes[name].kind = kind
             else:
                 self._lanes[name] = Lane(kind)
+        self._configured = frozenset(kinds)
         self._shares.configure(configuration)
 
     def set_capacity(self, capacity: Size) -> None:
@@ -98,8 +101,7 @@
             request, origin, now_ms, expires_ms, self._sequence, volume
         )
         if not len(lane):
-            active = [other.virtual_time for other in self.waiting_lanes()]
-            lane.virtual_time = max(lane.virtual_time, min(active, default=0.0))
+            lane.virtual_time = max(lane.virtual_time, self._virtual_time)
         lane.put(queued)
         lane.drain.grew(now_ms)
         self._queued[request.key] = queued
@@ -116,18 +118,16 @@
         waits can start now.
         """
         failed: list[tuple[Size, int]] = []
-        for queued in self._policy(self):
+        for queued in self._candidates():
             request = queued.request
-            if any(
-                tasks <= request.tasks and size.fits(request.size)
-                for size, tasks in failed
-            ):
-                self._passed_over.setdefault(request.key, now_ms)
-                continue
+            if not self._is_starving(queued):
+                if _found_no_room(request, failed):
+                    self._passed_over.setdefault(request.key, now_ms)
+                    continue
+                failed.append((request.size, request.tasks))
             if can_place(queued):
-                self._drop(queued, now_ms, started=True)
+                self._take(queued, now_ms)
                 return queued
-            failed.append((request.size, request.tasks))
             self._passed_over.setdefault(request.key, now_ms)
         return None
 
@@ -156,12 +156,7 @@
 
         `size` is what one of its tasks holds if that differs from the declared size.
         """
-        if not self._shares.charge(request, size or request.size):
-            return
-        lane = self._lanes.get(request.kind)
-        if lane is not None:
-            weight = self._shares.team_weight(request.key.team)
-            lane.charge(request.key.team, request.tasks, weight)
+        self._shares.charge(request, size or request.size)
 
     def ended(self, key: RequestKey) -> None:
         """Give back what a started request held."""
@@ -227,10 +222,31 @@
         """Return what the started requests of a team hold."""
         return self._shares.held_by_team(team)
 
+    def _candidates(self) -> Iterator[QueuedRequest]:
+        starving = None
+        if self._starving is not None:
+            starving = self._queued.get(self._starving[0].key)
+        if starving is not None and self._shares.allows(starving.request):
+            yield starving
+        for queued in self._policy(self):
+            if queued is not starving:
+                yield queued
+
+    def _is_starving(self, queued: QueuedRequest) -> bool:
+        return self._starving is not None and queued.key == self._starving[0].key
+
+    def _take(self, queued: QueuedRequest, now_ms: int) -> None:
+        self._drop(queued, now_ms, started=True)
+        request = queued.request
+        lane = self._lanes[request.kind]
+        self._virtual_time = max(self._virtual_time, lane.virtual_time)
+        weight = self._shares.team_weight(request.key.team)
+        lane.charge(request.key.team, request.tasks, weight)
+
     def _refusal(self, request: Request) -> Refusal | None:
         lane = self._lanes.get(request.kind)
-        if lane is None:
-            known = ", ".join(sorted(self._lanes)) or "none"
+        if lane is None or request.kind not in self._configured:
+            known = ", ".join(sorted(self._configured)) or "none"
             message = f"kind {request.kind!r} is not configured; known: {known}"
             return Refusal("unknown_kind", message, "kind")
         over = self._shares.over_quota_alone(request)
@@ -277,3 +293,9 @@
             for key, queued in self._queued.items()
         ]
         heapq.heapify(self._deadlines)
+
+
+def _found_no_room(request: Request, failed: list[tuple[Size, int]]) -> bool:
+    return any(
+        tasks <= request.tasks and size.fits(request.size) for size, tasks in failed
+    )
--- a/packages/core/src/marigoldpath_core/admission/_shares.py
+++ b/packages/core/src/marigoldpath_core/admission/_shares.py
@@ -88,8 +88,10 @@
 
     def is_below_floor(self, kind: str) -> bool:
         """Return whether a kind holds less than its floor."""
-        reserve = self._reserves.get(kind)
-        return reserve is not None and any(reserve)
+        floor = self._floors.get(kind, NOTHING)
+        reserve = self._reserves.get(kind, NOTHING)
+        lacks = [left > 0 for all_, left in zip(floor, reserve) if all_]
+        return bool(lacks) and all(lacks)
 
     def within_quota(self, request: Request) -> bool:
         """Return whether a request fits in what its team's quota leaves."""
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -46,6 +46,13 @@
         self.assertIn("known: plan", refusal.message)
         self.assertEqual(refusal.retry_after_ms, 0)
 
+    def test_a_kind_that_is_gone_refuses_but_keeps_what_waits(self) -> None:
+        queue = queue_of(WorkKind("plan"))
+        queue.offer(request("a"), None, 0).unwrap()
+        queue.configure(Configuration(2))
+        self.assertEqual(self.refusal(queue, "b").code, "unknown_kind")
+        self.assertEqual(drain(queue, 2), ["a"])
+
     def test_a_full_queue_refuses_its_kind_alone(self) -> None:
         queue = queue_of(WorkKind("plan", queue_limit=1), WorkKind("watch"))
         queue.offer(request("a"), None, 0).unwrap()
@@ -137,13 +144,25 @@
         self.assertTrue(all(name.startswith("u") for name in names[:20]))
         self.assertGreater(sum(name.startswith("p") for name in names), 50)
 
+    def test_adopted_work_uses_up_no_turns(self) -> None:
+        """Guards against a kind that gets no starts after a change of leader."""
+        queue = queue_of(WorkKind("plan"), WorkKind("watch"))
+        for number in range(500):
+            queue.started(request(f"adopted{number}"))
+        for number in range(100):
+            queue.offer(request(f"p{number}"), None, 0)
+            queue.offer(request(f"w{number}", "watch"), None, 0)
+        names = drain(queue, 100)
+        self.assertGreater(sum(name.startswith("p") for name in names), 20)
+
     def test_a_kind_that_was_idle_has_saved_up_no_turns(self) -> None:
         queue = queue_of(WorkKind("plan"), WorkKind("watch"))
         for number in range(300):
             queue.offer(request(f"p{number}"), None, 0)
-        drain(queue, 200)
+        drain(queue, 300)
         for number in range(100):
             queue.offer(request(f"w{number}", "watch"), None, 0)
+            queue.offer(request(f"p{number}"), None, 0)
         names = drain(queue, 100)
         self.assertGreater(sum(name.startswith("p") for name in names), 20)
 
@@ -224,6 +243,18 @@
         queue.remove(starving.key)
         self.assertIsNone(queue.starving(10_001))
 
+    def test_a_starving_request_is_tried_although_smaller_ones_have_no_room(
+        self,
+    ) -> None:
+        """Guards against reserved workers that their request never gets."""
+        queue = queue_of(WorkKind("plan"))
+        queue.offer(request("large", size=Size(9_000, 9_000, 0, 1, 1)), None, 0)
+        queue.offer(request("small"), None, 0)
+        queue.next(0, lambda queued: False)
+        self.assertIsNotNone(queue.starving(10_000))
+        queued = queue.next(10_000, lambda queued: queued.key.id == "large")
+        self.assertIsNotNone(queued)
+
     def test_larger_requests_overtake_the_oldest_only_so_often(self) -> None:
         """Guards against a small request that waits behind ever new large ones."""
         queue = queue_of(WorkKind("plan", queue_limit=1_000))
