--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -100,7 +100,7 @@
     if zone.can_record(now_ms):
         for parked in zone.parked:
             if parked.phase is RequestPhase.WAITING:
-                zone.queue.restore(parked.request, now_ms)
+                zone.queue.restore(parked.request, now_ms, parked.submitted_at_ms)
         zone.parked.clear()
         return
     for number, ticket in list(zone.tickets.items()):
--- a/packages/core/src/marigoldpath_core/scheduler/_recovery.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_recovery.py
@@ -169,7 +169,7 @@
     elif state.is_adopted:
         zone.ledger.forget(state.request.key)
     else:
-        zone.queue.restore(state.request, now_ms)
+        zone.queue.restore(state.request, now_ms, state.submitted_at_ms)
         state.phase = RequestPhase.WAITING
 
 
