--- a/packages/core/src/marigoldpath_core/admission/_shares.py
+++ b/packages/core/src/marigoldpath_core/admission/_shares.py
@@ -68,6 +68,12 @@
         if self._observed % SHAPE_INTERVAL == 0:
             self._refresh()
 
+    def volume(self, request: Request) -> float:
+        """Return the sum of the parts of processors and memory a request needs."""
+        cpu, memory = self._capacity[0] or 1, self._capacity[1] or 1
+        size = request.size
+        return request.tasks * (size[0] / cpu + size[1] / memory)
+
     def team_weight(self, team: str) -> int:
         """Return the weight of a team's turns."""
         quota = self._quotas.get(team)
@@ -82,8 +88,10 @@
 
     def is_below_floor(self, kind: str) -> bool:
         """Return whether a kind holds less than its floor."""
-        reserve = self._reserves.get(kind)
-        return reserve is not None and any(reserve)
+        floor = self._floors.get(kind, NOTHING)
+        reserve = self._reserves.get(kind, NOTHING)
+        lacks = [left > 0 for all_, left in zip(floor, reserve) if all_]
+        return bool(lacks) and all(lacks)
 
     def within_quota(self, request: Request) -> bool:
         """Return whether a request fits in what its team's quota leaves."""
--- a/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
@@ -148,7 +148,7 @@
     if state.is_adopted:
         zone.ledger.forget(state.request.key)
         return
-    zone.queue.restore(state.request, now_ms)
+    zone.queue.restore(state.request, now_ms, state.submitted_at_ms)
     state.phase = RequestPhase.WAITING
 
 
@@ -175,7 +175,7 @@
         _, key = heapq.heappop(zone.delayed)
         state = zone.ledger.get(key)
         if state is not None and state.phase is RequestPhase.WAITING:
-            zone.queue.restore(state.request, now_ms)
+            zone.queue.restore(state.request, now_ms, state.submitted_at_ms)
             zone.has_work = True
 
 
--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -25,6 +25,9 @@
     if not zone.is_serving(now_ms) or (zone.is_draining and state is None):
         refuse(zone, request, _not_serving(zone, request, now_ms), origin)
         return
+    if state is not None and _may_be_tried_again(state):
+        zone.ledger.forget(request.key)
+        state = None
     if state is None:
         _submit_new(zone, event, now_ms)
     elif state.is_adopted:
@@ -98,7 +101,7 @@
     if zone.can_record(now_ms):
         for parked in zone.parked:
             if parked.phase is RequestPhase.WAITING:
-                zone.queue.restore(parked.request, now_ms)
+                zone.queue.restore(parked.request, now_ms, parked.submitted_at_ms)
         zone.parked.clear()
         return
     for number, ticket in list(zone.tickets.items()):
@@ -175,6 +178,16 @@
     enqueue(zone, state, now_ms)
 
 
+def _may_be_tried_again(state: RequestState) -> bool:
+    """Return whether a request ended without a run and was not cancelled."""
+    outcome = state.outcome
+    return (
+        outcome is not None
+        and outcome.kind is OutcomeKind.NOT_RUN
+        and outcome.code != Code.CANCELLED
+    )
+
+
 def _learn_request(
     zone: Zone, state: RequestState, request: Request, now_ms: int
 ) -> None:
