--- a/packages/cli/src/marigoldpath_cli/_report.py
+++ b/packages/cli/src/marigoldpath_cli/_report.py
@@ -14,7 +14,7 @@
     merge_days,
 )
 
-from ._client import EntryClient
+from ._client import EntryClient, objects
 from ._errors import CommandError
 from ._exit_codes import ExitCode
 from ._files import write_file
@@ -32,16 +32,29 @@
         known = ", ".join(REPORT_FORMATS)
         message = f"format {form!r} must be one of {known}"
         raise CommandError(ExitCode.WRONG_USE, message)
-    payload = await client.call("GET", "/v1/report")
+    payload = await client.call("GET", "/v1/report?zones=1")
     report = make_report(*_read(payload))
     view = REPORT_FORMATS.get(form)(report)
+    missing = tuple(_missing_line(zone) for zone in objects(payload, "unreachable"))
     if not output:
-        return view
+        return _with_missing(view, missing)
     document = next((b for b in view.blocks if isinstance(b, Document)), None)
     if document is None:
         raise CommandError(ExitCode.WRONG_USE, "only html can go to a file")
     write_file(output, document.text)
-    return View({"file": output}, (Lines((f"written to {output}",)),))
+    return View({"file": output}, (Lines((f"written to {output}", *missing)),))
+
+
+def _missing_line(zone: dict[str, Any]) -> str:
+    return f"zone {zone.get('availability_zone')} is missing: {zone.get('reason')}"
+
+
+def _with_missing(view: View, missing: tuple[str, ...]) -> View:
+    """Return the view with the zones that the report leaves out."""
+    payload = {**view.payload, "missing": list(missing)}
+    if not missing or any(isinstance(b, Document) for b in view.blocks):
+        return View(payload, view.blocks)
+    return View(payload, (Lines(missing), *view.blocks))
 
 
 @report_format("text")
--- a/packages/node/src/marigoldpath_node/api/__init__.py
+++ b/packages/node/src/marigoldpath_node/api/__init__.py
@@ -1,6 +1,12 @@
 """Routes of callers, operators and peers."""
 
-from . import _configuration, _operators, _peers, _requests  # noqa: F401  (fill the registry)
+from . import (  # noqa: F401  (fill the registry)
+    _configuration,
+    _operators,
+    _peers,
+    _report,
+    _requests,
+)
 from ._api import Api
 from ._context import ApiContext
 from ._registry import Access, RouteCall, route
--- a/packages/node/src/marigoldpath_node/api/_context.py
+++ b/packages/node/src/marigoldpath_node/api/_context.py
@@ -7,7 +7,7 @@
 
 from ..configuration import ConfigurationService
 from ..observability import Observer
-from ..peers import CallTable, Forwarder, Leaders, PeerInbox
+from ..peers import CallTable, DayReports, Forwarder, Leaders, PeerInbox
 from ..runtime import Runtime
 
 
@@ -25,5 +25,6 @@
     inbox: PeerInbox
     observer: Observer
     configuration: ConfigurationService
+    reports: DayReports
     drain: Callable[[], Awaitable[None]]
     traffic: Callable[[], dict[str, int]]
--- a/packages/node/src/marigoldpath_node/daemon/_daemon.py
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -21,6 +21,7 @@
 from ..peers import (
     Beacon,
     CallTable,
+    DayReports,
     Forwarder,
     Leaders,
     OutcomeDelivery,
@@ -120,6 +121,7 @@
             ),
             observer,
             configuration,
+            DayReports(settings, runtime, leaders, links),
             self.drain,
             self._count_traffic,
         )
--- a/packages/node/src/marigoldpath_node/peers/__init__.py
+++ b/packages/node/src/marigoldpath_node/peers/__init__.py
@@ -8,12 +8,14 @@
 from ._forwarder import Forwarder
 from ._inbox import PeerInbox
 from ._leaders import Leaders
+from ._reports import DayReports, ZoneDay
 
 __all__ = [
     "BatchSender",
     "Beacon",
     "Call",
     "CallTable",
+    "DayReports",
     "Forwarder",
     "Leaders",
     "OutcomeDelivery",
@@ -22,6 +24,7 @@
     "PeerInbox",
     "PeerLinks",
     "PeerReplyError",
+    "ZoneDay",
     "decode_view",
     "encode_outcome",
     "encode_view",
--- a/packages/node/src/marigoldpath_node/runtime/_runtime.py
+++ b/packages/node/src/marigoldpath_node/runtime/_runtime.py
@@ -6,6 +6,7 @@
 
 from marigoldpath_core.configuration import Configuration
 from marigoldpath_core.messages import Event, HostsListed, Tick
+from marigoldpath_core.report import DayRecord
 from marigoldpath_core.requests import RequestKey
 from marigoldpath_core.settings import DaemonSettings
 
@@ -101,6 +102,10 @@
         """Return what the core knows of a request."""
         return self._scheduler.request_state(key)
 
+    def day_record(self) -> DayRecord:
+        """Return what this host counted today as its zone's leader."""
+        return self._scheduler.day_record(clock_ms())
+
     async def feed(self, event: Event) -> None:
         """Give the core an event and perform the effects."""
         now_ms = clock_ms()
--- a/packages/node/src/marigoldpath_node/runtime/_scheduler.py
+++ b/packages/node/src/marigoldpath_node/runtime/_scheduler.py
@@ -5,6 +5,7 @@
 from marigoldpath_core.configuration import Configuration
 from marigoldpath_core.leadership import LeaderView
 from marigoldpath_core.messages import Effect, Event
+from marigoldpath_core.report import DayRecord
 from marigoldpath_core.requests import RequestKey
 
 
@@ -42,6 +43,9 @@
     def request_state(self, key: RequestKey) -> dict[str, Any] | None:
         """Return the state of a request."""
 
+    def day_record(self, now_ms: int) -> DayRecord:
+        """Return what this leader counted today."""
+
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration into force."""
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -230,6 +230,17 @@
         for title in ("What ran", "and why", "what to change"):
             self.assertIn(title, stream.getvalue())
 
+    def test_a_zone_that_cannot_be_reached_is_named(self) -> None:
+        """A report that left a zone out silently looked like a quiet day."""
+        answer = {
+            "days": [encode_day(sample_day())],
+            "unreachable": [{"availability_zone": "rijeka", "reason": "cut off"}],
+            "configuration": encode_configuration(Configuration()),
+        }
+        host = EntryHost(GET_report=(200, answer))
+        view = run(host, lambda client: show_report(client, "text", ""))
+        self.assertEqual(view.blocks[0][0], ("zone rijeka is missing: cut off",))
+
 
 class RenderTests(unittest.TestCase):
     def test_values_cannot_steer_the_terminal(self) -> None:
--- a/tests/node/fakes.py
+++ b/tests/node/fakes.py
@@ -11,6 +11,7 @@
 from marigoldpath_core.configuration import WorkKind
 from marigoldpath_core.leadership import LeaderView
 from marigoldpath_core.messages import CancelRequested, RequestSubmitted, SendOutcome
+from marigoldpath_core.report import DayRecord
 from marigoldpath_core.requests import Answer, Outcome, OutcomeKind, RequestKey, Size
 from marigoldpath_core.settings import DaemonSettings
 from marigoldpath_node.daemon import Daemon
@@ -110,6 +111,9 @@
     def request_state(self, key: RequestKey) -> dict[str, Any] | None:
         return self.states.get(key)
 
+    def day_record(self, now_ms: int) -> DayRecord:
+        return DayRecord("2031-05-07", (self.settings.availability_zone,))
+
     def configure(self, configuration: Any) -> None:
         pass
 
