--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/golden/__init__.py
@@ -0,0 +1,7 @@
+"""Golden files of whole sessions: `python -m marigoldpath_bench.golden [--update]`."""
+
+from . import _sfax, _skala  # noqa: F401  (fill the registry)
+from ._files import GOLDEN, golden_path, run_session
+from ._session import SESSIONS, Session, session
+
+__all__ = ["GOLDEN", "SESSIONS", "Session", "golden_path", "run_session", "session"]
--- a/packages/bench/src/marigoldpath_bench/world/_callers.py
+++ b/packages/bench/src/marigoldpath_bench/world/_callers.py
@@ -12,7 +12,7 @@
     Size,
 )
 
-from ._world import ZONE, World
+from ._world import World
 
 RETRY_MS = 500
 
@@ -88,9 +88,9 @@
         return self._calls[name]
 
     def submit(self, name: str, through: str | None = None, **fields: Any) -> None:
-        """Submit a request; `work` and other fields are those of Request."""
+        """Submit a request of `team`; other fields are those of Request."""
         request = Request(
-            RequestKey("counter", ZONE, name),
+            RequestKey(fields.pop("team", "counter"), self._world.zone, name),
             fields.pop("kind", "alignment_check"),
             fields.pop("size", Size(1_000, 1_000, 0, 1, 1)),
             **fields,
--- a/packages/bench/src/marigoldpath_bench/world/_world.py
+++ b/packages/bench/src/marigoldpath_bench/world/_world.py
@@ -48,6 +48,9 @@
     workers: int = 4
     capacity: Size = CAPACITY
     kinds: tuple[WorkKind, ...] = KINDS
+    zone: str = ZONE
+    region: str = "jadran"
+    start_ms: int = START_MS
 
 
 class _Message(NamedTuple):
@@ -80,7 +83,7 @@
     def __init__(self, settings: WorldSettings, faults: Faults) -> None:
         self._settings = settings
         self.faults = faults
-        self.now_ms = START_MS
+        self.now_ms = settings.start_ms
         self.store = Store()
         self.logs: list[tuple[int, str, Log]] = []
         self.outcomes: list[tuple[str, int, Outcome]] = []
@@ -102,6 +105,11 @@
         for name in settings.hosts:
             self.add_host(name)
 
+    @property
+    def zone(self) -> str:
+        """The availability zone."""
+        return self._settings.zone
+
     @property
     def host_names(self) -> list[str]:
         """The hosts that have not been killed."""
@@ -126,9 +134,9 @@
         """Start a host, or start it anew after a kill."""
         settings = DaemonSettings(
             host=name,
-            region="jadran",
-            availability_zone=ZONE,
-            availability_zones=(ZONE,),
+            region=self._settings.region,
+            availability_zone=self.zone,
+            availability_zones=(self.zone,),
             platform_address="127.0.0.1:1",
             kinds=self._settings.kinds,
         )
@@ -315,7 +323,7 @@
         workers = tuple(
             WorkerHost(
                 name,
-                ZONE,
+                self.zone,
                 f"rack{index // 2}",
                 "",
                 self._settings.capacity,
@@ -324,5 +332,5 @@
             for index, name in enumerate(self.machines)
             if name not in self.gone
         )
-        entry_hosts = tuple(EntryHost(name, ZONE, "") for name in self.host_names)
+        entry_hosts = tuple(EntryHost(name, self.zone, "") for name in self.host_names)
         return HostsListed(workers, entry_hosts)
