--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 DAEMON_VENV ?= .venv-daemon
 DEPLOYMENT ?= skala
 SEED ?= 1
+RUNS ?= 100
 PYTHON := $(VENV)/bin/python
 SOURCES := packages tests features tools
 PACKAGES := packages/core packages/node packages/cli packages/bench
@@ -46,5 +47,8 @@
 bench: setup
 	@$(PYTHON) -m marigoldpath_bench.benchmarks --seed $(SEED)
 
+soak: setup
+	@$(PYTHON) -m marigoldpath_bench.soak --seed $(SEED) --runs $(RUNS)
+
 clean:
 	rm -rf build run
--- a/packages/bench/src/marigoldpath_bench/soak/_operations.py
+++ b/packages/bench/src/marigoldpath_bench/soak/_operations.py
@@ -12,6 +12,7 @@
 from ._checks import Findings, check_world
 
 HEAL_MS = 60_000
+PAUSES_MS = (50, 100, 500, 2_000)
 TABLE = "table"
 
 operations: Registry[str, Callable[["Search"], None]] = Registry("operation")
@@ -44,7 +45,7 @@
         """Carry out one operation and let some time pass."""
         self.steps.append(f"{self.world.now_ms} {name}")
         operations.get(name)(self)
-        self.callers.run(self.random.choice((50, 100, 500, 2_000)))
+        self.callers.run(self.random.choice(PAUSES_MS))
 
     def finish(self) -> Findings:
         """Heal everything, let all requests come to an end, and judge."""
--- /dev/null
+++ b/tests/core/test_zone_model.py
@@ -0,0 +1,60 @@
+"""A stateful search over the zone scheduler with faults of all kinds.
+
+The operations and the checks are those of `make soak`; the seeds are fixed, so that
+every run takes the same steps.
+"""
+
+import unittest
+
+from hypothesis import HealthCheck, settings, strategies
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    rule,
+    run_state_machine_as_test,
+)
+
+from marigoldpath_bench.soak import Search, operations
+
+EXAMPLES = 24
+STEPS = 120
+
+
+class ZoneMachine(RuleBasedStateMachine):
+    """Carries out operations in the order that hypothesis chooses."""
+
+    @initialize(seed=strategies.integers(0, 10_000))
+    def begin(self, seed: int) -> None:
+        self.search = Search(seed)
+
+    @rule(name=strategies.sampled_from([n for n in operations if "submit" in n]))
+    def submit(self, name: str) -> None:
+        self.search.step(name)
+
+    @rule(name=strategies.sampled_from([n for n in operations if "submit" not in n]))
+    def disturb(self, name: str) -> None:
+        self.search.step(name)
+
+    def teardown(self) -> None:
+        findings = self.search.finish()
+        assert not findings.faults, findings.faults
+
+
+class ZoneModelTests(unittest.TestCase):
+    def test_no_order_of_faults_breaks_what_must_always_hold(self) -> None:
+        """Overcommitment, double runs, wrong answers and false "not run"."""
+        run_state_machine_as_test(
+            ZoneMachine,
+            settings=settings(
+                max_examples=EXAMPLES,
+                stateful_step_count=STEPS,
+                derandomize=True,
+                deadline=None,
+                database=None,
+                suppress_health_check=list(HealthCheck),
+            ),
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
