--- a/packages/core/src/marigoldpath_core/leadership/_leadership.py
+++ b/packages/core/src/marigoldpath_core/leadership/_leadership.py
@@ -248,7 +248,8 @@
     def _add_claims(self) -> None:
         if not self._epoch:
             return
-        for worker in self._listed:
+        # The order of a set differs between processes and would show in a replay.
+        for worker in sorted(self._listed):
             if worker not in self._claims:
                 self._claims[worker] = Claim(self._settings, worker, self._epoch)
 
--- a/packages/core/src/marigoldpath_core/scheduler/_day.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_day.py
@@ -28,6 +28,9 @@
     """Count the outcome of a request."""
     outcome, request = state.outcome, state.request
     assert outcome is not None
+    if not request.kind:
+        # Known from a worker only: the leader that started it counted it.
+        return
     if outcome.code == Code.CANCELLED:
         zone.day.cancelled(request.kind)
     elif outcome.kind is OutcomeKind.NOT_RUN:
--- a/packages/core/src/marigoldpath_core/scheduler/_zone.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_zone.py
@@ -104,6 +104,7 @@
         self.entry_hosts: tuple[EntryHost, ...] = ()
         self.phase = ZonePhase.FOLLOWING
         self.is_draining = False
+        self.now_ms = 0
         self.quorum_at_ms: int | None = None
         self.effects: list[Effect] = []
         self._starts: dict[str, list[Start]] = {}
@@ -134,6 +135,8 @@
         self.quorum_at_ms = None
         self.parked: list[RequestState] = []
         self.delayed: list[tuple[int, RequestKey]] = []
+        self.reserved_for: RequestKey | None = None
+        self.preempted_at_ms: dict[RequestKey, int] = {}
         self.has_work = False
         self.blocked: dict[tuple[str, str], tuple[str, int]] = {}
         self._starts.clear()
