Mend the endless dispatch after a claim ran out

A claim that ran out between two ticks left its worker placeable: a repeatable request was placed there, could not be sent, was queued again and chosen again in the same turn, without end, so that the leader stood still. The worker is now closed to placements until its next poll.

--- a/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
@@ -130,7 +130,13 @@
         task.worker: zone.leadership.start_before(task.worker, now_ms)
         for task in state.tasks.values()
     }
-    if any(limit is None for limit in limits.values()):
+    lost = [worker for worker, limit in limits.items() if limit is None]
+    if lost:
+        for worker in lost:
+            # It would be chosen again in this turn, and so on without end. The
+            # worker's next poll makes it placeable again if its claim is held.
+            if worker in zone.workers:
+                zone.workers.set_placeable(worker, False)
         requeue(zone, state, now_ms, "the claim on a worker was lost before the start")
         return
     if state.attempt % ATTEMPTS_PER_TERM == 1:
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -2,9 +2,11 @@
 
 import unittest
 from typing import Any
+from unittest.mock import patch
 
 from marigoldpath_bench.worker import Behaviour
 from marigoldpath_bench.world import Callers, Faults, World, WorldSettings
+from marigoldpath_core.messages import Tick
 from marigoldpath_core.requests import OutcomeKind, Size
 
 
@@ -237,6 +239,24 @@
         self.assertEqual(runs["counter/zadar/modest"][0].status, "")
 
 
+class LostClaimTests(unittest.TestCase):
+    def test_a_claim_that_ran_out_before_the_tick_does_not_hold_the_leader(
+        self,
+    ) -> None:
+        """The same worker was chosen again without end, so the leader stood still."""
+        served = ServedWorld(workers=1)
+        (leader,) = served.world.serving
+        scheduler = served.world.scheduler(leader)
+        with patch.object(
+            scheduler._zone.leadership, "start_before", return_value=None
+        ):
+            served.callers.submit("stale", work={"run_ms": 10})
+            scheduler.handle(Tick(), served.world.now_ms)
+        state = scheduler.request_state(served.callers.call("stale").request.key)
+        assert state is not None
+        self.assertEqual(state["state"], "waiting")
+
+
 class RecoveryTests(unittest.TestCase):
     def test_a_recorded_start_that_was_never_sent_is_placed_anew(self) -> None:
         """An intent without a start left the request unknown for good."""
