--- /dev/null
+++ b/features/steps/matrix_steps.py
@@ -0,0 +1,177 @@
+"""Steps that strike a zone under mixed load with one fault or two."""
+
+from collections.abc import Callable
+from typing import Any
+
+from behave import then, when
+
+from marigoldpath_bench.soak import Findings, check_world
+from marigoldpath_bench.world import Callers, World
+from marigoldpath_core.registry import Registry
+from marigoldpath_core.requests import OutcomeKind, Size
+
+LOAD_STEP_MS = 100
+STRIKE_AFTER = 10
+STEPS = 60
+SETTLE_MS = 60_000
+
+strikes: Registry[str, Callable[[World, str], None]] = Registry("fault")
+ends: Registry[str, Callable[[World, str], None]] = Registry("end of a fault")
+
+
+@strikes.register("a kill")
+def kill(world: World, leader: str) -> None:
+    world.kill(leader)
+    world.add_host("replacement")
+
+
+@strikes.register("a pause past the lease")
+def pause(world: World, leader: str) -> None:
+    world.pause(leader)
+
+
+@ends.register("a pause past the lease")
+def wake(world: World, leader: str) -> None:
+    world.wake(leader)
+
+
+@strikes.register("a cut zone")
+def cut_zone(world: World, leader: str) -> None:
+    for host in world.host_names:
+        world.faults.cut.add((host, "table"))
+
+
+@strikes.register("a cut entry host")
+def cut_host(world: World, leader: str) -> None:
+    world.faults.cut.add((leader, "table"))
+
+
+@strikes.register("a platform outage")
+def outage(world: World, leader: str) -> None:
+    world.faults.table_down = True
+
+
+@ends.register("a platform outage")
+def outage_over(world: World, leader: str) -> None:
+    world.faults.table_down = False
+
+
+@strikes.register("lost answers after the write")
+def lost_answers(world: World, leader: str) -> None:
+    world.faults.table_loses_answers = True
+
+
+@ends.register("lost answers after the write")
+def answers_again(world: World, leader: str) -> None:
+    world.faults.table_loses_answers = False
+
+
+@strikes.register("restarting workers")
+def restart(world: World, leader: str) -> None:
+    for worker in list(world.machines)[::2]:
+        world.restart_worker(worker)
+
+
+@strikes.register("lost and crossed messages")
+def crossed(world: World, leader: str) -> None:
+    world.faults.lost_replies = 0.1
+    world.faults.most_delay_ms = 500
+    world.faults.doubled_events = 0.2
+
+
+@ends.register("lost and crossed messages")
+def straight(world: World, leader: str) -> None:
+    world.faults.lost_replies = world.faults.doubled_events = 0.0
+    world.faults.most_delay_ms = 8
+
+
+@strikes.register("a graceful stop")
+def drain(world: World, leader: str) -> None:
+    world.scheduler(leader).drain()
+
+
+@ends.register("a cut zone")
+@ends.register("a cut entry host")
+def join(world: World, leader: str) -> None:
+    world.faults.cut.clear()
+
+
+def submit_mixed(callers: Callers, number: int) -> None:
+    """Submit one request of each sort."""
+    size = Size((1_000, 8_000, 30_000)[number % 3], 1_000, 0, 1, 1)
+    work = {"run_ms": (20, 300, 2_500)[number % 3]}
+    callers.submit(f"check-{number}", size=size, work=work, deadline_ms=SETTLE_MS)
+    callers.submit(
+        f"order-{number}",
+        kind="cord_path_plan",
+        repeatable=False,
+        work=work,
+        deadline_ms=SETTLE_MS,
+    )
+    if number % 10 == 0:
+        callers.submit(f"plan-{number}", kind="cord_path_plan", wait=False, work=work)
+        callers.submit(
+            f"job-{number}", tasks=3, size=Size(20_000, 1_000, 0, 1, 1), work=work
+        )
+
+
+@when("mixed requests arrive and {faults} strikes")
+@when("mixed requests arrive and {faults} strike")
+def when_struck(context: Any, faults: str) -> None:
+    served = context.served
+    names = faults.split(" with ")
+    for number in range(STEPS):
+        submit_mixed(served.callers, number)
+        if number == STRIKE_AFTER:
+            for name in names:
+                strikes.get(name)(served.world, served.leader)
+        served.callers.run(LOAD_STEP_MS)
+    served.callers.run(5_000)
+    for name in names:
+        if name in ends:
+            ends.get(name)(served.world, served.leader)
+    served.callers.run(SETTLE_MS)
+
+
+def faults_of(context: Any, sort: str) -> list[str]:
+    """Return the faults of one sort; the findings are kept for later steps."""
+    findings: Findings | None = getattr(context, "findings", None)
+    if findings is None:
+        findings = check_world(context.served.world, context.served.callers)
+        context.findings = findings
+    return [fault for fault in findings.faults if fault.startswith(sort)]
+
+
+@then("no worker was overcommitted")
+def then_no_overload(context: Any) -> None:
+    assert not faults_of(context, "overcommitted"), context.findings.faults
+
+
+@then("no request ran twice at once")
+def then_no_double_run(context: Any) -> None:
+    assert not faults_of(context, "twice at once"), context.findings.faults
+
+
+@then("every answer belonged to its request")
+def then_own_answer(context: Any) -> None:
+    assert not faults_of(context, "wrong answer"), context.findings.faults
+    assert not faults_of(context, "done without"), context.findings.faults
+    assert not faults_of(context, "unanswered"), context.findings.faults
+
+
+@then('nothing that was told "not run" has run')
+def then_true_not_run(context: Any) -> None:
+    assert not faults_of(context, "false not run"), context.findings.faults
+
+
+@then("nothing that is not repeatable was started twice")
+def then_at_most_once(context: Any) -> None:
+    assert not faults_of(context, "started"), context.findings.faults
+
+
+@then("at least {percent:d}% of the requests were done")
+def then_most_done(context: Any, percent: int) -> None:
+    calls = context.served.callers.calls
+    ended = (OutcomeKind.DONE, OutcomeKind.ACCEPTED)
+    done = [call for call in calls if call.outcome in ended]
+    assert len(done) * 100 >= len(calls) * percent, f"{len(done)} of {len(calls)}"
--- a/packages/bench/src/marigoldpath_bench/world/_world.py
+++ b/packages/bench/src/marigoldpath_bench/world/_world.py
@@ -69,6 +69,7 @@
         self.leaving: list[Effect] = []
         self.unsent: list[Effect] = []
         self.wake_ms = 0
+        self.polling: set[str] = set()
         self.polled: dict[str, tuple[str, int]] = {}
 
 
@@ -280,7 +281,8 @@
             if host.is_dead or host.is_paused:
                 continue
             for worker in sorted(host.scheduler.workers_to_poll):
-                if not self.faults.is_cut(name, worker):
+                # As over a connection, the next poll waits for the last one's reply.
+                if worker not in host.polling and not self.faults.is_cut(name, worker):
                     self._poll_worker(name, host, worker)
 
     def _poll_worker(self, name: str, host: _Host, worker: str) -> None:
@@ -303,7 +305,10 @@
         )
         replies.append(UsageReported(worker, usages))
 
+        host.polling.add(worker)
+
         def arrive() -> None:
+            host.polling.discard(worker)
             for reply in replies:
                 self.deliver(name, reply)
 
--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -10,7 +10,7 @@
 from ._codes import Code
 from ._dispatch import free, restore
 from ._outcomes import RETRY_SOON_MS, end_request, refuse, reply
-from ._tasks import stop_partial
+from ._tasks import finish_if_ended, stop_partial
 from ._zone import Ticket, TicketPurpose, Zone, handlers
 
 UNRECORDED = "the request has to be recorded and the platform does not answer"
@@ -189,15 +189,11 @@
 def _learn_request(
     zone: Zone, state: RequestState, request: Request, now_ms: int
 ) -> None:
-    """Take over the content of a request that was known only from a worker.
-
-    The end of one member says nothing of the other members of an all-at-once job.
-    """
+    """Take over the content of a request that was known only from a worker."""
     state.request = request
     state.is_adopted = False
-    if state.outcome is not None and request.tasks > 1:
-        state.outcome = Outcome(request.key, OutcomeKind.UNKNOWN, Code.OUTCOME_LOST)
     stop_partial(zone, state, now_ms)
+    finish_if_ended(zone, state, now_ms)
 
 
 def _submit_again(
--- a/packages/core/src/marigoldpath_core/scheduler/_recovery.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_recovery.py
@@ -16,7 +16,7 @@
 from ._intake import is_accepted_to_wait
 from ._leases import make_placeable, reconcile
 from ._outcomes import RETRY_SOON_MS, end_request
-from ._tasks import stop_partial
+from ._tasks import finish_if_ended, stop_partial
 from ._zone import Unresolved, Zone, ZonePhase, change_handlers
 
 # Workers keep answers for a minute (docs/design.md, 4.2); the margin covers the lag
@@ -114,9 +114,7 @@
 def _load(zone: Zone, recovered: RecoveredRequest, now_ms: int) -> None:
     state = zone.ledger.get(recovered.key)
     if state is None:
-        request = recovered.request or Request(
-            recovered.key, "", Size(), repeatable=False
-        )
+        request = recovered.request or _placeholder(recovered)
         state = RequestState(request, recovered.accepted_ms or now_ms)
         state.is_adopted = recovered.request is None
         zone.ledger.add(state)
@@ -124,18 +122,24 @@
         state.request = recovered.request
         state.is_adopted = False
     else:
-        state.request = state.request._replace(repeatable=False)
+        state.request = _placeholder(recovered)
     state.is_recorded = True
     state.is_accepted = is_accepted_to_wait(zone, state.request)
     state.history.add(now_ms, "recovered", "from the journal")
     if recovered.outcome is not None:
         _load_finished(zone, state, recovered, now_ms)
-    elif state.phase is not RequestPhase.ENDED and not state.tasks:
+    elif state.phase is not RequestPhase.ENDED:
         state.is_cancelled = recovered.cancelled
         state.failures = 0
         zone.unresolved[recovered.key] = Unresolved(state, recovered.intents)
 
 
+def _placeholder(recovered: RecoveredRequest) -> Request:
+    """Return what the intents of a request tell of its content."""
+    tasks = sum(len(intent.tasks) for intent in recovered.intents) or 1
+    return Request(recovered.key, "", Size(), repeatable=False, tasks=tasks)
+
+
 def _load_finished(
     zone: Zone, state: RequestState, recovered: RecoveredRequest, now_ms: int
 ) -> None:
@@ -152,7 +156,10 @@
     """Decide on a recorded request that no worker runs or remembers."""
     state, intents = unresolved
     zone.unresolved.pop(state.request.key, None)
-    if state.phase is RequestPhase.ENDED or state.tasks:
+    if state.phase is RequestPhase.ENDED or state.may_run:
+        return
+    if state.tasks:
+        finish_if_ended(zone, state, now_ms)
         return
     may_have_run = not _never_started(zone, intents)
     if may_have_run and not state.request.repeatable:
--- a/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
@@ -227,6 +227,7 @@
         _intake.refuse_unrecorded(zone, now_ms)
         restore_delayed(zone, now_ms)
         forget_preemptions(zone, now_ms)
+        _tasks.forget_unclaimed(zone, now_ms)
         if zone.journal.needs_snapshot:
             zone.effects.extend(zone.journal.snapshot(now_ms))
         if zone.is_draining:
--- a/packages/core/src/marigoldpath_core/scheduler/_tasks.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_tasks.py
@@ -93,24 +93,28 @@
 
 
 def ended_before_this_term(zone: Zone, event: TaskEnded, now_ms: int) -> None:
-    """Learn the outcome of a task of an earlier leader from the worker's memory."""
+    """Note the end of a task of an earlier leader that a worker remembers."""
     try:
-        key, attempt, index = parse_task_id(event.task)
+        key, attempt, _ = parse_task_id(event.task)
     except ValueError:
         return
     state = zone.ledger.get(key)
     if state is None:
         state = RequestState(Request(key, "", Size(), repeatable=False), now_ms)
         state.is_adopted = True
-        state.attempt = attempt
         state.history.add(now_ms, "recovered", f"its end was known to {event.worker}")
         zone.ledger.add(state)
-    elif key not in zone.unresolved or state.tasks or attempt < state.attempt:
+    elif not state.is_adopted and key not in zone.unresolved:
         return
-    if event.status is TaskStatus.DONE and index == 0 and state.request.tasks == 1:
-        end_request(zone, state, OutcomeKind.DONE, now_ms, answer=event.answer)
-    elif state.is_adopted:
-        zone.ledger.forget(key)
+    if state.phase is RequestPhase.ENDED or attempt < state.attempt or state.may_run:
+        return
+    if attempt > state.attempt:
+        free(zone, state)
+    state.attempt, state.phase, state.has_run = attempt, RequestPhase.PLACED, True
+    task = TaskState(event.task, event.worker, Size())
+    task.phase, task.status, task.answer = TaskPhase.ENDED, event.status, event.answer
+    zone.ledger.attach(state, task)
+    finish_if_ended(zone, state, now_ms)
 
 
 def running(
@@ -179,20 +183,26 @@
         return
     if any(task.phase is not TaskPhase.ENDED for task in state.tasks.values()):
         return
+    if state.is_adopted and not state.is_recorded:
+        # How many tasks belong to it is known only when its caller comes back.
+        zone.queue.ended(state.request.key)
+        zone.unclaimed.append((now_ms, state.request.key))
+        return
     statuses = {task.status for task in state.tasks.values()}
     answers = [task.answer for task in state.tasks.values() if task.answer]
     repeatable = state.request.repeatable
     was_started = statuses != {None}
     is_whole = len(state.tasks) >= state.request.tasks
     is_done = is_whole and statuses == {TaskStatus.DONE}
-    if is_done and not is_standing(zone, state.request):
+    runs_again = repeatable and is_standing(zone, state.request)
+    if is_done and not runs_again:
         answer = answers[0] if answers else None
         _end(zone, state, OutcomeKind.DONE, now_ms, answer=answer)
     elif state.is_cancelled:
         _end(zone, state, OutcomeKind.NOT_RUN, now_ms, code=Code.CANCELLED)
     elif not was_started:
         requeue(zone, state, now_ms, state.requeue_reason)
-    elif is_standing(zone, state.request) and repeatable:
+    elif runs_again:
         started_ms = min(task.started_at_ms for task in state.tasks.values())
         reason = state.requeue_reason or "a standing request runs until cancelled"
         moves = bool(state.requeue_reason)
@@ -215,6 +225,17 @@
         )
 
 
+def forget_unclaimed(zone: Zone, now_ms: int) -> None:
+    """Forget the ends of requests whose callers did not come back."""
+    before_ms = now_ms - zone.settings.scheduler.finished_retention_ms
+    while zone.unclaimed and zone.unclaimed[0][0] < before_ms:
+        _, key = zone.unclaimed.popleft()
+        state = zone.ledger.get(key)
+        if state is not None and state.is_adopted and not state.may_run:
+            free(zone, state)
+            zone.ledger.forget(key)
+
+
 def _failed(zone: Zone, state: RequestState, now_ms: int) -> None:
     state.failures += 1
     fault = zone.health.faulty_request(state.request.key)
--- a/packages/core/src/marigoldpath_core/scheduler/_zone.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_zone.py
@@ -1,5 +1,6 @@
 """The state of a zone's scheduler, shared by its handlers."""
 
+from collections import deque
 from enum import StrEnum
 from typing import Any, NamedTuple
 
@@ -132,6 +133,7 @@
         self.unresolved: dict[RequestKey, Unresolved] = {}
         self.quorum_at_ms = None
         self.parked: list[RequestState] = []
+        self.unclaimed: deque[tuple[int, RequestKey]] = deque()
         self.delayed: list[tuple[int, RequestKey]] = []
         self.reserved_for: RequestKey | None = None
         self.preempted_at_ms: dict[RequestKey, int] = {}
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -147,6 +147,18 @@
         self.assertNotEqual(runs[-1].worker, first.worker)
         self.assertIsNone(runs[-1].end_ms)
 
+    def test_a_run_that_ends_while_there_is_no_leader_is_followed_by_another(
+        self,
+    ) -> None:
+        """The next leader took the end of the run for that of the request."""
+        served = ServedWorld()
+        served.callers.submit("watch", kind="tension_watch", work={"run_ms": 12_000})
+        served.callers.run(10_000)
+        served.world.kill(served.world.serving[0])
+        served.callers.run(15_000)
+        runs = served.world.verdict().intervals["counter/zadar/watch"]
+        self.assertEqual([run.status for run in runs], ["done", ""])
+
     def test_a_standing_task_that_ends_at_once_is_restarted_with_growing_delays(
         self,
     ) -> None:
