Check quotas only of requests that may have room

Cause: quotas were looked up for each of about 40 waiting requests in a search. Change: the queue checks them after it has left out requests that no worker holds.

--- a/packages/core/src/marigoldpath_core/admission/_policies.py
+++ b/packages/core/src/marigoldpath_core/admission/_policies.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from marigoldpath_core.registry import Registry
-from marigoldpath_core.requests import Request, Size
+from marigoldpath_core.requests import Size
 
 from ._lane import Lane
 from ._model import QueuedRequest
@@ -28,13 +28,12 @@
     def is_below_floor(self, kind: str) -> bool:
         """Return whether a kind holds less than its floor."""
 
-    def within_quota(self, request: Request) -> bool:
-        """Return whether a request fits in what its team's quota leaves."""
-
     def room(self, kind: str) -> Size | None:
         """Return what one more request of a kind may hold; None for no limit."""
 
 
+# Yields requests in the order in which they are to be tried. The queue itself checks
+# the quotas of teams, for every policy.
 QueuePolicy = Callable[[WaitingRequests], Iterable[QueuedRequest]]
 queue_policies: Registry[str, QueuePolicy] = Registry("queue policy")
 queue_policy = queue_policies.register
@@ -44,7 +43,7 @@
 def first_in_first_out(waiting: WaitingRequests) -> Iterable[QueuedRequest]:
     """Offer only the oldest request; the baseline, without floors and ceilings."""
     oldest = waiting.oldest()
-    if oldest is not None and waiting.within_quota(oldest.request):
+    if oldest is not None:
         yield oldest
 
 
@@ -69,5 +68,5 @@
             size = request.size
             if request.tasks > 1:
                 size = times(size, request.tasks)
-            if (room is None or size.fits(room)) and waiting.within_quota(request):
+            if room is None or size.fits(room):
                 yield queued
--- a/packages/core/src/marigoldpath_core/admission/_queue.py
+++ b/packages/core/src/marigoldpath_core/admission/_queue.py
@@ -124,6 +124,8 @@
                 if _found_no_room(request, failed):
                     self._passed_over.setdefault(request.key, now_ms)
                     continue
+                if not self._shares.within_quota(request):
+                    continue
                 failed.append((request.size, request.tasks))
             if can_place(queued):
                 self._take(queued, now_ms)
@@ -206,10 +208,6 @@
         """Return whether a kind holds less than its floor."""
         return self._shares.is_below_floor(kind)
 
-    def within_quota(self, request: Request) -> bool:
-        """Return whether a request fits in what its team's quota leaves."""
-        return self._shares.within_quota(request)
-
     def room(self, kind: str) -> Size | None:
         """Return what one more request of a kind may hold; None for no limit."""
         return self._shares.room(kind)
