--- a/packages/core/src/marigoldpath_core/admission/_queue.py
+++ b/packages/core/src/marigoldpath_core/admission/_queue.py
@@ -93,22 +93,21 @@
         refusal = self._refusal(request)
         if refusal is not None:
             return Err(refusal)
-        lane = self._lanes[request.kind]
-        self._sequence += 1
-        expires_ms = now_ms + request.deadline_ms
-        volume = self._shares.volume(request)
-        queued = QueuedRequest(
-            request, origin, now_ms, expires_ms, self._sequence, volume
-        )
-        if not len(lane):
-            lane.virtual_time = max(lane.virtual_time, self._virtual_time)
-        lane.put(queued)
-        lane.drain.grew(now_ms)
-        self._queued[request.key] = queued
-        heapq.heappush(self._deadlines, (expires_ms, self._sequence, request.key))
-        self._shares.observe(request)
+        self._put(request, origin, now_ms, now_ms + request.deadline_ms)
         return Ok(None)
 
+    def restore(self, request: Request, now_ms: int, since_ms: int) -> None:
+        """Queue a request that was taken in at `since_ms`, also where it is full.
+
+        Its deadline counts from then. A kind that is no longer configured gets a
+        lane that takes no new requests.
+        """
+        if request.key in self._queued:
+            return
+        if request.kind not in self._lanes:
+            self._lanes[request.kind] = Lane(WorkKind(request.kind, queue_limit=0))
+        self._put(request, None, now_ms, since_ms + request.deadline_ms)
+
     def next(
         self, now_ms: int, can_place: Callable[[QueuedRequest], bool]
     ) -> QueuedRequest | None:
@@ -200,6 +199,15 @@
         """Return the request that waits longest."""
         return next(iter(self._queued.values()), None)
 
+    def most_urgent(self) -> QueuedRequest | None:
+        """Return the next request of priority 0 that its team's quota allows."""
+        for lane in self.waiting_lanes():
+            if lane.kind.priority == 0:
+                for queued in lane.heads():
+                    if self._shares.within_quota(queued.request):
+                        return queued
+        return None
+
     def waiting_lanes(self) -> list[Lane]:
         """Return the lanes with waiting requests."""
         return [lane for lane in self._lanes.values() if len(lane)]
@@ -273,6 +281,23 @@
             return Refusal("too_late", message, "deadline_ms", retry_ms)
         return None
 
+    def _put(
+        self, request: Request, origin: Origin | None, now_ms: int, expires_ms: int
+    ) -> None:
+        lane = self._lanes[request.kind]
+        self._sequence += 1
+        volume = self._shares.volume(request)
+        queued = QueuedRequest(
+            request, origin, now_ms, expires_ms, self._sequence, volume
+        )
+        if not len(lane):
+            lane.virtual_time = max(lane.virtual_time, self._virtual_time)
+        lane.put(queued)
+        lane.drain.grew(now_ms)
+        self._queued[request.key] = queued
+        heapq.heappush(self._deadlines, (expires_ms, self._sequence, request.key))
+        self._shares.observe(request)
+
     def _drop(self, queued: QueuedRequest, now_ms: int | None, started: bool) -> None:
         key = queued.key
         del self._queued[key]
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/api/_context.py
@@ -0,0 +1,29 @@
+"""What the handlers of routes may use."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from marigoldpath_core.settings import DaemonSettings
+
+from ..configuration import ConfigurationService
+from ..observability import Observer
+from ..peers import CallTable, Forwarder, Leaders, PeerInbox
+from ..runtime import Runtime
+
+
+class ApiContext(NamedTuple):
+    """The parts of the daemon.
+
+    `drain` begins a graceful stop without ending; `traffic` returns counts of bytes.
+    """
+
+    settings: DaemonSettings
+    runtime: Runtime
+    forwarder: Forwarder
+    leaders: Leaders
+    calls: CallTable
+    inbox: PeerInbox
+    observer: Observer
+    configuration: ConfigurationService
+    drain: Callable[[], Awaitable[None]]
+    traffic: Callable[[], dict[str, int]]
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -0,0 +1,200 @@
+"""Puts the parts of the daemon together."""
+
+import secrets
+from collections.abc import Callable
+
+import curio
+
+from marigoldpath_core.settings import DaemonSettings
+
+from ..api import Api, ApiContext
+from ..configuration import ConfigurationService, PeerVersions, SheetWork
+from ..http import (
+    HttpClient,
+    HttpClientSettings,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    HttpServerSettings,
+)
+from ..observability import Observer
+from ..peers import (
+    Beacon,
+    CallTable,
+    Forwarder,
+    Leaders,
+    OutcomeDelivery,
+    PeerInbox,
+    PeerLinks,
+)
+from ..platform import create_platform_client
+from ..runtime import HostDirectory, Runtime, Scheduler
+from ..workers import create_worker_client
+
+DRAIN_S = 30.0
+CHECK_S = 0.05
+PRUNE_S = 15.0
+PEER_PREFIX = "/v1/peer/"
+
+
+class Daemon:
+    """One entry host; `bind` comes before `run`."""
+
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        create_scheduler: Callable[[DaemonSettings, str], Scheduler],
+        observer: Observer,
+    ) -> None:
+        self._observer = observer
+        self._create_scheduler = create_scheduler
+        self._settings = settings
+        self._http = HttpClient(HttpClientSettings())
+        self._server = HttpServer(_server_settings(settings), self._handle)
+        self._api: Api | None = None
+        self._runtime: Runtime | None = None
+        self._calls = CallTable()
+
+    @property
+    def settings(self) -> DaemonSettings:
+        """The settings, after `bind` with the port that was bound."""
+        return self._settings
+
+    @property
+    def runtime(self) -> Runtime:
+        """The runtime, once `run` has begun."""
+        assert self._runtime is not None
+        return self._runtime
+
+    def bind(self) -> None:
+        """Bind the listening socket; raises OSError."""
+        self._server.listen()
+        listen = self._settings.listen._replace(port=self._server.port)
+        self._settings = self._settings._replace(listen=listen)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        settings, observer = self._settings, self._observer
+        directory = HostDirectory()
+        links = PeerLinks(settings, self._http)
+        delivery = OutcomeDelivery(settings, self._calls, links, directory, observer)
+        platform = create_platform_client(settings, self._http)
+        runtime = Runtime(
+            settings,
+            self._create_scheduler(settings, secrets.token_hex(8)),
+            platform=platform,
+            workers=create_worker_client(settings, self._http),
+            outcomes=delivery,
+            directory=directory,
+            observer=observer,
+        )
+        leaders = Leaders(settings, runtime, platform, observer)
+        calls = self._calls
+        forwarder = Forwarder(
+            settings,
+            runtime,
+            leaders=leaders,
+            calls=calls,
+            links=links,
+            observer=observer,
+        )
+        configuration = ConfigurationService(
+            runtime.effect_context,
+            PeerVersions(settings, directory, links),
+            SheetWork(settings, runtime, forwarder, observer),
+            runtime.configure,
+        )
+        context = ApiContext(
+            settings,
+            runtime,
+            forwarder,
+            leaders,
+            calls,
+            PeerInbox(
+                settings,
+                runtime,
+                leaders=leaders,
+                calls=calls,
+                delivery=delivery,
+                observer=observer,
+            ),
+            observer,
+            configuration,
+            self.drain,
+            self._count_traffic,
+        )
+        self._runtime = runtime
+        self._api = Api(context)
+        observer.log.info("started", address=settings.address)
+        if settings.keys and all(key.role != "operator" for key in settings.keys):
+            observer.log.error(
+                "no operator key",
+                reason="entry hosts use an operator's key to forward to each other;"
+                " add one to keys in the settings of all entry hosts",
+            )
+        try:
+            async with curio.TaskGroup() as tasks:
+                await tasks.spawn(runtime.run)
+                await tasks.spawn(configuration.run)
+                await tasks.spawn(Beacon(settings, runtime, directory, links).run)
+                await tasks.spawn(self._prune)
+                await tasks.spawn(self._server.run)
+        finally:
+            await self._http.close()
+
+    async def drain(self) -> None:
+        """Begin a graceful stop: no new callers, no new work."""
+        if self._runtime is None or self._runtime.draining:
+            return
+        self._observer.log.info("draining", calls=len(self._calls))
+        self._runtime.drain()
+        self._server.drain()
+
+    async def stop(self) -> bool:
+        """Drain and wait; return whether all ended within 30 s."""
+        await self.drain()
+        async with curio.ignore_after(DRAIN_S) as limit:
+            while not self._is_drained():
+                await curio.sleep(CHECK_S)
+        self._observer.log.info(
+            "stopped", in_time=not limit.expired, calls=len(self._calls)
+        )
+        return not limit.expired
+
+    def _count_traffic(self) -> dict[str, int]:
+        """Return the bytes exchanged as a client and as a server."""
+        client, server = self._http.traffic, self._server.traffic
+        return {
+            "client_sent": client.sent,
+            "client_received": client.received,
+            "server_sent": server.sent,
+            "server_received": server.received,
+        }
+
+    def _is_drained(self) -> bool:
+        if self._runtime is None:
+            return True
+        if self._calls or self._server.in_flight:
+            return False
+        return self._runtime.is_drained
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        assert self._api is not None
+        return await self._api.handle(request)
+
+    async def _prune(self) -> None:
+        while True:
+            await curio.sleep(PRUNE_S)
+            await self._http.prune()
+
+
+def _server_settings(settings: DaemonSettings) -> HttpServerSettings:
+    listen = settings.listen
+    return HttpServerSettings(
+        listen.ip,
+        listen.port,
+        max_body=listen.max_body,
+        max_connections=listen.max_connections,
+        read_s=listen.read_ms / 1_000,
+        large_prefix=PEER_PREFIX,
+    )
