--- a/packages/bench/src/marigoldpath_bench/worker/_messages.py
+++ b/packages/bench/src/marigoldpath_bench/worker/_messages.py
@@ -49,7 +49,11 @@
 
 
 class Behaviour(NamedTuple):
-    """Faults of the runs: everything fails, or answers come late or twice."""
+    """Faults of the runs: everything fails, or answers come late or twice.
+
+    `answer_delay_ms` delays the replies that carry ends. The worker itself has each
+    answer as soon as the task is no longer listed, as the design page needs it to.
+    """
 
     fail: bool = False
     answer_delay_ms: int = 0
