--- a/packages/node/src/marigoldpath_node/api/_context.py
+++ b/packages/node/src/marigoldpath_node/api/_context.py
@@ -5,13 +5,17 @@
 
 from marigoldpath_core.settings import DaemonSettings
 
+from ..configuration import ConfigurationService
 from ..observability import Observer
 from ..peers import CallTable, Forwarder, Leaders, PeerInbox
 from ..runtime import Runtime
 
 
 class ApiContext(NamedTuple):
-    """The parts of the daemon; `drain` begins a graceful stop without ending."""
+    """The parts of the daemon.
+
+    `drain` begins a graceful stop without ending; `traffic` returns counts of bytes.
+    """
 
     settings: DaemonSettings
     runtime: Runtime
@@ -20,4 +24,6 @@
     calls: CallTable
     inbox: PeerInbox
     observer: Observer
+    configuration: ConfigurationService
     drain: Callable[[], Awaitable[None]]
+    traffic: Callable[[], dict[str, int]]
--- a/packages/node/src/marigoldpath_node/daemon/_daemon.py
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -8,6 +8,7 @@
 from marigoldpath_core.settings import DaemonSettings
 
 from ..api import Api, ApiContext
+from ..configuration import ConfigurationService, PeerVersions, SheetWork
 from ..http import (
     HttpClient,
     HttpClientSettings,
@@ -89,17 +90,24 @@
         )
         leaders = Leaders(settings, runtime, platform, observer)
         calls = self._calls
+        forwarder = Forwarder(
+            settings,
+            runtime,
+            leaders=leaders,
+            calls=calls,
+            links=links,
+            observer=observer,
+        )
+        configuration = ConfigurationService(
+            runtime.effect_context,
+            PeerVersions(settings, directory, links),
+            SheetWork(settings, runtime, forwarder, observer),
+            runtime.configure,
+        )
         context = ApiContext(
             settings,
             runtime,
-            Forwarder(
-                settings,
-                runtime,
-                leaders=leaders,
-                calls=calls,
-                links=links,
-                observer=observer,
-            ),
+            forwarder,
             leaders,
             calls,
             PeerInbox(
@@ -111,14 +119,23 @@
                 observer=observer,
             ),
             observer,
+            configuration,
             self.drain,
+            self._count_traffic,
         )
         self._runtime = runtime
         self._api = Api(context)
         observer.log.info("started", address=settings.address)
+        if settings.keys and all(key.role != "operator" for key in settings.keys):
+            observer.log.error(
+                "no operator key",
+                reason="entry hosts use an operator's key to forward to each other;"
+                " add one to keys in the settings of all entry hosts",
+            )
         try:
             async with curio.TaskGroup() as tasks:
                 await tasks.spawn(runtime.run)
+                await tasks.spawn(configuration.run)
                 await tasks.spawn(Beacon(settings, runtime, directory, links).run)
                 await tasks.spawn(self._prune)
                 await tasks.spawn(self._server.run)
@@ -144,6 +161,16 @@
         )
         return not limit.expired
 
+    def _count_traffic(self) -> dict[str, int]:
+        """Return the bytes exchanged as a client and as a server."""
+        client, server = self._http.traffic, self._server.traffic
+        return {
+            "client_sent": client.sent,
+            "client_received": client.received,
+            "server_sent": server.sent,
+            "server_received": server.received,
+        }
+
     def _is_drained(self) -> bool:
         if self._runtime is None:
             return True
--- a/packages/node/src/marigoldpath_node/peers/_calls.py
+++ b/packages/node/src/marigoldpath_node/peers/_calls.py
@@ -4,17 +4,27 @@
 
 import curio
 
-from marigoldpath_core.requests import Outcome, RequestKey
+from marigoldpath_core.requests import Outcome, OutcomeKind, RequestKey
+
+from ..runtime import clock_ms
 
 
 class Call:
-    """One caller's wait for the outcome of one request."""
+    """One caller's wait for the outcome of one request.
+
+    `sent` means that a leader has or may have the request; `ambiguous` that a
+    submission got no reply, so that a copy may reach a leader even after the request
+    was refused.
+    """
 
     def __init__(self, number: int, key: RequestKey) -> None:
         self.number = number
         self.key = key
         self.outcome: Outcome | None = None
         self.sent = False
+        self.ambiguous = False
+        self.opened_ms = clock_ms()
+        self.move_until_ms = self.opened_ms
         self._ended = curio.Event()
 
     async def wait(self, seconds: float) -> Outcome | None:
@@ -23,6 +33,13 @@
             await curio.ignore_after(seconds, self._ended.wait)
         return self.outcome
 
+    def reopen(self) -> None:
+        """Wait again, for the outcome that the zone's next leader gives."""
+        assert self.outcome is not None
+        self.sent = self.ambiguous or self.outcome.kind is not OutcomeKind.NOT_RUN
+        self.outcome = None
+        self._ended.clear()
+
     async def end(self, outcome: Outcome) -> None:
         """Set the outcome; a second one is ignored."""
         if self.outcome is None:
--- a/packages/node/src/marigoldpath_node/peers/_forwarder.py
+++ b/packages/node/src/marigoldpath_node/peers/_forwarder.py
@@ -4,13 +4,14 @@
 
 import curio
 
-from marigoldpath_core.requests import Outcome, Request, RequestKey
+from marigoldpath_core.requests import Outcome, OutcomeKind, Request, RequestKey
 from marigoldpath_core.routing import (
     LeaderView,
     Recovery,
     RecoveryFacts,
     RetryBudget,
     decide_recovery,
+    goes_to_next_leader,
 )
 from marigoldpath_core.settings import DaemonSettings
 
@@ -32,6 +33,9 @@
 # The longest that one call is held; its caller can ask for the state afterwards.
 MAX_WAIT_MS = 600_000
 CHECK_S = 3.0
+# Between looks for the next leader, which reads the row at most once a second.
+FIRST_PAUSE_S = 0.05
+LAST_PAUSE_S = 0.4
 # A lost outcome of a leader that is still there is noticed by asking at each tenth
 # check.
 ASK_EVERY = 10
@@ -51,6 +55,7 @@
         observer: Observer,
     ) -> None:
         self._calls = calls
+        self._leaders = leaders
         self._observer = observer
         self._budget = RetryBudget(settings.routing)
         self._submitter = Submitter(
@@ -87,18 +92,18 @@
     async def _call(self, submission: Submission, wait_ms: int) -> Outcome:
         self._budget.count_request(clock_ms())
         call = self._calls.open(submission.key)
+        call.move_until_ms = call.opened_ms + wait_ms - MARGIN_MS
         try:
-            return await curio.timeout_after(
+            outcome = await curio.timeout_after(
                 wait_ms / 1_000, self._submit_and_wait, call, submission
             )
         except curio.TaskTimeout:
-            if call.outcome is not None:
-                return call.outcome
-            if call.sent:
-                return unknown(call.key, "no outcome came before the deadline")
-            return not_run(call.key, "no_leader", "no leader took the request in time")
+            outcome = _outcome_at_deadline(call)
         finally:
             self._calls.close(call)
+        if call.ambiguous and outcome.kind is OutcomeKind.NOT_RUN:
+            return unknown(call.key, "a copy of the request may still be on its way")
+        return outcome
 
     async def _submit_and_wait(self, call: Call, submission: Submission) -> Outcome:
         leader: LeaderView | None = None
@@ -112,11 +117,24 @@
             outcome = await self._recover(call, submission, None, str(fault))
             if outcome is not None:
                 return outcome
+        return await self._wait(call, submission, leader)
+
+    async def _wait(
+        self, call: Call, submission: Submission, leader: LeaderView | None
+    ) -> Outcome:
+        """Wait for the outcome, whichever leader gives it."""
         checks = 0
+        moving = False
         while True:
             outcome = await call.wait(CHECK_S)
-            if outcome is not None:
+            if outcome is not None and not goes_to_next_leader(outcome, moving):
                 return outcome
+            if outcome is not None:
+                moving = True
+                leader = await self._move(call, submission)
+                if leader is None:
+                    return outcome
+                continue
             checks += 1
             zone = call.key.availability_zone
             newest = await self._submitter.newest_leader(zone)
@@ -129,6 +147,25 @@
                 return outcome
             leader = newest
 
+    async def _move(self, call: Call, submission: Submission) -> LeaderView | None:
+        """Submit to the zone's next leader; None when there is none in time."""
+        call.reopen()
+        self._observer.metrics.count("peer.moves")
+        zone = call.key.availability_zone
+        pause_s = FIRST_PAUSE_S
+        while clock_ms() < call.move_until_ms:
+            self._leaders.views.doubt(zone)
+            await curio.sleep(pause_s)
+            pause_s = min(LAST_PAUSE_S, 2 * pause_s)
+            later = submission.with_time_left(clock_ms() - call.opened_ms)
+            try:
+                return await self._submitter.submit(call, later)
+            except (NotTakenError, PeerReplyError) as fault:
+                self._observer.log.debug(
+                    "no next leader yet", request=str(call.key), reason=str(fault)
+                )
+        return None
+
     async def _recover(
         self,
         call: Call,
@@ -139,9 +176,7 @@
         """Learn the fate of a submission; None means that its outcome will come."""
         self._observer.metrics.count("peer.recoveries")
         facts, outcome = await self._ask(call, attached_to)
-        decision = decide_recovery(facts)
-        if decision == Recovery.RESUBMIT and not self._budget.take(clock_ms()):
-            decision = Recovery.UNKNOWN
+        decision = decide_recovery(facts, self._budget, clock_ms())
         self._observer.log.info(
             "submission recovered",
             request=str(call.key),
@@ -149,7 +184,7 @@
             decision=decision.value,
         )
         if call.outcome is not None:
-            return call.outcome
+            return None
         if decision == Recovery.ANSWER:
             return outcome
         if decision == Recovery.UNKNOWN:
@@ -178,10 +213,17 @@
             known=state is not None,
             ended=outcome is not None,
             attached=attached,
-            may_retry=True,
         )
         return facts, outcome
 
 
+def _outcome_at_deadline(call: Call) -> Outcome:
+    if call.outcome is not None:
+        return call.outcome
+    if call.sent:
+        return unknown(call.key, "no outcome came before the deadline")
+    return not_run(call.key, "no_leader", "no leader took the request in time")
+
+
 def _same(one: LeaderView, other: LeaderView) -> bool:
     return one[1:4] == other[1:4]
