Take an unknown outcome as final after the deadline

Cause: a caller whose request the zone did not know the outcome of went on asking for 40 s. Change: it stops at the deadline once the zone has said so.

--- a/packages/bench/src/marigoldpath_bench/load/_call.py
+++ b/packages/bench/src/marigoldpath_bench/load/_call.py
@@ -64,7 +64,8 @@
 
     The caller repeats the same id within the request's deadline when an attempt was
     lost or was answered 503 or 504. When the last answer leaves open whether an attempt
-    ran, it asks for the state until `ASK_LIMIT_MS` after the deadline.
+    ran, it asks for the state until `ASK_LIMIT_MS` after the deadline, or until the
+    zone says after the deadline that nobody knows.
     """
 
     def __init__(self, request: RequestPayload, now_ms: int, standing: bool) -> None:
@@ -140,7 +141,10 @@
         is_absent = status == 404 and not self._accepted
         if is_refused or is_absent:
             return self._finish(now_ms, Ending.NOT_RUN)
-        if now_ms >= self._deadline_ms + ASK_LIMIT_MS:
+        limit_ms = self._deadline_ms
+        if status != 200 or payload.get("outcome") != "unknown":
+            limit_ms += ASK_LIMIT_MS
+        if now_ms >= limit_ms:
             return self._finish(now_ms, Ending.UNKNOWN)
         return Step(StepKind.ASK, POLL_MS)
 
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -88,6 +88,13 @@
         self.call.on_state(1_000 + 40_000, 404, {})
         self.assertEqual(self.ending(), Ending.UNKNOWN)
 
+    def test_an_unknown_outcome_is_final_after_the_deadline(self) -> None:
+        self.call.on_reply(950, 504, {"outcome": "unknown"})
+        unknown = {"outcome": "unknown"}
+        self.assertEqual(self.call.on_state(960, 200, unknown).kind, StepKind.ASK)
+        self.call.on_state(1_000, 200, unknown)
+        self.assertEqual(self.ending(), Ending.UNKNOWN)
+
     def test_a_fault_of_the_request_is_not_retried(self) -> None:
         self.call.on_reply(10, 400, {"code": "bad_field", "outcome": "not_run"})
         self.assertEqual(self.ending(), Ending.NOT_RUN)
