Take only a cancelled reply as the cancellation of a standing request

Cause: a standing request that the new leader had ended by itself was answered with its outcome, status 200, and the demonstration took that for a cancellation. After the retention of 60 s the same requests are answered 404. Change: the reply must have the code cancelled.

--- a/packages/bench/src/marigoldpath_bench/demo/_run.py
+++ b/packages/bench/src/marigoldpath_bench/demo/_run.py
@@ -114,7 +114,7 @@
     await _wait_runs(fleet, names, STANDING_START_S, running=True)
     for result in standing:
         status, code = await client.cancel(result)
-        if status in CONFIRMED:
+        if (status, code) == CONFIRMED:
             cancelled[result.name] = now_ms()
         else:
             _tell(f"cancellation of {result.name}: {status} {code}")
--- a/packages/bench/src/marigoldpath_bench/load/_client.py
+++ b/packages/bench/src/marigoldpath_bench/load/_client.py
@@ -19,7 +19,7 @@
 
 REPLY_MARGIN_S = 2.0
 ASK_REPLY_S = 2.0
-CONFIRMED = (200, 202, 204)
+CONFIRMED = (200, "cancelled")
 
 
 class LoadSettings(NamedTuple):
@@ -67,13 +67,14 @@
     async def cancel(self, result: CallResult) -> tuple[int, str]:
         """Cancel a request; return the status and code of the last reply.
 
-        Each entry host is asked until one confirms. Status 0 is no reply.
+        Each entry host is asked until one confirms. Status 0 is no reply. A request
+        that had ended before is answered with its outcome, which confirms nothing.
         """
         status, code = 0, ""
         for _ in self._settings.addresses:
             status, reply = await self._exchange("DELETE", result.name, result.request)
             code = str(reply.get("code", ""))
-            if status in CONFIRMED:
+            if (status, code) == CONFIRMED:
                 break
         return status, code
 
