--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,10 @@
 bench: setup
 	@$(PYTHON) -m marigoldpath_bench.benchmarks --seed $(SEED)
 
+# TRACE is a file that a daemon recorded at observability.trace_path.
+replay: setup
+	@$(PYTHON) -m marigoldpath_bench.replay $(TRACE)
+
 soak: setup
 	@$(PYTHON) -m marigoldpath_bench.soak --seed $(SEED) --runs $(RUNS)
 
--- a/packages/core/src/marigoldpath_core/scheduler/_tasks.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_tasks.py
@@ -23,6 +23,7 @@
 )
 
 from ._codes import Code
+from ._day import note_task_ended
 from ._dispatch import (
     STEADY_RUN_MS,
     free,
@@ -83,6 +84,7 @@
         return
     state.has_run = True
     task.status, task.answer = event.status, event.answer
+    note_task_ended(zone, state, task, now_ms)
     task_over(zone, state, task, SAYS_OF_WORKER.get(event.status), now_ms)
     if task.started_at_ms and event.status is TaskStatus.DONE:
         ran_ms = now_ms - task.started_at_ms
@@ -149,6 +151,7 @@
     """Note that a task certainly does not run any more and left no answer."""
     state.has_run = True
     task.status = TaskStatus.LAPSED
+    note_task_ended(zone, state, task, now_ms)
     task_over(zone, state, task, None, now_ms)
     state.history.add(now_ms, "lost", reason)
     zone.log("task_lost", "warning", task=task.task, worker=task.worker, reason=reason)
--- a/packages/core/src/marigoldpath_core/scheduler/_zone.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_zone.py
@@ -21,6 +21,7 @@
 )
 from marigoldpath_core.placement import Workers
 from marigoldpath_core.registry import Registry
+from marigoldpath_core.report import DayBook
 from marigoldpath_core.requests import RequestKey
 from marigoldpath_core.settings import DaemonSettings
 
@@ -110,6 +111,7 @@
         self._starts: dict[str, list[Start]] = {}
         self.kinds: dict[str, WorkKind] = {}
         self.counts: dict[str, int] = {}
+        self.day = DayBook(settings.availability_zone)
         self.clear()
 
     def clear(self) -> None:
@@ -138,6 +140,7 @@
         self.reserved_for: RequestKey | None = None
         self.preempted_at_ms: dict[RequestKey, int] = {}
         self.has_work = False
+        self.blocked: dict[tuple[str, str], tuple[str, int]] = {}
         self._starts.clear()
         self.configure(self.configuration)
         for host in self.hosts.values():
