Start requests that never fit beside the floors of other kinds

Cause: a task as large as a worker of a one-worker zone waited for ever once another kind with a floor had been seen. Change: such a request is held back by free workers only.

--- a/packages/core/src/marigoldpath_core/admission/_policies.py
+++ b/packages/core/src/marigoldpath_core/admission/_policies.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from marigoldpath_core.registry import Registry
-from marigoldpath_core.requests import Size
+from marigoldpath_core.requests import Request, Size
 
 from ._lane import Lane
 from ._model import QueuedRequest
@@ -28,6 +28,9 @@
     def is_below_floor(self, kind: str) -> bool:
         """Return whether a kind holds less than its floor."""
 
+    def outsizes_floors(self, request: Request, size: Size) -> bool:
+        """Return whether a request can never fit beside the floors of other kinds."""
+
     def room(self, kind: str) -> Size | None:
         """Return what one more request of a kind may hold; None for no limit."""
 
@@ -68,5 +71,9 @@
             size = request.size
             if request.tasks > 1:
                 size = times(size, request.tasks)
-            if room is None or size.fits(room):
+            if (
+                room is None
+                or size.fits(room)
+                or waiting.outsizes_floors(request, size)
+            ):
                 yield queued
--- a/packages/core/src/marigoldpath_core/admission/_queue.py
+++ b/packages/core/src/marigoldpath_core/admission/_queue.py
@@ -208,6 +208,14 @@
                         return queued
         return None
 
+    def outsizes_floors(self, request: Request, size: Size) -> bool:
+        """Return whether a request can never fit beside the floors of other kinds."""
+        return self._shares.outsizes_floors(request, size)
+
+    def within_quota(self, request: Request) -> bool:
+        """Return whether a request fits in what its team's quota leaves."""
+        return self._shares.within_quota(request)
+
     def waiting_lanes(self) -> list[Lane]:
         """Return the lanes with waiting requests."""
         return [lane for lane in self._lanes.values() if len(lane)]
--- a/packages/core/src/marigoldpath_core/admission/_shares.py
+++ b/packages/core/src/marigoldpath_core/admission/_shares.py
@@ -41,6 +41,7 @@
         self._floors: dict[str, Size] = {}
         self._reserves: dict[str, Size] = {}
         self._reserved = Size()
+        self._beside_floors: dict[str, Size] = {}
         self._below_floor: set[str] = set()
         # Capacity without what is held and reserved; None after a change.
         self._available: Size | None = None
@@ -104,9 +105,18 @@
     def allows(self, request: Request) -> bool:
         """Return whether quota, ceiling and the floors of others allow a request."""
         room = self.room(request.kind)
-        fits = room is None or times(request.size, request.tasks).fits(room)
+        size = times(request.size, request.tasks)
+        fits = room is None or size.fits(room) or self.outsizes_floors(request, size)
         return fits and self.within_quota(request)
 
+    def outsizes_floors(self, request: Request, size: Size) -> bool:
+        """Return whether a request can never fit beside the floors of other kinds.
+
+        Only free workers hold such a request back, or it would wait for ever.
+        """
+        beside = self._beside_floors.get(request.kind)
+        return beside is not None and not size.fits(beside)
+
     def room(self, kind: str) -> Size | None:
         """Return what one more request of a kind may hold; None for no limit.
 
@@ -170,8 +180,16 @@
         self._below_floor.clear()
         self._available = None
         self._reserved = NOTHING
-        for kind in self._floors:
+        floors = NOTHING
+        for kind, floor in self._floors.items():
+            floors = floors.plus(floor)
             self._reserve(kind)
+        left = self._capacity.minus(floors)
+        self._beside_floors = {
+            name: left.plus(self._floors.get(name, NOTHING))
+            for name, kind in self._kinds.items()
+            if kind.ceiling >= 1.0
+        }
 
     def _reserve(self, kind: str) -> None:
         floor = self._floors.get(kind)
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -110,6 +110,17 @@
             (state["outcome"], state["code"]), ("not_run", "deadline_passed")
         )
 
+    def test_a_request_that_never_fits_beside_the_floors_of_others_still_runs(
+        self,
+    ) -> None:
+        """A floor of another kind kept a whole worker's task waiting for ever."""
+        served = ServedWorld(workers=1)
+        served.callers.submit("check")
+        served.callers.run(1_000)
+        served.callers.submit("whole", kind="cord_path_plan", size=Size(64_000))
+        served.callers.run(2_000)
+        self.assertEqual(served.outcome("whole"), (OutcomeKind.DONE, ""))
+
 
 class CancelTests(unittest.TestCase):
     def test_a_running_task_is_stopped_and_does_not_come_back(self) -> None:
