Keep running tasks alive while the platform is down and the leader lost

Cause: the design promised that the other entry hosts renew leases; nothing did, so that tasks stopped one task lease after the loss of their leader. Change: a follower that cannot read the leader row lists the workers of its zone and renews leases when more than half show no live claim.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -126,3 +126,18 @@
     And the caller of "check" asks again
     And 25 s pass
     Then "check" ran at most once at a time
+
+  @no_double_run
+  Scenario: Running tasks are kept alive while the platform is down and the leader lost
+    Given a zone with 3 entry hosts and 4 workers
+    And "check" runs for 60000 ms
+    When the platform goes down
+    And 5 s pass
+    And the leader is killed
+    And 30 s pass
+    And the platform comes back
+    And another entry host takes over
+    And the caller of "check" asks again
+    And 40 s pass
+    Then "check" ran exactly once
+    And the caller of "check" is told done
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/scheduler/_caretaker.py
@@ -0,0 +1,106 @@
+"""Keeps running tasks alive while a zone has no leader and the platform is down."""
+
+from marigoldpath_core.leadership import leader_row_key, parse_claim
+from marigoldpath_core.messages import (
+    Effect,
+    Event,
+    ListTasks,
+    RenewLeases,
+    RowRead,
+    RowReadFailed,
+    TasksListed,
+    Tick,
+    WorkerReport,
+)
+from marigoldpath_core.registry import Registry
+from marigoldpath_core.settings import DaemonSettings
+
+OUTAGE_AFTER_MS = 2_000
+
+_handlers: Registry = Registry("caretaker event")
+
+
+class Caretaker:
+    """Renews the leases of what runs, for a follower that cannot read the leader row.
+
+    A renewal starts nothing. It is sent only after a round of lists in which more
+    than half of the workers show no live claim, so that it cannot go on beside a
+    leader that this host does not see: that leader's claims are on more than half of
+    them too. Its end counts from the worker's clock in that list, so a late renewal
+    extends no lease beyond what a new leader waits for.
+    """
+
+    def __init__(self, settings: DaemonSettings) -> None:
+        self._settings = settings
+        self._key = leader_row_key(settings.availability_zone)
+        self._failing_since_ms: int | None = None
+        self._round_at_ms = -(10**9)
+        self._reports: dict[str, WorkerReport] = {}
+        self._listed: frozenset[str] = frozenset()
+        self._sees_leader = False
+
+    def handle(self, event: Event, listed: frozenset[str], now_ms: int) -> list[Effect]:
+        """Take one event in; `listed` are the workers of the zone."""
+        if type(event) not in _handlers:
+            return []
+        self._listed = listed
+        return _handlers.get(type(event))(self, event, now_ms)
+
+    @_handlers.register(RowRead)
+    def _on_row(self, event: RowRead, now_ms: int) -> list[Effect]:
+        if event.key == self._key:
+            self._failing_since_ms = None
+        return []
+
+    @_handlers.register(RowReadFailed)
+    def _on_row_failed(self, event: RowReadFailed, now_ms: int) -> list[Effect]:
+        if event.key == self._key and self._failing_since_ms is None:
+            self._failing_since_ms = now_ms
+        return []
+
+    @_handlers.register(Tick)
+    def _on_tick(self, event: Tick, now_ms: int) -> list[Effect]:
+        since_ms = self._failing_since_ms
+        if since_ms is None or now_ms - since_ms < OUTAGE_AFTER_MS:
+            return []
+        interval_ms = self._settings.leadership.task_lease_ms // 3
+        if now_ms - self._round_at_ms < interval_ms:
+            return []
+        self._round_at_ms = now_ms
+        self._reports.clear()
+        self._sees_leader = False
+        return [ListTasks(worker) for worker in sorted(self._listed)]
+
+    @_handlers.register(TasksListed)
+    def _on_tasks(self, event: TasksListed, now_ms: int) -> list[Effect]:
+        if self._failing_since_ms is None or event.worker not in self._listed:
+            return []
+        report = event.report
+        self._sees_leader |= any(
+            parse_claim(task.task) is not None and task.lease_until_ms > report.clock_ms
+            for task in report.tasks
+        )
+        if self._sees_leader:
+            return []
+        was_majority = self._has_majority()
+        self._reports[event.worker] = report
+        if not self._has_majority():
+            return []
+        if was_majority:
+            return self._renewals({event.worker: report})
+        return self._renewals(self._reports)
+
+    def _has_majority(self) -> bool:
+        return 2 * len(self._reports) > len(self._listed)
+
+    def _renewals(self, reports: dict[str, WorkerReport]) -> list[Effect]:
+        lease_ms = self._settings.leadership.task_lease_ms
+        effects: list[Effect] = []
+        for worker, report in reports.items():
+            for holder in sorted({task.holder for task in report.tasks}):
+                tasks = tuple(
+                    task.task for task in report.tasks if task.holder == holder
+                )
+                until_ms = report.clock_ms + lease_ms
+                effects.append(RenewLeases(worker, holder, tasks, until_ms))
+        return effects
--- a/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
@@ -19,6 +19,7 @@
 from marigoldpath_core.settings import DaemonSettings
 
 from . import _intake, _leases, _recovery, _tasks, _usage
+from ._caretaker import Caretaker
 from ._codes import Code
 from ._day import day_record, note_tick
 from ._dispatch import dispatch, keep_room, requeue, restore_delayed, send_starts
@@ -43,7 +44,7 @@
     def __init__(self, settings: DaemonSettings, incarnation: str) -> None:
         self._settings = settings
         self._zone = Zone(settings, incarnation)
-        self._released = False
+        self._caretaker = Caretaker(settings)
 
     @property
     def leader(self) -> LeaderView | None:
@@ -91,6 +92,9 @@
         if zone.is_serving(now_ms):
             dispatch(zone, now_ms)
         zone.effects.extend(zone.journal.tick(now_ms))
+        if not zone.leadership.epoch:
+            listed = zone.leadership.listed
+            zone.effects.extend(self._caretaker.handle(event, listed, now_ms))
         return zone.take_effects()
 
     def configure(self, configuration: Configuration) -> None:
