--- a/packages/bench/src/marigoldpath_bench/fleet/_fleet.py
+++ b/packages/bench/src/marigoldpath_bench/fleet/_fleet.py
@@ -116,7 +116,11 @@
 
     def start_daemon(self, name: str) -> None:
         """Start the daemon of an entry host, anew if it has ended."""
-        self._start(self._daemon(name), self._daemon_python, DAEMON_PACKAGES)
+        daemon = self._daemon(name)
+        # The benchmark runs daemons by a module of its own, which adds timers.
+        timed = daemon.module.startswith("marigoldpath_bench.")
+        packages = (*DAEMON_PACKAGES, "bench") if timed else DAEMON_PACKAGES
+        self._start(daemon, self._daemon_python, packages)
 
     def kill(self, name: str) -> None:
         """Kill a process with SIGKILL."""
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/process_bench/_callers.py
@@ -0,0 +1,184 @@
+"""Starts processes of callers and collects what they wrote down."""
+
+import json
+import sys
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import curio
+
+from marigoldpath_bench.deployment import ROOT, Deployment
+from marigoldpath_bench.fleet import Fleet, ManagedProcess
+from marigoldpath_bench.server import now_ms
+
+from ._stats import ProcessorTimes, fleet_pids, processor_times
+
+# The callers import their modules before the load begins.
+LEAD_MS = 900
+LATE_S = 12.0
+PACKAGES = ("core", "node", "cli", "bench")
+
+
+class CallEnd(NamedTuple):
+    """One request: when it was due and when its reply came."""
+
+    name: str
+    kind: str
+    due_ms: int
+    reply_ms: int
+    status: int
+    run_ms: int
+
+
+class Load(NamedTuple):
+    """Callers of one process: `concurrency` for a closed loop, else `rate`."""
+
+    targets: list[dict[str, str]]
+    kinds: list[dict[str, Any]]
+    concurrency: int = 0
+    rate: float = 0.0
+
+
+class LoadResult(NamedTuple):
+    """The requests' ends and the processor seconds spent in the measured span."""
+
+    ends: list[CallEnd]
+    begin_ms: int
+    end_ms: int
+    spent: dict[str, float]
+    machine_busy_s: float
+
+    @property
+    def seconds(self) -> float:
+        """The length of the measured span."""
+        return (self.end_ms - self.begin_ms) / 1_000
+
+    def busiest(self, prefix: str) -> float:
+        """Return the largest share of a core, in percent, of the named processes."""
+        shares = [
+            spent / self.seconds
+            for name, spent in self.spent.items()
+            if name.startswith(prefix)
+        ]
+        return 100 * max(shares, default=0.0)
+
+
+class CallerRun:
+    """Loads that run together, measured without the first `warm_s` seconds."""
+
+    def __init__(self, fleet: Fleet, name: str, seed: int) -> None:
+        self._fleet = fleet
+        self._name = name
+        self._seed = seed
+
+    async def run(self, loads: list[Load], warm_s: float, span_s: float) -> LoadResult:
+        """Run the loads to their end."""
+        begin_ms = now_ms() + LEAD_MS
+        end_ms = begin_ms + int(1_000 * (warm_s + span_s))
+        processes = []
+        try:
+            for number, load in enumerate(loads):
+                processes.append(self._start(number, load, begin_ms, end_ms))
+            pids = fleet_pids(self._fleet)
+            pids.update((process.name, process.pid) for process in processes)
+            measured_ms = begin_ms + int(1_000 * warm_s)
+            await curio.sleep((measured_ms - now_ms()) / 1_000)
+            before = processor_times(pids)
+            await curio.sleep((end_ms - now_ms()) / 1_000)
+            after = processor_times(pids)
+            for process in processes:
+                await process.wait(LATE_S)
+        finally:
+            for process in processes:
+                process.end(0)
+        ends = [end for number in range(len(loads)) for end in self._read(number)]
+        return _result(ends, (measured_ms, end_ms), before, after)
+
+    def _start(
+        self, number: int, load: Load, begin_ms: int, end_ms: int
+    ) -> ManagedProcess:
+        name = f"caller-{number}"
+        settings: dict[str, Any] = {
+            "name": f"{self._name}-{number}",
+            "seed": self._seed,
+            "targets": load.targets,
+            "kinds": load.kinds,
+            "begin_ms": begin_ms,
+            "end_ms": end_ms,
+            "output": str(self._output(number)),
+        }
+        if load.rate:
+            settings["rate"] = load.rate
+        else:
+            settings["concurrency"] = load.concurrency
+        path = self._output(number).with_suffix(".json")
+        path.write_text(json.dumps(settings))
+        return ManagedProcess(
+            name,
+            [
+                sys.executable,
+                "-m",
+                "marigoldpath_bench.process_bench.caller",
+                str(path),
+            ],
+            path.with_suffix(".log"),
+            ":".join(str(ROOT / "packages" / part / "src") for part in PACKAGES),
+        )
+
+    def _output(self, number: int) -> Path:
+        return self._fleet.plan.folder / f"calls-{self._name}-{number}.jsonl"
+
+    def _read(self, number: int) -> list[CallEnd]:
+        path = self._output(number)
+        if not path.exists():
+            return []
+        return [CallEnd(**json.loads(line)) for line in path.read_text().splitlines()]
+
+
+def targets(
+    deployment: Deployment, addresses: list[str], in_zone: bool
+) -> list[dict[str, str]]:
+    """Return pairs of entry host and zone named by requests, equally often.
+
+    `in_zone` leaves out the pairs that need another zone.
+    """
+    pairs = zip(deployment.entry_hosts, addresses)
+    return [
+        {"address": address, "availability_zone": zone}
+        for host, address in pairs
+        for zone in deployment.availability_zones
+        if not in_zone or host.availability_zone == zone
+    ]
+
+
+def kind_of(
+    deployment: Deployment, name: str, run_ms: tuple[int, int], **fields: Any
+) -> dict[str, Any]:
+    """Return a kind of work of the deployment's mix as callers send it."""
+    part = next(part for part in deployment.mix if part.kind == name)
+    return {
+        "kind": name,
+        "team": part.team,
+        "key": deployment.key_of(part.team),
+        "share": part.share,
+        "run_ms": list(run_ms),
+        "wait": part.wait,
+        "repeatable": part.once_share < 1.0,
+        "size": part.sizes[0]._asdict(),
+        **fields,
+    }
+
+
+def _result(
+    ends: list[CallEnd],
+    span: tuple[int, int],
+    before: ProcessorTimes,
+    after: ProcessorTimes,
+) -> LoadResult:
+    spent = {
+        name: seconds - before.seconds.get(name, 0.0)
+        for name, seconds in after.seconds.items()
+    }
+    busy_s = after.machine_busy_s - before.machine_busy_s
+    measured = [end for end in ends if span[0] <= end.due_ms < span[1]]
+    return LoadResult(measured, span[0], span[1], spent, busy_s)
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/process_bench/_idle.py
@@ -0,0 +1,165 @@
+"""What an idle daemon spends in zones of three sizes."""
+
+from typing import Any
+
+import curio
+
+from marigoldpath_bench.deployment import (
+    Deployment,
+    EntryHostPlan,
+    Rack,
+    RunPlan,
+    find_deployment,
+    load_deployment,
+)
+from marigoldpath_bench.fleet import Fleet
+from marigoldpath_core.requests import Size
+from marigoldpath_node.http import HttpClient, HttpClientSettings
+
+from ._model import PARTS, BenchSettings, Measure, measure
+from ._run import plan, running
+from ._stats import cpu_seconds, resident_mb
+
+SIZES = (24, 128, 513)
+ZONES = tuple(f"zone-{number}" for number in range(1, 9))
+RACK_SIZE = 32
+WORKERS_PER_PROCESS = 64
+SETTLE_S = 8.0
+SPAN_S = 10.0
+# The targets are those of the design page, section 8.
+CPU_PERCENT = 4.3
+MEMORY_MB = 32.0
+TRAFFIC_KB_S = 2.0
+
+
+@PARTS.register("idle")
+async def idle(settings: BenchSettings) -> list[Measure]:
+    """Measure follower and leader at each size."""
+    found: list[Measure] = []
+    for size in SIZES:
+        found += await idle_at(settings, size)
+    return found
+
+
+async def idle_at(settings: BenchSettings, size: int) -> list[Measure]:
+    """Measure one zone of `size` workers in a fleet of eight such zones."""
+    deployment = zone_of(size)
+    run = with_other_zones(
+        plan(deployment, settings, f"idle-{size}", WORKERS_PER_PROCESS), size
+    )
+    async with running(run, settings) as fleet:
+        await curio.sleep(SETTLE_S)
+        leader = await fleet.leader(ZONES[0])
+        assert leader is not None
+        follower = next(
+            daemon.name for daemon in run.daemons[:2] if daemon.name != leader.host
+        )
+        return await _measure_hosts(
+            fleet, settings, size, {"leader": leader.host, "follower": follower}
+        )
+
+
+def zone_of(size: int) -> Deployment:
+    """Return a deployment of one zone with three entry hosts."""
+    base = load_deployment(find_deployment("skala") / "deployment.json")
+    capacity = Size(64_000, 262_144, 2, 8, 64)
+    racks = [
+        Rack(
+            f"rack-{number}",
+            ZONES[0],
+            f"worker-{number}-",
+            min(RACK_SIZE, size - first),
+            capacity,
+        )
+        for number, first in enumerate(range(0, size, RACK_SIZE))
+    ]
+    hosts = tuple(EntryHostPlan(f"host-{name}", ZONES[0]) for name in "abc")
+    return base._replace(
+        availability_zones=ZONES[:1], entry_hosts=hosts, racks=tuple(racks)
+    )
+
+
+def with_other_zones(run: RunPlan, size: int) -> RunPlan:
+    """Add seven zones to the host list, which no process stands behind.
+
+    Their entry hosts have the addresses of the daemons that run, so that the leader's
+    beacons to other zones arrive somewhere.
+    """
+    listed = run.platform.settings
+    workers = list(listed["workers"])
+    entry_hosts = list(listed["entry_hosts"])
+    for number, zone in enumerate(ZONES[1:]):
+        workers += [
+            {
+                **worker,
+                "name": f"{zone}-{worker['name']}",
+                "availability_zone": zone,
+                "rack": f"{zone}-{worker['rack']}",
+            }
+            for worker in listed["workers"][:size]
+        ]
+        address = run.daemons[number % len(run.daemons)].address
+        entry_hosts.append(
+            {
+                "name": f"host-{zone}",
+                "availability_zone": zone,
+                "address": address,
+                "state": "live",
+            }
+        )
+    platform = run.platform._replace(
+        settings={**listed, "workers": workers, "entry_hosts": entry_hosts}
+    )
+    daemons = tuple(
+        daemon._replace(settings={**daemon.settings, "availability_zones": list(ZONES)})
+        for daemon in run.daemons
+    )
+    return run._replace(platform=platform, daemons=daemons)
+
+
+async def _measure_hosts(
+    fleet: Fleet, settings: BenchSettings, size: int, hosts: dict[str, str]
+) -> list[Measure]:
+    client = HttpClient(HttpClientSettings())
+    pids = {role: fleet.processes[name].pid for role, name in hosts.items()}
+    before = {role: await _traffic(fleet, client, name) for role, name in hosts.items()}
+    spent = {role: cpu_seconds(pid) for role, pid in pids.items()}
+    await curio.sleep(SPAN_S)
+    found = []
+    for role, name in hosts.items():
+        percent = 100 * (cpu_seconds(pids[role]) - spent[role]) / SPAN_S
+        after = await _traffic(fleet, client, name)
+        kb_s = (after - before[role]) / 1_000 / SPAN_S
+        variant = f"{role}, {size} workers in its zone"
+        figures = (
+            ("idle daemon, processor", percent, "% of a core", CPU_PERCENT),
+            ("idle daemon, memory", resident_mb(pids[role]), "MB", MEMORY_MB),
+            ("idle daemon, traffic", kb_s, "KB/s", TRAFFIC_KB_S),
+        )
+        for title, value, unit, target in figures:
+            found.append(
+                measure(title, variant, value, unit, settings.seed, target=target)
+            )
+    await client.close()
+    return found
+
+
+async def _traffic(fleet: Fleet, client: HttpClient, name: str) -> int:
+    """Return the bytes that a daemon sent and received, without those of this call."""
+    first = await _read_traffic(fleet, client, name)
+    second = await _read_traffic(fleet, client, name)
+    return first - (second - first)
+
+
+async def _read_traffic(fleet: Fleet, client: HttpClient, name: str) -> int:
+    keys = fleet.plan.deployment.keys
+    operator = next(key.key for key in keys if key.role == "operator")
+    address = next(each.address for each in fleet.plan.daemons if each.name == name)
+    response = await client.request(
+        "GET",
+        address,
+        "/v1/status",
+        headers={"authorization": f"Bearer {operator}"},
+    )
+    counts: dict[str, Any] = response.json()["traffic"]
+    return sum(counts.values())
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/process_bench/_model.py
@@ -0,0 +1,69 @@
+"""Data types of the benchmark and the registry of its parts."""
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import NamedTuple, TypedDict
+
+from marigoldpath_bench.deployment import ROOT
+from marigoldpath_core.registry import Registry
+
+
+class Measure(TypedDict):
+    """One line of the benchmark's output."""
+
+    measure: str
+    variant: str
+    value: float
+    unit: str
+    target: float | None
+    met: bool | None
+    seed: int
+
+
+class BenchSettings(NamedTuple):
+    """The seed, the daemons' Python and the folder for the files of the runs."""
+
+    seed: int
+    daemon_python: str
+    folder: Path
+
+
+Part = Callable[[BenchSettings], Awaitable[list[Measure]]]
+
+PARTS: Registry[str, Part] = Registry("process measure")
+
+
+def measure(
+    name: str,
+    variant: str,
+    value: float,
+    unit: str,
+    seed: int,
+    *,
+    target: float | None = None,
+) -> Measure:
+    """Return a line; a target is an upper bound."""
+    value = round(value, 3)
+    return {
+        "measure": name,
+        "variant": variant,
+        "value": value,
+        "unit": unit,
+        "target": target,
+        "met": None if target is None else value <= target,
+        "seed": seed,
+    }
+
+
+def default_daemon_python() -> str:
+    """Return the Python of the daemons' environment at the repository's root."""
+    return str(ROOT / ".venv-daemon" / "bin" / "python")
+
+
+def percentile(values: list[float], percent: float) -> float:
+    """Return the nearest-rank percentile, NaN for no values."""
+    if not values:
+        return float("nan")
+    ordered = sorted(values)
+    rank = -(-len(ordered) * percent // 100)
+    return ordered[max(0, int(rank) - 1)]
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/process_bench/_timers.py
@@ -0,0 +1,49 @@
+"""Daemons that run with timers, and what the timers counted."""
+
+import json
+from typing import NamedTuple
+
+from marigoldpath_bench.deployment import RunPlan
+from marigoldpath_bench.timed_daemon import LOG_SUFFIX
+
+MODULE = "marigoldpath_bench.timed_daemon"
+
+
+class Spent(NamedTuple):
+    """Processor microseconds of daemons, without the timers' own."""
+
+    cpu_us: float
+    core_us: float
+    codec_us: float
+
+    @property
+    def rest_us(self) -> float:
+        """What neither the core nor the codecs took."""
+        return self.cpu_us - self.core_us - self.codec_us
+
+
+def with_timers(run: RunPlan) -> RunPlan:
+    """Return the run with timers in its daemons."""
+    daemons = tuple(daemon._replace(module=MODULE) for daemon in run.daemons)
+    return run._replace(daemons=daemons)
+
+
+def spent_between(run: RunPlan, begin_ms: int, end_ms: int) -> Spent:
+    """Return what all daemons of a run spent within a span of time."""
+    total = Spent(0.0, 0.0, 0.0)
+    for daemon in run.daemons:
+        path = daemon.settings_path(run.folder).with_suffix(LOG_SUFFIX)
+        lines = [json.loads(line) for line in path.read_text().splitlines()]
+        inside = [each for each in lines if begin_ms <= each["at_ms"] <= end_ms]
+        if len(inside) < 2:
+            continue
+        first, last = inside[0], inside[-1]
+        # The lines do not lie at the very ends of the span.
+        scale = (end_ms - begin_ms) / (last["at_ms"] - first["at_ms"]) / 1_000
+        spent = {name: scale * (last[name] - first[name]) for name in last}
+        total = Spent(
+            total.cpu_us + spent["cpu_ns"] - spent["timer_ns"],
+            total.core_us + spent["core_ns"],
+            total.codec_us + spent["codec_ns"],
+        )
+    return total
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/process_bench/_waiting.py
@@ -0,0 +1,151 @@
+"""Waiting time of each kind at 70% of the peak, and of urgent work at the peak."""
+
+from typing import Any
+
+from marigoldpath_bench.deployment import (
+    Deployment,
+    find_deployment,
+    load_deployment,
+)
+from marigoldpath_bench.fleet import Fleet
+
+from ._callers import CallerRun, Load, LoadResult, kind_of, targets
+from ._model import PARTS, BenchSettings, Measure, measure, percentile
+from ._run import plan, running, task_runs
+from ._starts import CALLER_PROCESSES, WORKERS_PER_PROCESS, Way, find_peak
+
+LOAD_PART = 0.7
+RUN_MS = (5, 20)
+WARM_S = 1.0
+SPAN_S = 6.0
+PEAK_CONCURRENCIES = (48, 96)
+STANDING_S = 2.0
+URGENT_S = 20.0
+URGENT_SPAN_S = 5.0
+FLOOD_CONCURRENCY = 96
+# Targets of the design page, section 8.
+ADDED_MS = 20.0
+URGENT_MS = 1_100.0
+URGENT_KINDS = {"skala": "alignment_check", "sfax": "exchange_order"}
+
+
+@PARTS.register("waiting")
+async def waiting(settings: BenchSettings) -> list[Measure]:
+    """Measure both deployments."""
+    found: list[Measure] = []
+    for name in URGENT_KINDS:
+        found += await _waiting_in(settings, name)
+    return found
+
+
+async def _waiting_in(settings: BenchSettings, name: str) -> list[Measure]:
+    deployment = load_deployment(find_deployment(name) / "deployment.json")
+    run = plan(deployment, settings, f"waiting-{name}", WORKERS_PER_PROCESS)
+    async with running(run, settings) as fleet:
+        way = Way("peak", targets(deployment, fleet.daemon_addresses, in_zone=True))
+        waited = _kinds(deployment, wait=True)
+        peak = await find_peak(fleet, settings, way, waited, PEAK_CONCURRENCIES)
+        found = [
+            measure("task starts", f"{name}, mix", peak.starts_s, "/s", settings.seed)
+        ]
+        rate = LOAD_PART * peak.starts_s
+        result = await _open_loop(fleet, settings, way, rate)
+        found += _kind_measures(fleet, name, result, settings.seed)
+        found += await _urgent_measures(fleet, settings, name)
+    return found
+
+
+def _kinds(deployment: Deployment, **fields: Any) -> list[dict[str, Any]]:
+    return [
+        kind_of(deployment, part.kind, RUN_MS, **fields)
+        for part in deployment.mix
+        if not part.standing
+    ]
+
+
+async def _open_loop(
+    fleet: Fleet, settings: BenchSettings, way: Way, rate: float
+) -> LoadResult:
+    deployment = fleet.plan.deployment
+    each = rate / CALLER_PROCESSES
+    loads = [Load(way.targets, _kinds(deployment), rate=each)] * CALLER_PROCESSES
+    standing = [
+        kind_of(deployment, part.kind, (60_000, 60_000))
+        for part in deployment.mix
+        if part.standing
+    ]
+    loads.append(Load(way.targets, standing, rate=STANDING_S))
+    return await CallerRun(fleet, "open", settings.seed).run(loads, WARM_S, SPAN_S)
+
+
+def _kind_measures(
+    fleet: Fleet, name: str, result: LoadResult, seed: int
+) -> list[Measure]:
+    """Waiting is the time from when a request was due to its task's start."""
+    waits, added, lost = _waits(fleet, result)
+    rate = len(result.ends) / result.seconds
+    found = []
+    for kind in sorted(waits):
+        variant = f"{name}, {kind} at {rate:.0f} requests/s ({len(waits[kind])} in all)"
+        for percent in (50.0, 99.0, 99.9):
+            value = percentile(waits[kind], percent)
+            title = f"waiting, p{percent:g}"
+            found.append(measure(title, variant, value, "ms", seed))
+        if kind == URGENT_KINDS[name]:
+            value = percentile(added[kind], 99.0)
+            title = "added by scheduling, p99"
+            found.append(measure(title, variant, value, "ms", seed, target=ADDED_MS))
+    found.append(measure("requests without a start", name, lost, "requests", seed))
+    return found
+
+
+def _waits(
+    fleet: Fleet, result: LoadResult
+) -> tuple[dict[str, list[float]], dict[str, list[float]], int]:
+    """Return, by kind, the waits and what scheduling added in whole.
+
+    The whole is the time from when a request was due to its reply, without the run.
+    It includes the callers' own time, so it is an upper bound.
+    """
+    started: dict[str, int] = {}
+    ended: dict[str, int] = {}
+    for run in task_runs(fleet.plan):
+        times = started if run.event == "started" else ended
+        times.setdefault(run.request, run.at_ms)
+    waits: dict[str, list[float]] = {}
+    added: dict[str, list[float]] = {}
+    lost = 0
+    for end in result.ends:
+        if end.name not in started:
+            lost += 1
+            continue
+        waits.setdefault(end.kind, []).append(started[end.name] - end.due_ms)
+        if end.status == 200 and end.name in ended:
+            ran_ms = ended[end.name] - started[end.name]
+            added.setdefault(end.kind, []).append(end.reply_ms - end.due_ms - ran_ms)
+    return waits, added, lost
+
+
+async def _urgent_measures(
+    fleet: Fleet, settings: BenchSettings, name: str
+) -> list[Measure]:
+    """Send urgent work while a flood of the other kind holds the fleet at its peak."""
+    deployment = fleet.plan.deployment
+    everywhere = targets(deployment, fleet.daemon_addresses, in_zone=False)
+    urgent = URGENT_KINDS[name]
+    flood = [each for each in _kinds(deployment, wait=True) if each["kind"] != urgent]
+    loads = [
+        Load(everywhere, flood, concurrency=FLOOD_CONCURRENCY // CALLER_PROCESSES)
+    ] * CALLER_PROCESSES
+    loads.append(Load(everywhere, [kind_of(deployment, urgent, RUN_MS)], rate=URGENT_S))
+    caller = CallerRun(fleet, "urgent", settings.seed)
+    result = await caller.run(loads, WARM_S, URGENT_SPAN_S)
+    waits, _, _ = _waits(fleet, result)
+    starts = sum(len(each) for each in waits.values()) / result.seconds
+    variant = f"{name}, {urgent} at {URGENT_S:g}/s within {starts:.0f} starts/s"
+    value = percentile(waits.get(urgent, []), 99.0)
+    return [
+        measure(
+            "urgent start, p99", variant, value, "ms", settings.seed, target=URGENT_MS
+        )
+    ]
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/timed_daemon.py
@@ -0,0 +1,106 @@
+"""`marigoldpathd` with timers round the core and the codecs, for the benchmark.
+
+The timers read the processor time of the thread, so waiting does not count. The
+counts go to a file beside the settings file, about four times a second.
+"""
+
+import argparse
+import functools
+import json
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TextIO
+
+import h11
+
+from marigoldpath_core.scheduler import ZoneScheduler
+from marigoldpath_node.daemon import main
+
+LOG_SUFFIX = ".timers.jsonl"
+WRITE_NS = 250_000_000
+CORE = ("handle", "wake_ms", "is_serving", "status", "request_state")
+PROTOCOL = ("send", "next_event", "receive_data", "start_next_cycle")
+CALIBRATION_CALLS = 20_000
+
+
+class Timers:
+    """Processor time by group; a timed call within another one is not counted."""
+
+    def __init__(self, log: TextIO) -> None:
+        self._log = log
+        self._spent = {"core_ns": 0, "codec_ns": 0}
+        self._calls = 0
+        self._inside = False
+        self._written_ns = 0
+        self._call_ns = self._calibrate()
+
+    def wrap(self, group: str, function: Callable) -> Callable:
+        """Return the function with a timer."""
+
+        @functools.wraps(function)
+        def timed(*arguments: Any, **named: Any) -> Any:
+            if self._inside:
+                return function(*arguments, **named)
+            self._inside = True
+            begin_ns = time.thread_time_ns()
+            try:
+                return function(*arguments, **named)
+            finally:
+                self._spent[group] += time.thread_time_ns() - begin_ns
+                self._calls += 1
+                self._inside = False
+                self._write()
+
+        return timed
+
+    def _calibrate(self) -> float:
+        """Return the time that one timer takes itself."""
+        timed = self.wrap("core_ns", int)
+        begin_ns = time.thread_time_ns()
+        for _ in range(CALIBRATION_CALLS):
+            timed()
+        spent_ns = time.thread_time_ns() - begin_ns
+        self._spent = {"core_ns": 0, "codec_ns": 0}
+        self._calls = 0
+        return spent_ns / CALIBRATION_CALLS
+
+    def _write(self) -> None:
+        now_ns = time.monotonic_ns()
+        if now_ns - self._written_ns < WRITE_NS:
+            return
+        self._written_ns = now_ns
+        line = {
+            "at_ms": now_ns // 1_000_000,
+            "cpu_ns": time.process_time_ns(),
+            "timer_ns": int(self._calls * getattr(self, "_call_ns", 0)),
+            **self._spent,
+        }
+        self._log.write(json.JSONEncoder().encode(line) + "\n")
+
+
+def install(timers: Timers) -> None:
+    """Put timers round the core's methods, h11's and those of json."""
+    for name in CORE:
+        method = getattr(ZoneScheduler, name)
+        setattr(ZoneScheduler, name, timers.wrap("core_ns", method))
+    for name in PROTOCOL:
+        method = getattr(h11.Connection, name)
+        setattr(h11.Connection, name, timers.wrap("codec_ns", method))
+    for name in ("dumps", "loads"):
+        setattr(json, name, timers.wrap("codec_ns", getattr(json, name)))
+
+
+def run() -> int:
+    """Run the daemon with timers; return its exit status."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--settings", type=Path, required=True)
+    path = parser.parse_args().settings
+    with path.with_suffix(LOG_SUFFIX).open("a", buffering=1) as log:
+        install(Timers(log))
+        return main()
+
+
+if __name__ == "__main__":
+    sys.exit(run())
