Leave the measuring calls out of the idle traffic

Cause: a reply is counted only after it was made, so the correction for the status calls added them instead of leaving them out; followers showed 26 KB/s in place of about 2. Not measured again in this commit.

--- a/packages/bench/src/marigoldpath_bench/process_bench/_idle.py
+++ b/packages/bench/src/marigoldpath_bench/process_bench/_idle.py
@@ -122,13 +122,16 @@
 ) -> list[Measure]:
     client = HttpClient(HttpClientSettings())
     pids = {role: fleet.processes[name].pid for role, name in hosts.items()}
-    before = {role: await _traffic(fleet, client, name) for role, name in hosts.items()}
+    before = {
+        role: await _traffic_from_now(fleet, client, name)
+        for role, name in hosts.items()
+    }
     spent = {role: cpu_seconds(pid) for role, pid in pids.items()}
     await curio.sleep(SPAN_S)
     found = []
     for role, name in hosts.items():
         percent = 100 * (cpu_seconds(pids[role]) - spent[role]) / SPAN_S
-        after = await _traffic(fleet, client, name)
+        after = await _read_traffic(fleet, client, name)
         kb_s = (after - before[role]) / 1_000 / SPAN_S
         variant = f"{role}, {size} workers in its zone"
         figures = (
@@ -144,14 +147,18 @@
     return found
 
 
-async def _traffic(fleet: Fleet, client: HttpClient, name: str) -> int:
-    """Return the bytes that a daemon sent and received, without those of this call."""
+async def _traffic_from_now(fleet: Fleet, client: HttpClient, name: str) -> int:
+    """Return the count as it will be without further messages.
+
+    A reply is counted after it was made, so the count misses the last reply.
+    """
     first = await _read_traffic(fleet, client, name)
     second = await _read_traffic(fleet, client, name)
-    return first - (second - first)
+    return second + (second - first)
 
 
 async def _read_traffic(fleet: Fleet, client: HttpClient, name: str) -> int:
+    """Return the bytes of HTTP messages that a daemon sent and received."""
     keys = fleet.plan.deployment.keys
     operator = next(key.key for key in keys if key.role == "operator")
     address = next(each.address for each in fleet.plan.daemons if each.name == name)
