--- /dev/null
+++ b/features/steps/journal_steps.py
@@ -0,0 +1,214 @@
+"""Steps on the journal: leaders, a table and the order of their messages."""
+
+from behave import given, then, when
+from tests.core.test_journal_table import MemoryTable, make_request, without_logs
+
+from marigoldpath_core.journal import Accepted, Intent, Journal
+from marigoldpath_core.messages import ReadRow, ReadRows, RowReadFailed
+from marigoldpath_core.requests import task_id
+from marigoldpath_core.settings import JournalSettings
+
+SETTINGS = JournalSettings(interval_ms=10, max_entries=5, slots=4, snapshot_after=3)
+
+
+class Leader:
+    """A journal, what it waits for and when it is."""
+
+    def __init__(self, name: str, now_ms: int) -> None:
+        self.journal = Journal(SETTINGS, "zadar", name)
+        self.now_ms = now_ms
+        self.write = None
+        self.intent = 0
+        self.confirmed: set[int] = set()
+
+    def handle(self, event) -> list:
+        self.now_ms += 10
+        effects = without_logs(self.journal.handle(event, self.now_ms))
+        self.confirmed |= set(self.journal.confirmed())
+        return effects
+
+    def append(self, entry) -> int:
+        self.now_ms += 10
+        return self.journal.append(entry, self.now_ms)
+
+
+def new_leader(context, name: str, epoch: int) -> Leader:
+    leader = Leader(name, 1_000 * epoch)
+    context.leaders[name] = leader
+    context.store.open(leader.journal, epoch, leader.now_ms)
+    return leader
+
+
+@given('the leader "{name}" of epoch {epoch:d} with an accepted request "{request}"')
+def accepted_request(context, name, epoch, request):
+    context.store, context.leaders = MemoryTable(), {}
+    leader = new_leader(context, name, epoch)
+    leader.append(Accepted(make_request(request), leader.now_ms))
+    context.store.flush(leader.journal, leader.now_ms)
+
+
+@when('the leader "{name}" of epoch {epoch:d} opens the journal')
+def open_journal(context, name, epoch):
+    new_leader(context, name, epoch)
+
+
+@when('"{name}" writes the intent to start "{request}"')
+def write_intent(context, name, request):
+    leader = context.leader = context.leaders[name]
+    known = leader.journal.recovered.get(make_request(request).key)
+    assert known is not None and not known.intents, known
+    task = task_id(known.key, 1)
+    leader.intent = leader.append(Intent((task,), f"w-{name}"))
+    effects = leader.journal.tick(leader.now_ms + 10)
+    leader.write = effects[0] if effects else leader.write
+
+
+@when("the table writes the row and answers")
+def write_and_answer(context):
+    leader = context.leader
+    context.answer = leader.handle(context.store.perform(leader.write))
+
+
+@when("the table writes the row and the answer is lost")
+def write_and_lose(context):
+    context.store.perform(context.leader.write)
+    context.reads = context.leader.handle(
+        context.store.lose_answer(context.leader.write)
+    )
+
+
+@when("the table does not handle the write and the answer is lost")
+def lose_write(context):
+    context.reads = context.leader.handle(
+        context.store.lose_answer(context.leader.write)
+    )
+
+
+@when('"{name}" reads the row back')
+def read_back(context, name):
+    leader = context.leaders[name]
+    assert context.reads == [ReadRow(leader.write.key)], context.reads
+    context.store.run(leader.journal, context.reads, leader.now_ms)
+    leader.confirmed |= set(leader.journal.confirmed())
+
+
+@when("the table does not answer reads")
+def reads_fail(context):
+    leader = context.leader
+    assert leader.handle(RowReadFailed(leader.write.key)) == []
+
+
+@when('the caller of "{request}" is refused before its entry is sent')
+def refuse_caller(context, request):
+    leader = context.leader
+    ticket = leader.append(Accepted(make_request(request), leader.now_ms))
+    assert leader.journal.withdraw(ticket)
+
+
+@when("the table answers again")
+def answers_again(context):
+    leader = context.leader
+    for _ in range(3):
+        leader.now_ms += 1_000
+        context.store.flush(leader.journal, leader.now_ms)
+    leader.confirmed |= set(leader.journal.confirmed())
+
+
+@when('the table gets the delayed write of "{name}"')
+def delayed_write(context, name):
+    leader = context.leaders[name]
+    context.store.run(leader.journal, [leader.write], leader.now_ms)
+    leader.confirmed |= set(leader.journal.confirmed())
+
+
+@when('"{name}" wraps the ring twice')
+def wrap_ring(context, name):
+    leader = context.leaders[name]
+    for number in range(2 * SETTINGS.slots):
+        leader.append(Accepted(make_request(f"{name}-{number}"), leader.now_ms))
+        context.store.flush(leader.journal, leader.now_ms)
+        if leader.journal.needs_snapshot:
+            effects = leader.journal.snapshot(leader.now_ms)
+            context.store.run(leader.journal, effects, leader.now_ms + 10)
+
+
+@when('the leaders "{one}" of epoch 2 and "{two}" of epoch 3 read the rows')
+def read_at_once(context, one, two):
+    rows = context.store.perform(ReadRows("journal/zadar/"))
+    for name, epoch in ((one, 2), (two, 3)):
+        leader = context.leaders[name] = Leader(name, 1_000 * epoch)
+        leader.journal.open(epoch, leader.now_ms)
+        (leader.write,) = leader.handle(rows)
+
+
+@when('"{one}" begins its epoch and "{two}" begins its epoch after it')
+def begin_in_turn(context, one, two):
+    for name in (one, two):
+        leader = context.leaders[name]
+        context.store.run(leader.journal, [leader.write], leader.now_ms)
+        leader.now_ms += 10
+        context.store.flush(leader.journal, leader.now_ms)
+
+
+@then('"{name}" may start "{request}"')
+def may_start(context, name, request):
+    leader = context.leaders[name]
+    assert leader.intent in leader.confirmed, leader.confirmed
+
+
+@then('"{name}" may not start "{request}"')
+def may_not_start(context, name, request):
+    leader = context.leaders[name]
+    if leader.intent:
+        assert leader.intent not in leader.confirmed
+    else:
+        known = leader.journal.recovered.get(make_request(request).key)
+        assert leader.journal.ready and known.intents, known
+
+
+@then('"{name}" knows that "{request}" may be on worker "{worker}"')
+def knows_worker(context, name, request, worker):
+    recovered = context.leaders[name].journal.recovered
+    known = recovered.get(make_request(request).key)
+    assert [intent.worker for intent in known.intents] == [worker], known
+
+
+@then('"{name}" has lost the journal')
+def has_lost(context, name):
+    assert context.leaders[name].journal.lost
+
+
+@then('"{name}" is ready')
+def is_ready(context, name):
+    assert context.leaders[name].journal.ready
+
+
+@then('"{name}" refuses early')
+def refuses_early(context, name):
+    assert not context.leaders[name].journal.available
+
+
+@then('"{name}" cannot call "{request}" not run')
+def cannot_call_not_run(context, name, request):
+    leader = context.leaders[name]
+    assert not leader.journal.withdraw(leader.intent)
+
+
+@then('"{name}" can call "{request}" not run')
+def can_call_not_run(context, name, request):
+    leader = context.leaders[name]
+    assert leader.intent in leader.journal.unconfirmed.never
+
+
+@then('the table holds {count:d} intent to start "{request}"')
+@then('the table holds {count:d} intents to start "{request}"')
+def count_intents(context, count, request):
+    task = task_id(make_request(request).key, 1)
+    entries = [entry for row in context.store.log for entry in row["entries"]]
+    found = [entry for entry in entries if task in entry["fields"].get("tasks", ())]
+    assert len(found) == count, found
+
+
+@then('the table holds no entry of "{request}"')
+def no_entry(context, request):
+    assert f"'{request}'" not in str(context.store.log)
