--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 DAEMON_VENV ?= .venv-daemon
 DEPLOYMENT ?= skala
 SEED ?= 1
+RUNS ?= 100
 PYTHON := $(VENV)/bin/python
 SOURCES := packages tests features tools
 PACKAGES := packages/core packages/node packages/cli packages/bench
@@ -46,5 +47,12 @@
 bench: setup
 	@$(PYTHON) -m marigoldpath_bench.benchmarks --seed $(SEED)
 
+# TRACE is a file that a daemon recorded at observability.trace_path.
+replay: setup
+	@$(PYTHON) -m marigoldpath_bench.replay $(TRACE)
+
+soak: setup
+	@$(PYTHON) -m marigoldpath_bench.soak --seed $(SEED) --runs $(RUNS)
+
 clean:
 	rm -rf build run
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/policy_bench.py
@@ -0,0 +1,334 @@
+"""Measures of the core's policies with a queue, workers and a clock, no processes."""
+
+import json
+import random
+import statistics
+import sys
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple, TypedDict
+
+from marigoldpath_core.admission import AdmissionQueue, QueuedRequest
+from marigoldpath_core.configuration import Configuration, WorkKind
+from marigoldpath_core.requests import Request, RequestKey, Size
+from marigoldpath_core.settings import SchedulerSettings
+
+from .policy_simulation import (
+    BASELINE,
+    CAPACITY,
+    ZONE,
+    Arrival,
+    Run,
+    Simulation,
+    Variant,
+    fleet,
+)
+
+TEAMS = 6
+LOAD_MS = 30_000
+WARM_MS = 5_000
+FLOOD_FACTOR = 10
+ROUNDS = 24
+
+
+class Measure(TypedDict):
+    """One line of the benchmark's output."""
+
+    measure: str
+    variant: str
+    value: float
+    unit: str
+    target: float | None
+    met: bool | None
+    seed: int
+
+
+VARIANTS = (
+    BASELINE,
+    Variant("weighted_fair+best_fit", "weighted_fair", "best_fit", True),
+    Variant("weighted_fair+best_fit, no floors", "weighted_fair", "best_fit", False),
+)
+
+
+class Load(NamedTuple):
+    """A kind of work with its arrivals and run times in the simulation."""
+
+    kind: WorkKind
+    arrivals_per_s: float
+    run_ms: int
+    deadline_ms: int
+    size: Size
+
+
+# At 192 slots the three kinds hold about 30%, 30% and 10% of the fleet: 70% in all.
+# Each floor is what a kind holds at its usual peak: the mean and three standard
+# deviations, cut for the least urgent kind so that the floors do not exceed the fleet.
+LOADS = (
+    Load(
+        WorkKind("alignment_check", 0, 4, 0.42, 1.0, 1_000),
+        144.0,
+        400,
+        10_000,
+        Size(6_000, 20_000, 0, 1, 4),
+    ),
+    Load(
+        WorkKind("tension_watch", 1, 2, 0.18, 1.0, 1_000),
+        2.0,
+        10_000,
+        60_000,
+        Size(4_000, 30_000, 0, 1, 8),
+    ),
+    Load(
+        WorkKind("cord_path_plan", 2, 1, 0.40, 1.0, 1_000),
+        29.0,
+        2_000,
+        60_000,
+        Size(8_000, 24_000, 0, 1, 2),
+    ),
+)
+
+
+def arrivals_of(load: Load, factor: int, seed: int) -> list[Arrival]:
+    """Return Poisson arrivals of a kind; the load rises by `factor` after warm-up."""
+    source = random.Random(f"{seed}-{load.kind.name}-{factor}")
+    arrivals: list[Arrival] = []
+    at_ms = 0.0
+    while True:
+        flooded = factor if at_ms >= WARM_MS else 1
+        at_ms += source.expovariate(load.arrivals_per_s * flooded) * 1_000
+        if at_ms >= LOAD_MS:
+            return arrivals
+        number = len(arrivals)
+        key = RequestKey(f"team-{number % TEAMS}", ZONE, f"{load.kind.name}-{number}")
+        request = Request(key, load.kind.name, load.size, deadline_ms=load.deadline_ms)
+        run_ms = max(1, int(load.run_ms * source.uniform(0.5, 1.5)))
+        arrivals.append(Arrival(int(at_ms), request, run_ms))
+
+
+def flood_run(variant: Variant, flooded: str, seed: int) -> Run:
+    """Simulate the three kinds, one of them tenfold; an empty name floods none."""
+    arrivals: list[Arrival] = []
+    for load in LOADS:
+        factor = FLOOD_FACTOR if load.kind.name == flooded else 1
+        arrivals.extend(arrivals_of(load, factor, seed))
+    arrivals.sort(key=lambda arrival: (arrival.at_ms, arrival.request.key))
+    kinds = [
+        load.kind if variant.floors else load.kind._replace(floor=0.0) for load in LOADS
+    ]
+    return Simulation(variant, fleet(24), kinds).run(arrivals, LOAD_MS, WARM_MS)
+
+
+def percentile(values: list[int], part: float) -> float:
+    """Return the value below which the given part lies, 0 for no values."""
+    if not values:
+        return 0.0
+    return float(sorted(values)[min(len(values) - 1, int(len(values) * part))])
+
+
+def flood_measures(seed: int) -> list[Measure]:
+    """Return what other kinds keep in a flood, the worst of the other kinds.
+
+    A p99 wait below 1 ms counts as 1 ms, the resolution of the clock.
+    """
+    measures: list[Measure] = []
+    floods = (("least urgent", LOADS[-1]), ("most urgent", LOADS[0]))
+    calm = {variant: flood_run(variant, "", seed) for variant in VARIANTS}
+    for label, load in floods:
+        for variant in VARIANTS:
+            flood = flood_run(variant, load.kind.name, seed)
+            kept = []
+            ratios = []
+            for other in LOADS:
+                if other is load:
+                    continue
+                name = other.kind.name
+                before = calm[variant].waits.get(name, [])
+                after = flood.waits.get(name, [])
+                kept.append(100.0 * len(after) / max(len(before), 1))
+                p99 = percentile(after, 0.99) if after else float(LOAD_MS)
+                ratios.append(p99 / max(percentile(before, 0.99), 1.0))
+            title = f"flood of the {label} kind"
+            for measure, value, unit, target in (
+                (f"{title}: completed work kept", min(kept), "%", 95.0),
+                (f"{title}: p99 wait of others", max(ratios), "ratio", 2.0),
+            ):
+                met = value >= target if unit == "%" else value <= target
+                measures.append(
+                    _measure(measure, variant, value, unit, target, met, seed)
+                )
+    return measures
+
+
+def packing_trace(seed: int) -> tuple[list[WorkKind], list[Arrival], int]:
+    """Return a backlog whose best packing is known: full workers cut to pieces.
+
+    Each worker runs several rounds one after the other. A round is cut to 3 to 8 tasks
+    that fill the worker's processors, memory and accelerators for the whole round, so
+    the best packing uses all of the fleet at every moment. The returned time is two
+    thirds of the trace: a fleet whose backlog runs out measures the end of the trace.
+    """
+    source = random.Random(seed)
+    kinds = [WorkKind(f"kind-{number}", queue_limit=10_000) for number in range(4)]
+    until_ms = 1_000 * ROUNDS
+    pieces: list[tuple[Size, int]] = []
+    for _ in range(24):
+        cuts = sorted(source.sample(range(200, until_ms - 200, 100), ROUNDS - 1))
+        for begin, end in zip([0, *cuts], [*cuts, until_ms]):
+            pieces.extend((size, end - begin) for size in cut(CAPACITY, source))
+    source.shuffle(pieces)
+    arrivals: list[Arrival] = []
+    for number, (size, run_ms) in enumerate(pieces):
+        key = RequestKey(f"team-{number % TEAMS}", ZONE, f"piece-{number}")
+        kind = source.choice(kinds).name
+        arrivals.append(Arrival(0, Request(key, kind, size, deadline_ms=10**7), run_ms))
+    return kinds, arrivals, until_ms * 2 // 3
+
+
+def cut(whole: Size, source: random.Random) -> list[Size]:
+    """Cut a worker into 3 to 8 tasks of one slot each that fill it."""
+    count = source.randint(3, 8)
+    parts = []
+    for dimension in (0, 1, 4):
+        weights = [source.uniform(0.3, 1.7) for _ in range(count)]
+        shares = [int(whole[dimension] * weight / sum(weights)) for weight in weights]
+        shares[0] += whole[dimension] - sum(shares)
+        parts.append(shares)
+    holders = source.sample(range(count), whole.accelerators)
+    return [
+        Size(cpu, memory, int(number in holders), 1, connections)
+        for number, (cpu, memory, connections) in enumerate(zip(*parts))
+    ]
+
+
+def packing_measures(seed: int) -> list[Measure]:
+    """Return the part of the best packing that each variant reaches on the trace."""
+    kinds, arrivals, until_ms = packing_trace(seed)
+    measures = []
+    for variant in VARIANTS:
+        run = Simulation(variant, fleet(24), kinds).run(arrivals, until_ms, 0)
+        value = 100.0 * run.used_ms / until_ms
+        measures.append(
+            _measure("packing", variant, value, "%", 92.0, value >= 92.0, seed)
+        )
+    return measures
+
+
+def decision_us(placement: str, count: int, seed: int, decisions: int = 1_000) -> float:
+    """Return the median time to take a request, choose and occupy, at 80% use.
+
+    The fleet is filled by best_fit, because first_fit takes minutes for it.
+    """
+    source = random.Random(seed)
+    capacity = CAPACITY if count == 24 else CAPACITY._replace(slots=64, connections=512)
+    workers = fleet(count, capacity)
+    queue = AdmissionQueue(SchedulerSettings())
+    queue.configure(Configuration(1, tuple(load.kind for load in LOADS)))
+    queue.set_capacity(workers.capacity)
+    running: list[tuple[RequestKey, str]] = []
+    times: list[float] = []
+    place: list[str | None] = [None]
+
+    def can_place(queued: QueuedRequest) -> bool:
+        request = queued.request
+        policy = placement if workers.used_fraction() > 0.8 else "best_fit"
+        place[0] = workers.choose(policy, request.size, request.kind, "")
+        return place[0] is not None
+
+    number = 0
+    while len(times) < decisions:
+        number += 1
+        request = _mixed_request(number, source)
+        queue.offer(request, None, number)
+        full = workers.used_fraction() > 0.8
+        begin = time.perf_counter()
+        queued = queue.next(number, can_place)
+        if queued is not None:
+            assert place[0] is not None
+            key = queued.request.key
+            workers.occupy(place[0], str(key), queued.request.size, queued.request.kind)
+            queue.started(queued.request)
+            running.append((key, place[0]))
+        if full:
+            times.append(time.perf_counter() - begin)
+        while workers.used_fraction() > 0.82:
+            chosen = source.randrange(len(running))
+            running[chosen], running[-1] = running[-1], running[chosen]
+            key, worker = running.pop()
+            workers.release(worker, str(key))
+            queue.ended(key)
+    return statistics.median(times) * 1e6
+
+
+def _mixed_request(number: int, source: random.Random) -> Request:
+    load = source.choice(LOADS)
+    size = Size(
+        source.choice((500, 1_000, 2_000, 8_000)),
+        source.choice((1_000, 4_000, 16_000, 30_000)),
+        int(source.random() < 0.1),
+        1,
+        source.choice((1, 2, 4)),
+    )
+    key = RequestKey(f"team-{number % TEAMS}", ZONE, str(number))
+    return Request(key, load.kind.name, size, deadline_ms=10**7)
+
+
+def decision_measures(seed: int) -> list[Measure]:
+    """Return the median decision time and how it grows with the fleet."""
+    measures = []
+    for count, target in ((24, 100.0), (256, None), (1_024, None), (4_100, 300.0)):
+        for variant in VARIANTS[:2]:
+            value = decision_us(variant.placement, count, seed)
+            met = None if target is None else value <= target
+            title = f"decision at {count} workers, median"
+            measures.append(_measure(title, variant, value, "us", target, met, seed))
+    return measures
+
+
+def cancellation_measures(seed: int) -> list[Measure]:
+    """Return the time that 10,000 cancellations of waiting requests take."""
+    measures = []
+    for variant in VARIANTS[:2]:
+        queue = AdmissionQueue(SchedulerSettings(queue_policy=variant.queue))
+        queue.configure(Configuration(1, (WorkKind("plan", queue_limit=10_000),)))
+        keys = [RequestKey(f"team-{n % 120}", ZONE, str(n)) for n in range(10_000)]
+        for key in keys:
+            queue.offer(Request(key, "plan", Size(1)), None, 0).unwrap()
+        random.Random(seed).shuffle(keys)
+        begin = time.perf_counter()
+        for key in keys:
+            queue.remove(key, 1)
+        value = (time.perf_counter() - begin) * 1e3
+        title = "10,000 cancellations"
+        measures.append(
+            _measure(title, variant, value, "ms", 1_000, value <= 1e3, seed)
+        )
+    return measures
+
+
+def measures(seed: int) -> list[Measure]:
+    """Run all measures; the variants take turns."""
+    parts: tuple[Callable[[int], list[Measure]], ...] = (
+        decision_measures,
+        flood_measures,
+        packing_measures,
+        cancellation_measures,
+    )
+    return [measure for part in parts for measure in part(seed)]
+
+
+def _measure(measure: str, variant: Variant, value: float, *rest: Any) -> Measure:
+    unit, target, met, seed = rest
+    return {
+        "measure": measure,
+        "variant": variant.name,
+        "value": round(value, 2),
+        "unit": unit,
+        "target": target,
+        "met": met,
+        "seed": seed,
+    }
+
+
+if __name__ == "__main__":
+    for line in measures(int(sys.argv[1]) if len(sys.argv) > 1 else 1):
+        print(json.dumps(line), flush=True)
--- a/packages/core/src/marigoldpath_core/messages/__init__.py
+++ b/packages/core/src/marigoldpath_core/messages/__init__.py
@@ -21,6 +21,7 @@
 from ._events import (
     CancelRequested,
     Event,
+    EventsPolled,
     HostsListed,
     ObjectRead,
     OutcomeRefusedByOrigin,
@@ -57,6 +58,7 @@
     "EndedTask",
     "EntryHost",
     "Event",
+    "EventsPolled",
     "HostState",
     "HostsListed",
     "ListTasks",
