Look for the decided start before time passes in a scenario's step

Cause: the step ran 1 ms first, in which a start with a sending delay of 1 ms had left; it depended on the drawn delay. Change: look first.

--- a/features/steps/zone_steps.py
+++ b/features/steps/zone_steps.py
@@ -45,9 +45,9 @@
         """Stop time between the decision to start a task and the sending of it."""
         host = self.world.unsent_of(self.leader)
         for _ in range(20_000):
-            self.world.run(1, step_ms=1)
             if any(isinstance(effect, StartTasks) for effect in host()):
                 return
+            self.world.run(1, step_ms=1)
         raise AssertionError("no start was decided within 20 s")
 
 
