Poll all ends anew in each term; remove the unused deletion of rows

Cause: a host elected again within one turn kept its position in the workers' events, so that ends delivered between two terms were lost to the second. Nothing deletes rows, and nothing took in outcomes that an origin refused. Change: polls begin anew with each epoch; DeleteRow is gone; refused outcomes are counted. Measured: python -m unittest of runtime, effects, platform, scheduler, replay and peers pass; no measurement of the race itself.

--- a/packages/bench/src/marigoldpath_bench/world/_targets.py
+++ b/packages/bench/src/marigoldpath_bench/world/_targets.py
@@ -7,7 +7,6 @@
 from marigoldpath_bench.worker import StartItem, WorkerMachine
 from marigoldpath_core.messages import (
     CreateRow,
-    DeleteRow,
     Effect,
     Event,
     ListTasks,
@@ -85,11 +84,6 @@
     return _write(store, effect.key, effect.value, None)
 
 
-@table_effects.register(DeleteRow)
-def delete_row(store: Store, effect: DeleteRow) -> None:
-    raise NotImplementedError("the core deletes no rows")
-
-
 @table_effects.register(ReadObject)
 def read_object(store: Store, effect: ReadObject) -> Event:
     return ObjectRead(effect.key, store.read_object(effect.key))
@@ -173,7 +167,6 @@
 
 @failures.register(StopTasks)
 @failures.register(ThrottleTasks)
-@failures.register(DeleteRow)
 def not_answered(effect: Effect) -> None:
     return None
 
--- a/packages/core/src/marigoldpath_core/messages/__init__.py
+++ b/packages/core/src/marigoldpath_core/messages/__init__.py
@@ -2,7 +2,6 @@
 
 from ._effects import (
     CreateRow,
-    DeleteRow,
     Effect,
     ListTasks,
     Log,
@@ -53,7 +52,6 @@
 __all__ = [
     "CancelRequested",
     "CreateRow",
-    "DeleteRow",
     "Effect",
     "EndedTask",
     "EntryHost",
--- a/packages/core/src/marigoldpath_core/messages/_effects.py
+++ b/packages/core/src/marigoldpath_core/messages/_effects.py
@@ -34,12 +34,6 @@
     value: RowValue
 
 
-class DeleteRow(NamedTuple):
-    """Delete a row that is no longer needed; not answered."""
-
-    key: str
-
-
 class ReadObject(NamedTuple):
     """Read an object; answered by ObjectRead."""
 
@@ -124,7 +118,6 @@
     | ReadRows
     | WriteRow
     | CreateRow
-    | DeleteRow
     | ReadObject
     | PutObject
     | ListTasks
--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -4,7 +4,12 @@
 
 from marigoldpath_core.journal import Accepted, Cancelled
 from marigoldpath_core.ledger import RequestPhase, RequestState
-from marigoldpath_core.messages import CancelRequested, RequestSubmitted, StopTasks
+from marigoldpath_core.messages import (
+    CancelRequested,
+    OutcomeRefusedByOrigin,
+    RequestSubmitted,
+    StopTasks,
+)
 from marigoldpath_core.requests import Origin, Outcome, OutcomeKind, Request
 
 from ._codes import Code
@@ -67,6 +72,12 @@
     end_unsent(zone, state, now_ms, code=Code.CANCELLED)
 
 
+@handlers.register(OutcomeRefusedByOrigin)
+def on_outcome_refused(zone: Zone, event: OutcomeRefusedByOrigin, now_ms: int) -> None:
+    """Count an outcome that no one takes; the caller can ask again for its state."""
+    zone.count("outcome.undelivered")
+
+
 def end_unsent(
     zone: Zone,
     state: RequestState,
--- a/packages/node/src/marigoldpath_node/effects/_platform.py
+++ b/packages/node/src/marigoldpath_node/effects/_platform.py
@@ -2,7 +2,6 @@
 
 from marigoldpath_core.messages import (
     CreateRow,
-    DeleteRow,
     ObjectRead,
     PutObject,
     ReadObject,
@@ -68,15 +67,6 @@
     await context.feed(RowWriteReplied(effect.key, reply.status, reply.version))
 
 
-@performs(DeleteRow, limit=8)
-async def delete_row(context: EffectContext, effect: DeleteRow) -> None:
-    """Delete a row."""
-    try:
-        await context.platform.delete_row(effect.key)
-    except PlatformError as fault:
-        context.observer.log.info("row not deleted", key=effect.key, reason=str(fault))
-
-
 @performs(ReadObject, limit=8)
 async def read_object(context: EffectContext, effect: ReadObject) -> None:
     """Read an object."""
--- a/packages/node/src/marigoldpath_node/platform/_client.py
+++ b/packages/node/src/marigoldpath_node/platform/_client.py
@@ -45,9 +45,6 @@
     async def create_row(self, key: str, value: RowValue) -> WriteReply:
         """Create a row unless there is one."""
 
-    async def delete_row(self, key: str) -> None:
-        """Delete a row."""
-
     async def read_object(self, key: str) -> RowValue | None:
         """Return an object, or None when there is none."""
 
--- a/packages/node/src/marigoldpath_node/platform/_http.py
+++ b/packages/node/src/marigoldpath_node/platform/_http.py
@@ -60,16 +60,6 @@
         """Create a row unless there is one."""
         return await self._write(_row_target(key), value, {"if-none-match": "*"})
 
-    async def delete_row(self, key: str) -> None:
-        """Delete a row as it is now; raises PlatformError."""
-        row = await self.read_row(key)
-        if row is None:
-            return
-        headers = {"if-match": str(row.version)}
-        response = await self._send("DELETE", _row_target(key), headers=headers)
-        if response.status not in (NOT_FOUND, PRECONDITION_FAILED):
-            _check(response)
-
     async def read_object(self, key: str) -> RowValue | None:
         """Return an object, or None when there is none; raises PlatformError."""
         target = f"/v1/objects/{quote(key)}"
--- a/packages/node/src/marigoldpath_node/runtime/_runtime.py
+++ b/packages/node/src/marigoldpath_node/runtime/_runtime.py
@@ -56,6 +56,7 @@
         self._performer = Performer(self._effect_context)
         self._polls = WorkerPolls(workers, observer, self.feed)
         self._polled: frozenset[tuple[str, str]] = frozenset()
+        self._polled_epoch = 0
         self._wake_at_ms = 0
         self._woken = curio.Event()
 
@@ -181,6 +182,11 @@
     async def _update_polls(self) -> None:
         """Poll the workers that the core names, at the addresses known now."""
         wanted = self._directory.with_addresses(self._scheduler.workers_to_poll)
+        epoch = self._scheduler.epoch
+        if epoch != self._polled_epoch:
+            # A new term needs all ends that a worker keeps, from the first one on.
+            self._polled_epoch, self._polled = epoch, frozenset()
+            await self._polls.set_workers(set())
         if wanted != self._polled:
             self._polled = wanted
             await self._polls.set_workers(set(wanted))
