Ask idle workers for usage not at all and for events seldom

Cause: a leader asked each worker for usage every 2 s and for events every 5 s (at 513 workers), whether the worker ran tasks or not: 0.7 of its 1.7 messages a second for each worker.

Change: usage is asked only of workers that run tasks by their latest list or a start. A poll of events lasts 20 s at a worker that runs nothing and has been steady for 5 s and two claim leases; it is cut short when a message to the worker fails or the core lists its tasks, because the core then waits for the end of a poll.

--- a/packages/node/src/marigoldpath_node/runtime/_runtime.py
+++ b/packages/node/src/marigoldpath_node/runtime/_runtime.py
@@ -53,7 +53,9 @@
             directory.worker_address,
         )
         self._performer = Performer(self._effect_context)
-        self._polls = WorkerPolls(workers, observer, self.feed)
+        self._polls = WorkerPolls(
+            workers, observer, self.feed, settings.leadership.claim_lease_ms
+        )
         self._polled: frozenset[tuple[str, str]] = frozenset()
         self._wake_at_ms = 0
         self._woken = curio.Event()
@@ -114,7 +116,9 @@
                 "event failed", type=type(event).__name__, exc_info=True
             )
             return
+        await self._polls.note(event)
         if effects:
+            await self._polls.note_effects(effects)
             await self._performer.submit(effects)
         if self._scheduler.wake_ms(now_ms) < self._wake_at_ms:
             await self._woken.set()
