--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 space := $(empty) $(empty)
 export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(abspath $(package))/src))
 
-.PHONY: setup lint format types test demo bench soak replay clean
+.PHONY: setup lint format types test demo fleet bench soak replay clean
 
 setup: $(VENV)/.ready $(DAEMON_VENV)/.ready
 
@@ -44,6 +44,10 @@
 demo: setup
 	@$(PYTHON) -m marigoldpath_bench.demo --deployment $(DEPLOYMENT) --seed $(SEED) --daemon-python $(DAEMON_VENV)/bin/python
 
+# Runs the stand-ins and daemons of a deployment until Ctrl-C.
+fleet: setup
+	@$(PYTHON) -m marigoldpath_bench.fleet --deployment $(DEPLOYMENT) --daemon-python $(DAEMON_VENV)/bin/python
+
 bench: setup
 	@$(PYTHON) -m marigoldpath_bench.benchmarks --seed $(SEED)
 
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/fleet/__main__.py
@@ -0,0 +1,71 @@
+"""Runs a fleet until Ctrl-C: python -m marigoldpath_bench.fleet."""
+
+import signal
+import sys
+from types import FrameType
+
+import curio
+from cyclopts import App
+
+from marigoldpath_bench.deployment import (
+    ROOT,
+    count_ports,
+    find_deployment,
+    load_deployment,
+    plan_run,
+)
+
+from ._environment import environment_lines
+from ._fleet import Fleet, free_base_port
+
+ENVIRONMENT = ROOT / "run" / "fleet.env"
+
+app = App(name="fleet", help="Run the stand-ins and daemons of a deployment.")
+
+
+def _leave(number: int, _frame: FrameType | None) -> None:
+    raise SystemExit(128 + number)
+
+
+@app.default
+def main(*, deployment: str, daemon_python: str) -> int:
+    """Print the addresses when all zones are served and run until Ctrl-C.
+
+    Parameters
+    ----------
+    deployment: skala or sfax.
+    daemon_python: the Python that runs the daemons.
+    """
+    signal.signal(signal.SIGTERM, _leave)
+    planned = load_deployment(find_deployment(deployment) / "deployment.json")
+    base_port = free_base_port(count_ports(planned))
+    folder = ROOT / "run" / f"{planned.name}-fleet-{base_port}"
+    plan = plan_run(planned, base_port, folder)
+    try:
+        with Fleet(plan, daemon_python) as fleet:
+            curio.run(_start, fleet)
+            lines = environment_lines(plan)
+            ENVIRONMENT.write_text("".join(f"{line}\n" for line in lines))
+            _tell(fleet)
+            while True:
+                signal.pause()
+    except KeyboardInterrupt:
+        print("all processes have ended")
+        return 0
+
+
+async def _start(fleet: Fleet) -> None:
+    await fleet.start()
+    await fleet.close()
+
+
+def _tell(fleet: Fleet) -> None:
+    plan = fleet.plan
+    for process in (plan.platform, *plan.daemons):
+        print(f"{process.name:12} {process.address}")
+    print(f"{len(plan.worker_hosts)} workers, logs in run/{plan.folder.name}")
+    print("in another terminal, in this folder: . run/fleet.env", flush=True)
+
+
+if __name__ == "__main__":
+    sys.exit(app())
