--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -7,11 +7,11 @@
 
 import curio
 from behave import given, then, when
-from process_run import SHARED, ProcessRun, Reply, show
 
 from marigoldpath_bench.load import Ending
 from marigoldpath_bench.load._call import is_own_answer
 from marigoldpath_bench.server import now_ms
+from process_run import SHARED, ProcessRun, Reply, show
 
 FOUND_S = 15.0
 STOP_S = 15.0
