--- a/tests/node/test_configuration.py
+++ b/tests/node/test_configuration.py
@@ -250,6 +250,19 @@
 
         run(use)
 
+    def test_a_leader_submits_a_batch_that_another_host_applied(self) -> None:
+        """The host that applied it may have died before it submitted the batch."""
+        batch = "batch,,,b1,t,zadar,echo,1,1\n"
+        record = VersionRecord(1, 0, "eva", "", "", sheet(1, batch))
+        body = {"version": 1, "text": json.dumps(encode_record(record))}
+
+        async def use() -> None:
+            async with Table() as table, EntryHostUnderTest(table) as host:
+                await host.call("POST", "/v1/peer/config", body)
+                await self.wait_for(host, RequestSubmitted)
+
+        run(use)
+
     async def wait_for(self, host: EntryHostUnderTest, event_type: type) -> None:
         async with curio.timeout_after(5):
             while not host.core.of_type(event_type):
