Count a renewal whose reply may be lost as granted

Cause: the end of a task's lease on an unreachable worker came from the last list, although a later renewal had taken effect and only its reply was lost: the task was started again up to 3 s before its first run was stopped. Change: the bound moves when a renewal is sent; the search loses only replies as well.

--- a/features/ownership.feature
+++ b/features/ownership.feature
@@ -141,3 +141,12 @@
     And 40 s pass
     Then "check" ran exactly once
     And the caller of "check" is told done
+
+  @no_double_run
+  Scenario: A renewal arrives and its reply is lost, then the worker is out of reach
+    Given a zone with 2 entry hosts and 4 workers
+    And "check" runs for 60000 ms
+    When the worker of "check" hears requests and its replies are lost
+    And 120 s pass
+    Then "check" ran at most once at a time
+    And the caller of "check" is told done
--- a/features/steps/zone_steps.py
+++ b/features/steps/zone_steps.py
@@ -185,6 +185,12 @@
     context.served.world.faults.cut.clear()
 
 
+@when('the worker of "{name}" hears requests and its replies are lost')
+def when_muted(context: Any, name: str) -> None:
+    worker = context.served.runs(name)[0].worker
+    context.served.world.faults.muted.add(worker)
+
+
 @when("replies of workers are lost")
 def when_replies_lost(context: Any) -> None:
     context.served.world.faults.lost_replies = 1.0
--- a/packages/bench/src/marigoldpath_bench/soak/_operations.py
+++ b/packages/bench/src/marigoldpath_bench/soak/_operations.py
@@ -60,6 +60,7 @@
         faults.most_delay_ms = 8
         faults.table_down = faults.table_loses_answers = False
         faults.cut.clear()
+        faults.muted.clear()
         self.world.gone.clear()
         self.world.leaving.clear()
         for machine in self.world.machines.values():
@@ -181,6 +182,12 @@
     search.faults.cut.add((search.host(), search.worker()))
 
 
+@operations.register("mute_worker")
+def mute_worker(search: Search) -> None:
+    """A worker hears requests and its replies are lost, or no longer."""
+    search.faults.muted ^= {search.worker()}
+
+
 @operations.register("join")
 def join(search: Search) -> None:
     """All cuts end."""
--- a/packages/bench/src/marigoldpath_bench/world/_faults.py
+++ b/packages/bench/src/marigoldpath_bench/world/_faults.py
@@ -16,6 +16,7 @@
         self.table_down = False
         self.table_loses_answers = False
         self.cut: set[tuple[str, str]] = set()
+        self.muted: set[str] = set()
 
     @property
     def random(self) -> random.Random:
@@ -36,7 +37,7 @@
 
     def loses_reply(self, host: str, target: str) -> bool:
         """Return whether a reply does not arrive."""
-        if target == TABLE and self.table_loses_answers:
+        if target in self.muted or (target == TABLE and self.table_loses_answers):
             return True
         return self.is_cut(host, target) or self._random.random() < self.lost_replies
 
--- a/packages/core/src/marigoldpath_core/scheduler/_leases.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_leases.py
@@ -30,15 +30,20 @@
         watch = zone.watch(worker)
         if not watch.is_held or now_ms - watch.renewed_at_ms < lease_ms // 3:
             continue
-        tasks = tuple(
-            task.task
+        renewed = [
+            task
             for _, task in zone.ledger.tasks_on(worker)
             if task.phase in (TaskPhase.RUNNING, TaskPhase.CHECKING)
-        )
+        ]
         clock_ms = zone.leadership.worker_clock_ms(worker, now_ms)
-        if not tasks or clock_ms is None:
+        if not renewed or clock_ms is None:
             continue
         watch.renewed_at_ms = now_ms
+        # The renewal may take effect although its reply is lost.
+        over_at_ms = lease_over_at_ms(zone, lease_ms, now_ms)
+        for task in renewed:
+            task.lease_over_at_ms = max(task.lease_over_at_ms, over_at_ms)
+        tasks = tuple(task.task for task in renewed)
         zone.effects.append(
             RenewLeases(worker, zone.settings.host, tasks, clock_ms + lease_ms)
         )
@@ -139,7 +144,8 @@
     state, task = placed
     task.missing_clock_ms = None
     left_ms = max(0, entry.lease_until_ms - report.clock_ms)
-    task.lease_over_at_ms = lease_over_at_ms(zone, left_ms, now_ms)
+    over_at_ms = lease_over_at_ms(zone, left_ms, now_ms)
+    task.lease_over_at_ms = max(task.lease_over_at_ms, over_at_ms)
     if task.phase in (TaskPhase.STARTING, TaskPhase.CHECKING):
         running(zone, state, task, report.clock_ms, now_ms)
 
