Keep only the own zone's workers of the host list

Cause: each daemon decoded the list of all zones' workers, though it needs its own zone's alone. In a fleet of eight zones of 513 workers the objects, most of them short-lived, put a follower above 32 MB.

Change: workers of other zones are dropped while the JSON text is parsed.

--- a/packages/node/src/marigoldpath_node/platform/_codec.py
+++ b/packages/node/src/marigoldpath_node/platform/_codec.py
@@ -1,5 +1,6 @@
 """JSON of the platform's replies."""
 
+import json
 from typing import Any
 
 from marigoldpath_core.messages import EntryHost, HostState, Row, WorkerHost
@@ -20,11 +21,23 @@
         raise PlatformReplyError(f"the row {key!r} is malformed: {fault!r}") from fault
 
 
-def decode_hosts(payload: Any) -> Hosts:
-    """Return the host list; raises PlatformReplyError."""
+def decode_hosts(body: bytes, availability_zone: str) -> Hosts:
+    """Return the host list with a zone's workers only; raises PlatformReplyError.
+
+    The workers of other zones are dropped while the text is parsed. As objects, the
+    4,100 workers of a fleet take several MB that the process does not give back.
+    """
+
+    def keep(item: dict[str, Any]) -> dict[str, Any] | None:
+        is_worker = "rack" in item
+        if is_worker and item.get("availability_zone") != availability_zone:
+            return None
+        return item
+
     try:
+        payload = json.loads(body, object_hook=keep)
         return Hosts(
-            tuple(_worker(each) for each in payload["workers"]),
+            tuple(_worker(each) for each in payload["workers"] if each is not None),
             tuple(_entry_host(each) for each in payload["entry_hosts"]),
         )
     except (TypeError, KeyError, ValueError) as fault:
--- a/packages/node/src/marigoldpath_node/platform/_http.py
+++ b/packages/node/src/marigoldpath_node/platform/_http.py
@@ -105,7 +105,9 @@
         response = await self._send("GET", "/v1/hosts", headers=headers)
         if response.status == NOT_MODIFIED and self._hosts is not None:
             return self._hosts
-        self._hosts = decode_hosts(_json(response))
+        zone = self._settings.availability_zone
+        _check(response)
+        self._hosts = decode_hosts(response.body, zone)
         self._hosts_tag = response.headers.get("etag", "")
         return self._hosts
 
--- a/tests/node/test_platform.py
+++ b/tests/node/test_platform.py
@@ -99,6 +99,32 @@
             self.assertEqual(first.workers[0].state, HostState.LEAVING)
             self.assertIs(await client.hosts(), first)
 
+    @kernel_test
+    async def test_only_the_own_zone_s_workers_are_kept(self) -> None:
+        """The workers of seven other zones took 2.6 MB of each follower."""
+        worker = {"rack": "r", "address": "", "capacity": {}, "state": "live"}
+        zones = ("zadar", "rijeka")
+        listed = {
+            "workers": [
+                {**worker, "name": f"w-{zone}", "availability_zone": zone}
+                for zone in zones
+            ],
+            "entry_hosts": [
+                {
+                    "name": f"e-{zone}",
+                    "availability_zone": zone,
+                    "address": "",
+                    "state": "live",
+                }
+                for zone in zones
+            ],
+        }
+        async with StandIn() as platform:
+            platform.answers["GET", "/v1/hosts"] = listed
+            hosts = await client_of(platform.address).hosts()
+            self.assertEqual([each.name for each in hosts.workers], ["w-zadar"])
+            self.assertEqual(len(hosts.entry_hosts), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
