--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 	@$(PYTHON) -m marigoldpath_bench.fleet --deployment $(DEPLOYMENT) --daemon-python $(DAEMON_VENV)/bin/python
 
 bench: setup
-	@$(PYTHON) -m marigoldpath_bench.benchmarks --seed $(SEED)
+	@$(PYTHON) -m marigoldpath_bench.benchmarks --seed $(SEED) --daemon-python $(DAEMON_VENV)/bin/python
 
 # TRACE is a file that a daemon recorded at observability.trace_path.
 replay: setup
--- a/packages/bench/src/marigoldpath_bench/benchmarks.py
+++ b/packages/bench/src/marigoldpath_bench/benchmarks.py
@@ -9,13 +9,12 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from marigoldpath_bench import policy_bench, process_bench
+from marigoldpath_bench import journal_bench, policy_bench, process_bench
 from marigoldpath_core.registry import Registry
 
 Benchmark = Callable[[int, str | None], Iterable[Mapping[str, Any]]]
 
 BENCHMARKS: Registry[str, Benchmark] = Registry("benchmark")
-JOURNAL_BENCH = "marigoldpath_bench.journal_bench"
 
 
 @BENCHMARKS.register("policy")
@@ -24,10 +23,17 @@
     return policy_bench.measures(seed)
 
 
+@BENCHMARKS.register("journal")
+def journal(seed: int, daemon_python: str | None) -> Iterable[Mapping[str, Any]]:
+    """Measure the journal with the stand-in of the table."""
+    return journal_bench.measures(seed)
+
+
 @BENCHMARKS.register("process")
 def processes(seed: int, daemon_python: str | None) -> Iterable[Mapping[str, Any]]:
-    """Measure the running system."""
-    return process_bench.measures(seed, daemon_python)
+    """Measure the running system part by part."""
+    for part in process_bench.MEASURES:
+        yield from process_bench.measures(seed, daemon_python, (part,))
 
 
 def _register_parts() -> None:
