--- a/features/steps/zone_steps.py
+++ b/features/steps/zone_steps.py
@@ -45,9 +45,9 @@
         """Stop time between the decision to start a task and the sending of it."""
         host = self.world.unsent_of(self.leader)
         for _ in range(20_000):
-            self.world.run(1, step_ms=1)
             if any(isinstance(effect, StartTasks) for effect in host()):
                 return
+            self.world.run(1, step_ms=1)
         raise AssertionError("no start was decided within 20 s")
 
 
@@ -185,6 +185,12 @@
     context.served.world.faults.cut.clear()
 
 
+@when('the worker of "{name}" hears requests and its replies are lost')
+def when_muted(context: Any, name: str) -> None:
+    worker = context.served.runs(name)[0].worker
+    context.served.world.faults.muted.add(worker)
+
+
 @when("replies of workers are lost")
 def when_replies_lost(context: Any) -> None:
     context.served.world.faults.lost_replies = 1.0
--- a/packages/core/src/marigoldpath_core/admission/_queue.py
+++ b/packages/core/src/marigoldpath_core/admission/_queue.py
@@ -123,6 +123,8 @@
                 if _found_no_room(request, failed):
                     self._passed_over.setdefault(request.key, now_ms)
                     continue
+                if not self._shares.within_quota(request):
+                    continue
                 failed.append((request.size, request.tasks))
             if can_place(queued):
                 self._take(queued, now_ms)
@@ -206,6 +208,14 @@
                         return queued
         return None
 
+    def outsizes_floors(self, request: Request, size: Size) -> bool:
+        """Return whether a request can never fit beside the floors of other kinds."""
+        return self._shares.outsizes_floors(request, size)
+
+    def within_quota(self, request: Request) -> bool:
+        """Return whether a request fits in what its team's quota leaves."""
+        return self._shares.within_quota(request)
+
     def waiting_lanes(self) -> list[Lane]:
         """Return the lanes with waiting requests."""
         return [lane for lane in self._lanes.values() if len(lane)]
@@ -214,10 +224,6 @@
         """Return whether a kind holds less than its floor."""
         return self._shares.is_below_floor(kind)
 
-    def within_quota(self, request: Request) -> bool:
-        """Return whether a request fits in what its team's quota leaves."""
-        return self._shares.within_quota(request)
-
     def room(self, kind: str) -> Size | None:
         """Return what one more request of a kind may hold; None for no limit."""
         return self._shares.room(kind)
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -112,6 +112,17 @@
             (state["outcome"], state["code"]), ("not_run", "deadline_passed")
         )
 
+    def test_a_request_that_never_fits_beside_the_floors_of_others_still_runs(
+        self,
+    ) -> None:
+        """A floor of another kind kept a whole worker's task waiting for ever."""
+        served = ServedWorld(workers=1)
+        served.callers.submit("check")
+        served.callers.run(1_000)
+        served.callers.submit("whole", kind="cord_path_plan", size=Size(64_000))
+        served.callers.run(2_000)
+        self.assertEqual(served.outcome("whole"), (OutcomeKind.DONE, ""))
+
 
 class CancelTests(unittest.TestCase):
     def test_a_running_task_is_stopped_and_does_not_come_back(self) -> None:
@@ -149,6 +160,18 @@
         self.assertNotEqual(runs[-1].worker, first.worker)
         self.assertIsNone(runs[-1].end_ms)
 
+    def test_a_run_that_ends_while_there_is_no_leader_is_followed_by_another(
+        self,
+    ) -> None:
+        """The next leader took the end of the run for that of the request."""
+        served = ServedWorld()
+        served.callers.submit("watch", kind="tension_watch", work={"run_ms": 12_000})
+        served.callers.run(10_000)
+        served.world.kill(served.world.serving[0])
+        served.callers.run(15_000)
+        runs = served.world.verdict().intervals["counter/zadar/watch"]
+        self.assertEqual([run.status for run in runs], ["done", ""])
+
     def test_a_standing_task_that_ends_at_once_is_restarted_with_growing_delays(
         self,
     ) -> None:
@@ -206,6 +229,7 @@
         for number in range(100):
             served.callers.submit(f"r{number}", work={"run_ms": 20})
             served.callers.run(50)
+        served.callers.run(2_000)
         runs = served.world.verdict().intervals.values()
         on_failing = [run for each in runs for run in each if run.worker == "w1"]
         self.assertLessEqual(len(on_failing), 5)
