--- a/packages/core/src/marigoldpath_core/settings/_model.py
+++ b/packages/core/src/marigoldpath_core/settings/_model.py
@@ -72,7 +72,7 @@
     """Receivers of logs, spans, metrics and traces; an empty value turns one off.
 
     `trace_bytes` bounds the trace: a leader of 8 workers with 2 requests a second
-    wrote 94 KB in 9 s (tests/traces/sfax.jsonl).
+    wrote 94 KB in 10 s (tests/traces/sfax.jsonl).
     """
 
     log_level: str = "info"
