Use the field's terms in the scheduler's names

Cause: read-through: caretaker, make_room, lost and running as verbs need explaining. Change: LeaseKeeper, preempt_for, reserve_for_starving, mark_lost, mark_running, mark_never_started, held_back, unmatched_ends.

--- a/packages/core/src/marigoldpath_core/scheduler/_day.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_day.py
@@ -17,7 +17,7 @@
 }
 
 
-def note_turned_away(zone: Zone, request: Request, outcome: Outcome) -> None:
+def note_refused_at_intake(zone: Zone, request: Request, outcome: Outcome) -> None:
     """Count a refusal of a request that was never taken in."""
     if zone.leadership.epoch:
         zone.day.submitted(request.kind)
--- a/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
@@ -17,7 +17,7 @@
 from ._codes import Code
 from ._day import note_first_start
 from ._outcomes import end_request
-from ._room import make_room
+from ._preemption import preempt_for
 from ._zone import Ticket, TicketPurpose, Zone
 
 ATTEMPTS_PER_TERM = 1_000
@@ -71,7 +71,7 @@
             place(zone, state, placer.chosen, now_ms)
     urgent = zone.queue.most_urgent()
     if urgent is not None:
-        make_room(zone, urgent.request, now_ms)
+        preempt_for(zone, urgent.request, now_ms)
 
 
 def reserved_size(zone: Zone, request: Request) -> Size:
@@ -80,7 +80,7 @@
     return zone.estimates.size(request.kind, request.size, most)
 
 
-def keep_room(zone: Zone, now_ms: int) -> None:
+def reserve_for_starving(zone: Zone, now_ms: int) -> None:
     """Keep workers free for the one request that was passed over for longest."""
     starving = zone.queue.starving(now_ms)
     key = None if starving is None else starving.request.key
@@ -93,7 +93,7 @@
         request = starving.request
         size = reserved_size(zone, request)
         zone.workers.reserve(str(key), size, request.tasks)
-        zone.log("room_kept", request=str(key), tasks=request.tasks)
+        zone.log("capacity_reserved", request=str(key), tasks=request.tasks)
 
 
 def place(zone: Zone, state: RequestState, chosen: list[str], now_ms: int) -> None:
--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -110,10 +110,10 @@
     waiting outside the queue.
     """
     if zone.can_record(now_ms):
-        for parked in zone.parked:
-            if parked.phase is RequestPhase.WAITING:
-                restore(zone, parked, now_ms)
-        zone.parked.clear()
+        for waiting in zone.held_back:
+            if waiting.phase is RequestPhase.WAITING:
+                restore(zone, waiting, now_ms)
+        zone.held_back.clear()
         return
     for number, ticket in list(zone.tickets.items()):
         state = zone.ledger.get(ticket.key)
@@ -127,7 +127,7 @@
             free(zone, state)
             state.phase = RequestPhase.WAITING
             state.history.add(now_ms, "waiting", "for the platform to answer")
-            zone.parked.append(state)
+            zone.held_back.append(state)
             continue
         end_unsent(
             zone,
--- a/packages/core/src/marigoldpath_core/scheduler/_caretaker.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_lease_keeper.py
@@ -17,10 +17,10 @@
 
 OUTAGE_AFTER_MS = 2_000
 
-_handlers: Registry = Registry("caretaker event")
+_handlers: Registry = Registry("lease keeper event")
 
 
-class Caretaker:
+class LeaseKeeper:
     """Renews the leases of what runs, for a follower that cannot read the leader row.
 
     A renewal starts nothing. It is sent only after a round of lists in which more
--- a/packages/core/src/marigoldpath_core/scheduler/_leases.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_leases.py
@@ -19,7 +19,7 @@
 from marigoldpath_core.requests import Request, parse_task_id
 
 from ._dispatch import lease_over_at_ms
-from ._tasks import lost, never_started, running
+from ._tasks import mark_lost, mark_never_started, mark_running
 from ._zone import WorkerWatch, Zone, handlers
 
 
@@ -56,7 +56,7 @@
             continue
         for state, task in zone.ledger.tasks_on(worker):
             if task.may_run and now_ms >= task.lease_over_at_ms:
-                lost(zone, state, task, now_ms, f"{worker} is out of reach")
+                mark_lost(zone, state, task, now_ms, f"{worker} is out of reach")
 
 
 @handlers.register(TasksListed)
@@ -82,7 +82,7 @@
         if entry is not None:
             _listed(zone, (state, task), entry, report, now_ms)
         elif restarted and task.may_run and task.phase is not TaskPhase.STARTING:
-            lost(zone, state, task, now_ms, f"{worker} restarted")
+            mark_lost(zone, state, task, now_ms, f"{worker} restarted")
         elif task.missing_clock_ms is None and _is_missing(task, report):
             task.missing_clock_ms = report.clock_ms
     for entry in listed.values():
@@ -105,9 +105,9 @@
         if missing_ms is None or event.clock_ms < missing_ms or not task.may_run:
             continue
         if task.phase is TaskPhase.CHECKING:
-            never_started(zone, state, task, now_ms, "its worker never started it")
+            mark_never_started(zone, state, task, now_ms, "its worker never started it")
         else:
-            lost(zone, state, task, now_ms, f"{event.worker} does not run it")
+            mark_lost(zone, state, task, now_ms, f"{event.worker} does not run it")
 
 
 @handlers.register(Tick)
@@ -147,7 +147,7 @@
     over_at_ms = lease_over_at_ms(zone, left_ms, now_ms)
     task.lease_over_at_ms = max(task.lease_over_at_ms, over_at_ms)
     if task.phase in (TaskPhase.STARTING, TaskPhase.CHECKING):
-        running(zone, state, task, report.clock_ms, now_ms)
+        mark_running(zone, state, task, report.clock_ms, now_ms)
 
 
 def _is_missing(task: TaskState, report: WorkerReport) -> bool:
--- a/packages/core/src/marigoldpath_core/scheduler/_outcomes.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_outcomes.py
@@ -6,7 +6,7 @@
 from marigoldpath_core.requests import Answer, Origin, Outcome, OutcomeKind, Request
 
 from ._codes import Code
-from ._day import note_ended, note_turned_away
+from ._day import note_ended, note_refused_at_intake
 from ._zone import Zone
 
 RETRY_SOON_MS = 500
@@ -67,5 +67,5 @@
 ) -> None:
     """Refuse a submission that left no trace in the ledger."""
     zone.count(f"refused.{outcome.code}")
-    note_turned_away(zone, request, outcome)
+    note_refused_at_intake(zone, request, outcome)
     reply(zone, origin, outcome)
--- a/packages/core/src/marigoldpath_core/scheduler/_room.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_preemption.py
@@ -25,7 +25,7 @@
     )
 
 
-def make_room(zone: Zone, request: Request, now_ms: int) -> None:
+def preempt_for(zone: Zone, request: Request, now_ms: int) -> None:
     """Stop the least urgent work on one worker for an urgent request.
 
     Only repeatable tasks are stopped, since a stopped task is started again. Tasks
--- a/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
@@ -19,12 +19,18 @@
 from marigoldpath_core.settings import DaemonSettings
 
 from . import _intake, _leases, _recovery, _tasks, _usage
-from ._caretaker import Caretaker
 from ._codes import Code
 from ._day import day_record, note_tick
-from ._dispatch import dispatch, keep_room, requeue, restore_delayed, send_starts
+from ._dispatch import (
+    dispatch,
+    requeue,
+    reserve_for_starving,
+    restore_delayed,
+    send_starts,
+)
+from ._lease_keeper import LeaseKeeper
 from ._outcomes import end_request
-from ._room import forget_preemptions
+from ._preemption import forget_preemptions
 from ._zone import TicketPurpose, Zone, ZonePhase, change_handlers, handlers
 
 __all__ = ["ZoneScheduler"]
@@ -44,7 +50,7 @@
     def __init__(self, settings: DaemonSettings, incarnation: str) -> None:
         self._settings = settings
         self._zone = Zone(settings, incarnation)
-        self._caretaker = Caretaker(settings)
+        self._lease_keeper = LeaseKeeper(settings)
 
     @property
     def leader(self) -> LeaderView | None:
@@ -94,7 +100,7 @@
         zone.effects.extend(zone.journal.tick(now_ms))
         if not zone.leadership.epoch:
             listed = zone.leadership.listed
-            zone.effects.extend(self._caretaker.handle(event, listed, now_ms))
+            zone.effects.extend(self._lease_keeper.handle(event, listed, now_ms))
         return zone.take_effects()
 
     def configure(self, configuration: Configuration) -> None:
@@ -236,13 +242,13 @@
         for name in zone.health.due(now_ms):
             if name in zone.workers:
                 zone.workers.set_available(name, True)
-        keep_room(zone, now_ms)
+        reserve_for_starving(zone, now_ms)
         zone.queue.set_capacity(zone.workers.capacity)
         zone.has_work = True
         _intake.refuse_unrecorded(zone, now_ms)
         restore_delayed(zone, now_ms)
         forget_preemptions(zone, now_ms)
-        _tasks.forget_unclaimed(zone, now_ms)
+        _tasks.forget_unmatched_ends(zone, now_ms)
         if zone.journal.needs_snapshot:
             zone.effects.extend(zone.journal.snapshot(now_ms))
         if zone.is_draining:
--- a/packages/core/src/marigoldpath_core/scheduler/_tasks.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_tasks.py
@@ -36,7 +36,7 @@
 from ._zone import Zone, handlers
 
 # Whether an end speaks for its worker or against it; other ends say nothing of it.
-SAYS_OF_WORKER = {TaskStatus.DONE: True, TaskStatus.FAILED: False}
+WORKER_VERDICTS = {TaskStatus.DONE: True, TaskStatus.FAILED: False}
 
 
 @handlers.register(StartsReplied)
@@ -50,9 +50,9 @@
         if task.phase is not TaskPhase.STARTING:
             continue
         if status is StartStatus.STARTED:
-            running(zone, state, task, event.clock_ms, now_ms)
+            mark_running(zone, state, task, event.clock_ms, now_ms)
         else:
-            never_started(zone, state, task, now_ms, "its start came too late")
+            mark_never_started(zone, state, task, now_ms, "its start came too late")
 
 
 @handlers.register(StartsFailed)
@@ -67,7 +67,9 @@
             task.phase = TaskPhase.CHECKING
             state.history.add(now_ms, "checking", "the reply to its start was lost")
         else:
-            never_started(zone, state, task, now_ms, "its worker was not reachable")
+            mark_never_started(
+                zone, state, task, now_ms, "its worker was not reachable"
+            )
 
 
 @handlers.register(TaskEnded)
@@ -85,7 +87,7 @@
     state.has_run = True
     task.status, task.answer = event.status, event.answer
     note_task_ended(zone, state, task, now_ms)
-    task_over(zone, state, task, SAYS_OF_WORKER.get(event.status), now_ms)
+    task_over(zone, state, task, WORKER_VERDICTS.get(event.status), now_ms)
     if task.started_at_ms and event.status is TaskStatus.DONE:
         ran_ms = now_ms - task.started_at_ms
         zone.estimates.observe_run(state.request.kind, state.request.run_ms, ran_ms)
@@ -119,7 +121,7 @@
     finish_if_ended(zone, state, now_ms)
 
 
-def running(
+def mark_running(
     zone: Zone, state: RequestState, task: TaskState, clock_ms: int, now_ms: int
 ) -> None:
     """Note that a task was running at `clock_ms` on its worker's clock."""
@@ -133,7 +135,7 @@
         zone.effects.append(StopTasks(task.worker, (task.task,)))
 
 
-def never_started(
+def mark_never_started(
     zone: Zone, state: RequestState, task: TaskState, now_ms: int, reason: str
 ) -> None:
     """Take a task back that certainly was not started."""
@@ -145,7 +147,7 @@
     finish_if_ended(zone, state, now_ms)
 
 
-def lost(
+def mark_lost(
     zone: Zone, state: RequestState, task: TaskState, now_ms: int, reason: str
 ) -> None:
     """Note that a task certainly does not run any more and left no answer."""
@@ -189,7 +191,7 @@
     if state.is_adopted and not state.is_recorded:
         # How many tasks belong to it is known only when its caller comes back.
         zone.queue.ended(state.request.key)
-        zone.unclaimed.append((now_ms, state.request.key))
+        zone.unmatched_ends.append((now_ms, state.request.key))
         return
     statuses = {task.status for task in state.tasks.values()}
     answers = [task.answer for task in state.tasks.values() if task.answer]
@@ -228,11 +230,11 @@
         )
 
 
-def forget_unclaimed(zone: Zone, now_ms: int) -> None:
+def forget_unmatched_ends(zone: Zone, now_ms: int) -> None:
     """Forget the ends of requests whose callers did not come back."""
     before_ms = now_ms - zone.settings.scheduler.finished_retention_ms
-    while zone.unclaimed and zone.unclaimed[0][0] < before_ms:
-        _, key = zone.unclaimed.popleft()
+    while zone.unmatched_ends and zone.unmatched_ends[0][0] < before_ms:
+        _, key = zone.unmatched_ends.popleft()
         state = zone.ledger.get(key)
         if state is not None and state.is_adopted and not state.may_run:
             free(zone, state)
--- a/packages/core/src/marigoldpath_core/scheduler/_usage.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_usage.py
@@ -6,7 +6,7 @@
 from marigoldpath_core.placement import THROTTLE_PERCENT, RunningWork, Victim
 from marigoldpath_core.requests import Size
 
-from ._room import running_work, stop_for
+from ._preemption import running_work, stop_for
 from ._zone import Zone, handlers
 
 RELIEF = "its host was running full"
--- a/packages/core/src/marigoldpath_core/scheduler/_zone.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_zone.py
@@ -134,8 +134,8 @@
         self.quiet_since_ms: int | None = None
         self.unresolved: dict[RequestKey, Unresolved] = {}
         self.quorum_at_ms = None
-        self.parked: list[RequestState] = []
-        self.unclaimed: deque[tuple[int, RequestKey]] = deque()
+        self.held_back: list[RequestState] = []
+        self.unmatched_ends: deque[tuple[int, RequestKey]] = deque()
         self.delayed: list[tuple[int, RequestKey]] = []
         self.reserved_for: RequestKey | None = None
         self.preempted_at_ms: dict[RequestKey, int] = {}
