--- a/packages/bench/src/marigoldpath_bench/process_bench/_measures.py
+++ b/packages/bench/src/marigoldpath_bench/process_bench/_measures.py
@@ -1,6 +1,7 @@
 """Runs the parts of the benchmark one after the other."""
 
 import tempfile
+import time
 from pathlib import Path
 
 import curio
@@ -9,10 +10,11 @@
 from . import _starts as _starts_part
 from . import _takeover as _takeover_part
 from . import _waiting as _waiting_part
-from ._model import PARTS, BenchSettings, Measure, default_daemon_python
+from ._model import PARTS, BenchSettings, Measure, default_daemon_python, measure
 
 REGISTERED = (_idle_part, _starts_part, _takeover_part, _waiting_part)
 MEASURES = ("starts", "waiting", "takeover", "idle")
+LOOP_STEPS = 1_000_000
 
 
 def measures(
@@ -27,5 +29,20 @@
             settings = BenchSettings(
                 seed, daemon_python or default_daemon_python(), Path(folder)
             )
+            found.append(_reference_loop(part, seed))
             found += curio.run(PARTS.get(part), settings)
     return found
+
+
+def _reference_loop(part: str, seed: int) -> Measure:
+    """Time a fixed loop, because a shared machine's speed changes between runs.
+
+    Figures of two runs compare only after division by it.
+    """
+    begin_s = time.process_time()
+    total = 0
+    for number in range(LOOP_STEPS):
+        total += number
+    value = 1_000 * (time.process_time() - begin_s)
+    title = "reference loop, processor for 1,000,000 additions"
+    return measure(title, f"before {part}", value, "ms", seed)
--- a/packages/bench/src/marigoldpath_bench/timed_daemon.py
+++ b/packages/bench/src/marigoldpath_bench/timed_daemon.py
@@ -36,6 +36,11 @@
         self._written_ns = 0
         self._call_ns = self._calibrate()
 
+    @property
+    def spent(self) -> dict[str, int]:
+        """Nanoseconds of each group so far."""
+        return self._spent
+
     def wrap(self, group: str, function: Callable) -> Callable:
         """Return the function with a timer."""
 
