--- a/packages/bench/src/marigoldpath_bench/fleet/__main__.py
+++ b/packages/bench/src/marigoldpath_bench/fleet/__main__.py
@@ -37,6 +37,8 @@
     daemon_python: the Python that runs the daemons.
     """
     signal.signal(signal.SIGTERM, _leave)
+    # A shell starts background processes with SIGINT ignored.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     planned = load_deployment(find_deployment(deployment) / "deployment.json")
     base_port = free_base_port(count_ports(planned))
     folder = ROOT / "run" / f"{planned.name}-fleet-{base_port}"
