--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -4,7 +4,12 @@
 
 from marigoldpath_core.journal import Accepted, Cancelled
 from marigoldpath_core.ledger import RequestPhase, RequestState
-from marigoldpath_core.messages import CancelRequested, RequestSubmitted, StopTasks
+from marigoldpath_core.messages import (
+    CancelRequested,
+    OutcomeRefusedByOrigin,
+    RequestSubmitted,
+    StopTasks,
+)
 from marigoldpath_core.requests import Origin, Outcome, OutcomeKind, Request
 
 from ._codes import Code
@@ -67,6 +72,12 @@
     end_unsent(zone, state, now_ms, code=Code.CANCELLED)
 
 
+@handlers.register(OutcomeRefusedByOrigin)
+def on_outcome_refused(zone: Zone, event: OutcomeRefusedByOrigin, now_ms: int) -> None:
+    """Count an outcome that no one takes; the caller can ask again for its state."""
+    zone.count("outcome.undelivered")
+
+
 def end_unsent(
     zone: Zone,
     state: RequestState,
@@ -99,10 +110,10 @@
     waiting outside the queue.
     """
     if zone.can_record(now_ms):
-        for parked in zone.parked:
-            if parked.phase is RequestPhase.WAITING:
-                restore(zone, parked, now_ms)
-        zone.parked.clear()
+        for waiting in zone.held_back:
+            if waiting.phase is RequestPhase.WAITING:
+                restore(zone, waiting, now_ms)
+        zone.held_back.clear()
         return
     for number, ticket in list(zone.tickets.items()):
         state = zone.ledger.get(ticket.key)
@@ -116,7 +127,7 @@
             free(zone, state)
             state.phase = RequestPhase.WAITING
             state.history.add(now_ms, "waiting", "for the platform to answer")
-            zone.parked.append(state)
+            zone.held_back.append(state)
             continue
         end_unsent(
             zone,
--- a/packages/core/src/marigoldpath_core/scheduler/_leases.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_leases.py
@@ -19,7 +19,7 @@
 from marigoldpath_core.requests import Request, parse_task_id
 
 from ._dispatch import lease_over_at_ms
-from ._tasks import lost, never_started, running
+from ._tasks import mark_lost, mark_never_started, mark_running
 from ._zone import WorkerWatch, Zone, handlers
 
 
@@ -30,15 +30,20 @@
         watch = zone.watch(worker)
         if not watch.is_held or now_ms - watch.renewed_at_ms < lease_ms // 3:
             continue
-        tasks = tuple(
-            task.task
+        renewed = [
+            task
             for _, task in zone.ledger.tasks_on(worker)
             if task.phase in (TaskPhase.RUNNING, TaskPhase.CHECKING)
-        )
+        ]
         clock_ms = zone.leadership.worker_clock_ms(worker, now_ms)
-        if not tasks or clock_ms is None:
+        if not renewed or clock_ms is None:
             continue
         watch.renewed_at_ms = now_ms
+        # The renewal may take effect although its reply is lost.
+        over_at_ms = lease_over_at_ms(zone, lease_ms, now_ms)
+        for task in renewed:
+            task.lease_over_at_ms = max(task.lease_over_at_ms, over_at_ms)
+        tasks = tuple(task.task for task in renewed)
         zone.effects.append(
             RenewLeases(worker, zone.settings.host, tasks, clock_ms + lease_ms)
         )
@@ -51,7 +56,7 @@
             continue
         for state, task in zone.ledger.tasks_on(worker):
             if task.may_run and now_ms >= task.lease_over_at_ms:
-                lost(zone, state, task, now_ms, f"{worker} is out of reach")
+                mark_lost(zone, state, task, now_ms, f"{worker} is out of reach")
 
 
 @handlers.register(TasksListed)
@@ -77,7 +82,7 @@
         if entry is not None:
             _listed(zone, (state, task), entry, report, now_ms)
         elif restarted and task.may_run and task.phase is not TaskPhase.STARTING:
-            lost(zone, state, task, now_ms, f"{worker} restarted")
+            mark_lost(zone, state, task, now_ms, f"{worker} restarted")
         elif task.missing_clock_ms is None and _is_missing(task, report):
             task.missing_clock_ms = report.clock_ms
     for entry in listed.values():
@@ -100,9 +105,9 @@
         if missing_ms is None or event.clock_ms < missing_ms or not task.may_run:
             continue
         if task.phase is TaskPhase.CHECKING:
-            never_started(zone, state, task, now_ms, "its worker never started it")
+            mark_never_started(zone, state, task, now_ms, "its worker never started it")
         else:
-            lost(zone, state, task, now_ms, f"{event.worker} does not run it")
+            mark_lost(zone, state, task, now_ms, f"{event.worker} does not run it")
 
 
 @handlers.register(Tick)
@@ -139,9 +144,10 @@
     state, task = placed
     task.missing_clock_ms = None
     left_ms = max(0, entry.lease_until_ms - report.clock_ms)
-    task.lease_over_at_ms = lease_over_at_ms(zone, left_ms, now_ms)
+    over_at_ms = lease_over_at_ms(zone, left_ms, now_ms)
+    task.lease_over_at_ms = max(task.lease_over_at_ms, over_at_ms)
     if task.phase in (TaskPhase.STARTING, TaskPhase.CHECKING):
-        running(zone, state, task, report.clock_ms, now_ms)
+        mark_running(zone, state, task, report.clock_ms, now_ms)
 
 
 def _is_missing(task: TaskState, report: WorkerReport) -> bool:
