Refuse before accepting, retry elsewhere, and count held capacity once

Change: the queue's refusal is asked before the acceptance is recorded, and an accepted request is queued in any case; a retry leaves out the workers on which the request failed; floors are parts of all workers in service.

--- a/packages/core/src/marigoldpath_core/admission/_queue.py
+++ b/packages/core/src/marigoldpath_core/admission/_queue.py
@@ -90,7 +90,7 @@
         """Queue a request or say why not; a request that waits already is kept."""
         if request.key in self._queued:
             return Ok(None)
-        refusal = self._refusal(request)
+        refusal = self.refusal(request)
         if refusal is not None:
             return Err(refusal)
         self._put(request, origin, now_ms, now_ms + request.deadline_ms)
@@ -257,7 +257,8 @@
         weight = self._shares.team_weight(request.key.team)
         lane.charge(request.key.team, request.tasks, weight)
 
-    def _refusal(self, request: Request) -> Refusal | None:
+    def refusal(self, request: Request) -> Refusal | None:
+        """Return why a request would not be queued now, or None."""
         lane = self._lanes.get(request.kind)
         if lane is None or request.kind not in self._configured:
             known = ", ".join(sorted(self._configured)) or "none"
--- a/packages/core/src/marigoldpath_core/ledger/_state.py
+++ b/packages/core/src/marigoldpath_core/ledger/_state.py
@@ -83,6 +83,7 @@
         "attempt",
         "cancel_reason",
         "ended_at_ms",
+        "failed_on",
         "failures",
         "has_run",
         "history",
@@ -111,6 +112,7 @@
         self.outcome: Outcome | None = None
         self.ended_at_ms = 0
         self.failures = 0
+        self.failed_on: set[str] = set()
         self.has_run = False
         self.is_recorded = False
         self.is_accepted = False
--- a/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
@@ -1,6 +1,8 @@
 """Places waiting requests on workers and sends their starts."""
 
 import heapq
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from marigoldpath_core.admission import QueuedRequest
 from marigoldpath_core.configuration import WorkKind
@@ -47,9 +49,10 @@
         holder = str(request.key) if request.key == zone.reserved_for else ""
         names = (request.kind, request.key.team)
         if request.tasks == 1:
-            worker = zone.workers.choose(
-                kind.placement, size, *names, reservation=holder
-            )
+            with _avoiding(zone, request):
+                worker = zone.workers.choose(
+                    kind.placement, size, *names, reservation=holder
+                )
             self._chosen = [] if worker is None else [worker]
         else:
             gang = zone.workers.choose_gang(
@@ -59,6 +62,24 @@
         return bool(self._chosen)
 
 
+@contextmanager
+def _avoiding(zone: Zone, request: Request) -> Iterator[None]:
+    """Leave out the workers on which a request failed, while there are others.
+
+    A request was tried three times on the same failing worker and given up.
+    """
+    state = zone.ledger.get(request.key)
+    failed = state.failed_on if state is not None else set()
+    left_out = [name for name in sorted(failed) if name in zone.workers]
+    if len(left_out) >= len(zone.workers):
+        left_out = []
+    for name in left_out:
+        zone.workers.set_available(name, False)
+    yield
+    for name in left_out:
+        zone.workers.set_available(name, zone.health.may_place(name, zone.now_ms))
+
+
 def dispatch(zone: Zone, now_ms: int) -> None:
     """Place as many waiting requests as fit."""
     if not zone.has_work or zone.is_draining:
--- a/packages/core/src/marigoldpath_core/scheduler/_intake.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_intake.py
@@ -2,6 +2,7 @@
 
 from result import Err
 
+from marigoldpath_core.admission import Refusal
 from marigoldpath_core.journal import Accepted, Cancelled
 from marigoldpath_core.ledger import RequestPhase, RequestState
 from marigoldpath_core.messages import (
@@ -150,23 +151,28 @@
     origin = state.origins[0] if state.origins else None
     offered = zone.queue.offer(state.request, origin, now_ms)
     if isinstance(offered, Err):
-        refusal = offered.err_value
-        zone.count(f"refused.{refusal.code}")
-        end_request(
-            zone,
-            state,
-            OutcomeKind.NOT_RUN,
-            now_ms,
-            code=refusal.code,
-            message=refusal.message,
-            retry_after_ms=refusal.retry_after_ms,
-        )
+        _refuse_queued(zone, state, offered.err_value, now_ms)
         return False
     state.phase = RequestPhase.WAITING
     zone.has_work = True
     return True
 
 
+def _refuse_queued(
+    zone: Zone, state: RequestState, refusal: Refusal, now_ms: int
+) -> None:
+    zone.count(f"refused.{refusal.code}")
+    end_request(
+        zone,
+        state,
+        OutcomeKind.NOT_RUN,
+        now_ms,
+        code=refusal.code,
+        message=refusal.message,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
 def _submit_new(zone: Zone, event: RequestSubmitted, now_ms: int) -> None:
     request, origin = event.request, event.origin
     refusal = _check(zone, request, now_ms)
@@ -180,6 +186,10 @@
     state.origins.append(origin)
     zone.ledger.add(state)
     if is_accepted_to_wait(zone, request):
+        turned_away = zone.queue.refusal(request)
+        if turned_away is not None:
+            _refuse_queued(zone, state, turned_away, now_ms)
+            return
         state.phase = RequestPhase.RECORDING
         state.is_recorded = True
         ticket = zone.journal.append(Accepted(request, now_ms), now_ms)
--- a/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_scheduler.py
@@ -15,7 +15,7 @@
 )
 from marigoldpath_core.registry import Registry
 from marigoldpath_core.report import DayRecord
-from marigoldpath_core.requests import OutcomeKind, RequestKey
+from marigoldpath_core.requests import OutcomeKind, RequestKey, Size
 from marigoldpath_core.settings import DaemonSettings
 
 from . import _intake, _leases, _recovery, _tasks, _usage
@@ -25,6 +25,7 @@
     dispatch,
     requeue,
     reserve_for_starving,
+    restore,
     restore_delayed,
     send_starts,
 )
@@ -178,7 +179,8 @@
             if ticket.purpose is TicketPurpose.ACCEPT:
                 _recovery.accepted_is_durable(zone, state)
                 if state.phase is RequestPhase.RECORDING:
-                    _intake.enqueue(zone, state, now_ms)
+                    # An accepted request is queued even if the queue has filled up.
+                    restore(zone, state, now_ms)
             elif ticket.attempt == state.attempt and not state.may_run:
                 send_starts(zone, state, now_ms)
 
@@ -203,7 +205,7 @@
         zone.hosts = own
         zone.health.set_workers(own)
         zone.entry_hosts = event.entry_hosts
-        zone.queue.set_capacity(zone.workers.capacity)
+        zone.queue.set_capacity(_usable_capacity(zone))
 
     def _move_from(self, worker: str, now_ms: int) -> None:
         """Move long-running tasks off a leaving worker; the others finish there."""
@@ -243,7 +245,7 @@
             if name in zone.workers:
                 zone.workers.set_available(name, True)
         reserve_for_starving(zone, now_ms)
-        zone.queue.set_capacity(zone.workers.capacity)
+        zone.queue.set_capacity(_usable_capacity(zone))
         zone.has_work = True
         _intake.refuse_unrecorded(zone, now_ms)
         restore_delayed(zone, now_ms)
@@ -280,3 +282,17 @@
             and host.state is HostState.LIVE
             for host in zone.entry_hosts
         )
+
+
+def _usable_capacity(zone: Zone) -> Size:
+    """Return what the workers in service hold, of which floors are parts.
+
+    A worker that may take no further task until its first ones have ended counts,
+    since what these hold counts as well.
+    """
+    removed = zone.health.removed()
+    total = Size()
+    for view in zone.workers:
+        if view.placeable and not view.leaving and view.name not in removed:
+            total = total.plus(view.capacity)
+    return total
--- a/packages/core/src/marigoldpath_core/scheduler/_tasks.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_tasks.py
@@ -243,6 +243,9 @@
 
 def _failed(zone: Zone, state: RequestState, now_ms: int) -> None:
     state.failures += 1
+    state.failed_on.update(
+        task.worker for task in state.tasks.values() if task.status is TaskStatus.FAILED
+    )
     fault = zone.health.faulty_request(state.request.key)
     limit = zone.settings.scheduler.max_attempts
     if state.request.repeatable and state.failures < limit and not fault:
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -5,7 +5,8 @@
 from unittest.mock import patch
 
 from marigoldpath_bench.worker import Behaviour
-from marigoldpath_bench.world import Callers, Faults, World, WorldSettings
+from marigoldpath_bench.world import KINDS, Callers, Faults, World, WorldSettings
+from marigoldpath_core.configuration import Configuration, TeamQuota
 from marigoldpath_core.messages import Tick
 from marigoldpath_core.requests import OutcomeKind, Size
 
@@ -64,6 +65,19 @@
         runs = served.world.verdict().intervals["counter/zadar/again"]
         self.assertEqual(len(runs), 1)
 
+    def test_a_request_is_not_accepted_and_then_refused_by_its_quota(self) -> None:
+        served = ServedWorld()
+        quota = TeamQuota("counter", Size(1_000, 10_000, 0, 8, 8))
+        configuration = Configuration(1, KINDS, (quota,))
+        served.world.scheduler(served.world.serving[0]).configure(configuration)
+        served.callers.submit(
+            "deep", kind="cord_path_plan", wait=False, size=Size(2_000, 1, 0, 1, 1)
+        )
+        served.callers.run(1_000)
+        call = served.callers.call("deep")
+        self.assertEqual({outcome.kind for outcome in call.outcomes}, {"not_run"})
+        self.assertEqual(call.outcomes[-1].code, "over_quota")
+
     def test_a_recorded_request_is_refused_while_the_platform_is_down(self) -> None:
         served = ServedWorld()
         served.world.faults.table_down = True
@@ -236,6 +250,19 @@
         outcomes = {served.outcome(f"r{number}") for number in range(100)}
         self.assertEqual(outcomes, {(OutcomeKind.DONE, "")})
 
+    def test_a_failed_request_is_tried_on_another_worker(self) -> None:
+        """It was tried three times on the same failing worker and given up."""
+        served = ServedWorld(workers=2)
+        served.world.machines["w1"].set_behaviour(Behaviour(fail=True))
+        for number in range(3):
+            served.callers.submit(f"r{number}", work={"run_ms": 20})
+            served.callers.run(1_000)
+        runs = served.world.verdict().intervals.values()
+        for each in runs:
+            failed = [run for run in each if run.status == "failed"]
+            self.assertLessEqual(len(failed), 1)
+            self.assertEqual(each[-1].status, "done")
+
     def test_a_request_that_fails_everywhere_is_given_up_and_takes_no_worker_out(
         self,
     ) -> None:
