--- a/tests/bench/test_fleet.py
+++ b/tests/bench/test_fleet.py
@@ -14,6 +14,7 @@
     plan_run,
 )
 from marigoldpath_bench.fleet import Fleet, free_base_port
+from marigoldpath_bench.fleet._environment import environment_lines
 from marigoldpath_bench.fleet._fleet import serving_zones
 
 
@@ -67,3 +68,10 @@
         health = {"availability_zone": "thyna", "leader": {}, "serving": False}
         self.assertEqual(serving_zones(health), set())
         self.assertEqual(serving_zones({**health, "serving": True}), {"thyna"})
+
+    def test_the_environment_names_every_entry_host_and_key(self) -> None:
+        lines = environment_lines(self.plan)
+        addresses = [daemon.address for daemon in self.plan.daemons]
+        self.assertIn(f"export MARIGOLDPATH_ENTRY={','.join(addresses)}", lines)
+        self.assertIn("export KEY_ROUNDS=sfax-key-of-rounds-0001", lines)
+        self.assertIn("export MARIGOLDPATH_KEY=sfax-key-of-operator-0001", lines)
