Use one form for log events and plain terms for faults

Cause: read-through: the core's log events were in snake_case, the daemon's were phrases; faults struck where they are injected.

--- a/features/matrix.feature
+++ b/features/matrix.feature
@@ -1,12 +1,12 @@
 Feature: What must always hold under every fault
-  Mixed requests arrive for six seconds. One fault, or two at once, strikes after one
-  second and ends five seconds after the last request. The checks read the workers'
+  Mixed requests arrive for six seconds. One fault, or two at once, is injected after one
+  second and removed five seconds after the last request. The checks read the workers'
   records.
 
   @no_overload @no_double_run @own_answer @true_not_run @at_most_once
   Scenario Outline: <faults>
     Given a zone with 3 entry hosts and 4 workers
-    When mixed requests arrive and <faults> strikes
+    When mixed requests arrive and <faults> is injected
     Then no worker was overcommitted
     And no request ran twice at once
     And every answer belonged to its request
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -1,4 +1,4 @@
-Feature: Real processes keep every promise while a fault strikes them
+Feature: Real processes keep every promise under each fault
   All processes of a deployment run on the loopback address, under a mixed load. The
   workers' records and the callers' answers are judged after each fault. These
   scenarios guard against faults between the parts: sockets, signals, timers, settings.
--- a/features/steps/matrix_steps.py
+++ b/features/steps/matrix_steps.py
@@ -1,4 +1,4 @@
-"""Steps that strike a zone under mixed load with one fault or two."""
+"""Steps that inject one fault or two into a zone under mixed load."""
 
 from collections.abc import Callable
 from typing import Any
@@ -11,87 +11,87 @@
 from marigoldpath_core.requests import OutcomeKind, Size
 
 LOAD_STEP_MS = 100
-STRIKE_AFTER = 10
+INJECT_AFTER = 10
 STEPS = 60
 SETTLE_MS = 60_000
 
-strikes: Registry[str, Callable[[World, str], None]] = Registry("fault")
-ends: Registry[str, Callable[[World, str], None]] = Registry("end of a fault")
+injections: Registry[str, Callable[[World, str], None]] = Registry("fault")
+removals: Registry[str, Callable[[World, str], None]] = Registry("end of a fault")
 
 
-@strikes.register("a kill")
+@injections.register("a kill")
 def kill(world: World, leader: str) -> None:
     world.kill(leader)
     world.add_host("replacement")
 
 
-@strikes.register("a pause past the lease")
+@injections.register("a pause past the lease")
 def pause(world: World, leader: str) -> None:
     world.pause(leader)
 
 
-@ends.register("a pause past the lease")
+@removals.register("a pause past the lease")
 def wake(world: World, leader: str) -> None:
     world.wake(leader)
 
 
-@strikes.register("a cut zone")
+@injections.register("a cut zone")
 def cut_zone(world: World, leader: str) -> None:
     for host in world.host_names:
         world.faults.cut.add((host, "table"))
 
 
-@strikes.register("a cut entry host")
+@injections.register("a cut entry host")
 def cut_host(world: World, leader: str) -> None:
     world.faults.cut.add((leader, "table"))
 
 
-@strikes.register("a platform outage")
+@injections.register("a platform outage")
 def outage(world: World, leader: str) -> None:
     world.faults.table_down = True
 
 
-@ends.register("a platform outage")
+@removals.register("a platform outage")
 def outage_over(world: World, leader: str) -> None:
     world.faults.table_down = False
 
 
-@strikes.register("lost answers after the write")
+@injections.register("lost answers after the write")
 def lost_answers(world: World, leader: str) -> None:
     world.faults.table_loses_answers = True
 
 
-@ends.register("lost answers after the write")
+@removals.register("lost answers after the write")
 def answers_again(world: World, leader: str) -> None:
     world.faults.table_loses_answers = False
 
 
-@strikes.register("restarting workers")
+@injections.register("restarting workers")
 def restart(world: World, leader: str) -> None:
     for worker in list(world.machines)[::2]:
         world.restart_worker(worker)
 
 
-@strikes.register("lost and crossed messages")
+@injections.register("lost and crossed messages")
 def crossed(world: World, leader: str) -> None:
     world.faults.lost_replies = 0.1
     world.faults.most_delay_ms = 500
     world.faults.doubled_events = 0.2
 
 
-@ends.register("lost and crossed messages")
+@removals.register("lost and crossed messages")
 def straight(world: World, leader: str) -> None:
     world.faults.lost_replies = world.faults.doubled_events = 0.0
     world.faults.most_delay_ms = 8
 
 
-@strikes.register("a graceful stop")
+@injections.register("a graceful stop")
 def drain(world: World, leader: str) -> None:
     world.scheduler(leader).drain()
 
 
-@ends.register("a cut zone")
-@ends.register("a cut entry host")
+@removals.register("a cut zone")
+@removals.register("a cut entry host")
 def join(world: World, leader: str) -> None:
     world.faults.cut.clear()
 
@@ -115,21 +115,21 @@
         )
 
 
-@when("mixed requests arrive and {faults} strikes")
-@when("mixed requests arrive and {faults} strike")
-def when_struck(context: Any, faults: str) -> None:
+@when("mixed requests arrive and {faults} is injected")
+@when("mixed requests arrive and {faults} are injected")
+def when_injected(context: Any, faults: str) -> None:
     served = context.served
     names = faults.split(" with ")
     for number in range(STEPS):
         submit_mixed(served.callers, number)
-        if number == STRIKE_AFTER:
+        if number == INJECT_AFTER:
             for name in names:
-                strikes.get(name)(served.world, served.leader)
+                injections.get(name)(served.world, served.leader)
         served.callers.run(LOAD_STEP_MS)
     served.callers.run(5_000)
     for name in names:
-        if name in ends:
-            ends.get(name)(served.world, served.leader)
+        if name in removals:
+            removals.get(name)(served.world, served.leader)
     served.callers.run(SETTLE_MS)
 
 
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -1,4 +1,4 @@
-"""Steps that strike real processes under a mixed load."""
+"""Steps that inject faults into real processes under a mixed load."""
 
 from collections import Counter
 from typing import Any
@@ -47,12 +47,12 @@
 
 @when("the process that leads {zone} is killed")
 def when_killed(context: Any, zone: str) -> None:
-    context.run.fleet.kill(strike_leader(context, zone))
+    context.run.fleet.kill(affected_leader(context, zone))
 
 
 @when("the process that leads {zone} stands still")
 def when_paused(context: Any, zone: str) -> None:
-    context.paused = strike_leader(context, zone)
+    context.paused = affected_leader(context, zone)
     context.run.fleet.pause(context.paused)
 
 
@@ -80,7 +80,7 @@
 
 @when("the process that leads {one} and all entry hosts of {other} lose the platform")
 def when_leader_and_zone_cut(context: Any, one: str, other: str) -> None:
-    cut = [strike_leader(context, one), *context.run.hosts(other)]
+    cut = [affected_leader(context, one), *context.run.hosts(other)]
     context.run.platform(mode="cut", cut=cut)
 
 
@@ -91,7 +91,7 @@
 
 @when("{count:d} callers hold connections to the process that leads {zone}")
 def when_held_by_leader(context: Any, count: int, zone: str) -> None:
-    hold(context, count, strike_leader(context, zone))
+    hold(context, count, affected_leader(context, zone))
 
 
 @when("{count:d} callers hold connections to the process that follows in {zone}")
@@ -285,8 +285,8 @@
             assert reply.status == 200 and whole, f"{name}: {reply}"
 
 
-def strike_leader(context: Any, zone: str) -> str:
-    """Return the leader that a fault is about to strike."""
+def affected_leader(context: Any, zone: str) -> str:
+    """Return the leader that a fault is about to affect."""
     leader: str = context.run.leader(zone)
     context.former[zone] = leader
     return leader
--- a/packages/node/src/marigoldpath_node/api/_api.py
+++ b/packages/node/src/marigoldpath_node/api/_api.py
@@ -40,6 +40,6 @@
             # A handler that fails in an unforeseen way may have submitted something.
             self._context.observer.metrics.count("api.errors")
             self._context.observer.log.error(
-                "handler failed", path=path[:200], exc_info=True
+                "handler_failed", path=path[:200], exc_info=True
             )
             return error_reply(500, "internal", "the handler failed", outcome="unknown")
--- a/packages/node/src/marigoldpath_node/api/_requests.py
+++ b/packages/node/src/marigoldpath_node/api/_requests.py
@@ -105,7 +105,7 @@
     )
     if failed:
         context.observer.log.info(
-            "request not done",
+            "request_not_done",
             request=str(request.key),
             span=span.span_id,
             outcome=outcome.kind.value,
--- a/packages/node/src/marigoldpath_node/configuration/_service.py
+++ b/packages/node/src/marigoldpath_node/configuration/_service.py
@@ -159,7 +159,7 @@
     @SERVICE_EFFECTS.register(ConfigurationChanged)
     async def _change(self, effect: ConfigurationChanged) -> None:
         self._log.info(
-            "configuration changed",
+            "configuration_changed",
             version=effect.record.version,
             author=effect.record.author,
         )
--- a/packages/node/src/marigoldpath_node/configuration/_work.py
+++ b/packages/node/src/marigoldpath_node/configuration/_work.py
@@ -95,7 +95,7 @@
 
     def _report(self, request: Request, outcome: Outcome) -> None:
         self._log.info(
-            "work of the sheet submitted",
+            "work_of_the_sheet_submitted",
             request=str(request.key),
             outcome=outcome.kind.value,
             reason=outcome.message,
@@ -104,7 +104,7 @@
     async def _cancel(self, key: RequestKey) -> None:
         outcome = await self._forwarder.cancel(key)
         self._log.info(
-            "service cancelled", request=str(key), outcome=outcome.kind.value
+            "service_cancelled", request=str(key), outcome=outcome.kind.value
         )
 
 
--- a/packages/node/src/marigoldpath_node/daemon/_daemon.py
+++ b/packages/node/src/marigoldpath_node/daemon/_daemon.py
@@ -130,7 +130,7 @@
         observer.log.info("started", address=settings.address)
         if settings.keys and all(key.role != "operator" for key in settings.keys):
             observer.log.error(
-                "no operator key",
+                "no_operator_key",
                 reason="entry hosts use an operator's key to forward to each other;"
                 " add one to keys in the settings of all entry hosts",
             )
--- a/packages/node/src/marigoldpath_node/effects/_performer.py
+++ b/packages/node/src/marigoldpath_node/effects/_performer.py
@@ -85,7 +85,7 @@
         except Exception:
             # One effect that fails in an unforeseen way must not end the others.
             self._context.observer.log.error(
-                "effect failed", effect=type(effect).__name__, exc_info=True
+                "effect_failed", effect=type(effect).__name__, exc_info=True
             )
 
 
--- a/packages/node/src/marigoldpath_node/effects/_platform.py
+++ b/packages/node/src/marigoldpath_node/effects/_platform.py
@@ -30,7 +30,7 @@
         row = await context.platform.read_row(effect.key)
     except PlatformError as fault:
         context.observer.metrics.count("platform.read_failed")
-        context.observer.log.debug("row not read", key=effect.key, reason=str(fault))
+        context.observer.log.debug("row_not_read", key=effect.key, reason=str(fault))
         await context.feed(RowReadFailed(effect.key))
         return
     await context.feed(RowRead(effect.key, row))
@@ -44,7 +44,7 @@
     except PlatformError as fault:
         context.observer.metrics.count("platform.read_failed")
         context.observer.log.info(
-            "rows not read", prefix=effect.prefix, reason=str(fault)
+            "rows_not_read", prefix=effect.prefix, reason=str(fault)
         )
         await context.feed(RowsReadFailed(effect.prefix))
         return
@@ -73,7 +73,7 @@
     try:
         value = await context.platform.read_object(effect.key)
     except PlatformError as fault:
-        context.observer.log.info("object not read", key=effect.key, reason=str(fault))
+        context.observer.log.info("object_not_read", key=effect.key, reason=str(fault))
         await context.feed(ObjectRead(effect.key, None, failed=True))
         return
     await context.feed(ObjectRead(effect.key, value))
--- a/packages/node/src/marigoldpath_node/effects/_workers.py
+++ b/packages/node/src/marigoldpath_node/effects/_workers.py
@@ -41,7 +41,7 @@
         sent = not isinstance(fault, WorkerUnreachableError)
         context.observer.metrics.count("worker.starts_failed", len(tasks))
         context.observer.log.warning(
-            "starts failed",
+            "starts_failed",
             worker=effect.worker,
             tasks=len(tasks),
             sent=sent,
@@ -86,7 +86,7 @@
         await context.workers.throttle(context.address_of(effect.worker), effect)
     except (WorkerError, KeyError) as fault:
         context.observer.log.info(
-            "tasks not throttled", worker=effect.worker, reason=str(fault)
+            "tasks_not_throttled", worker=effect.worker, reason=str(fault)
         )
 
 
--- a/packages/node/src/marigoldpath_node/observability/_logs.py
+++ b/packages/node/src/marigoldpath_node/observability/_logs.py
@@ -73,4 +73,4 @@
 def _fit(_logger: Any, _name: str, line: Any) -> str:
     if len(line) < MAX_LINE:
         return line
-    return json.dumps({"event": "log line too long", "start": line[:MAX_VALUE]})
+    return json.dumps({"event": "log_line_too_long", "start": line[:MAX_VALUE]})
--- a/packages/node/src/marigoldpath_node/observability/_trace.py
+++ b/packages/node/src/marigoldpath_node/observability/_trace.py
@@ -47,11 +47,11 @@
         try:
             descriptor = os.open(self._settings.trace_path, flags, 0o600)
         except OSError as fault:
-            self._log.error("no trace", reason=str(fault))
+            self._log.error("no_trace", reason=str(fault))
             return None
         if not stat.S_ISREG(os.fstat(descriptor).st_mode):
             os.close(descriptor)
-            self._log.error("no trace", reason="trace_path must be a regular file")
+            self._log.error("no_trace", reason="trace_path must be a regular file")
             return None
         return LineWriter(descriptor, MAX_TRACE_LINE)
 
@@ -61,4 +61,4 @@
             return
         self._lines.close()
         self._lines = None
-        self._log.warning("trace ended", reason=reason, bytes=self._written)
+        self._log.warning("trace_ended", reason=reason, bytes=self._written)
--- a/packages/node/src/marigoldpath_node/peers/_delivery.py
+++ b/packages/node/src/marigoldpath_node/peers/_delivery.py
@@ -75,7 +75,7 @@
             waited_s += pause_s
             pause_s *= 2
         self._observer.log.warning(
-            "outcome not delivered",
+            "outcome_not_delivered",
             request=str(outcome.key),
             origin=origin.host,
             reason=reason,
--- a/packages/node/src/marigoldpath_node/peers/_forwarder.py
+++ b/packages/node/src/marigoldpath_node/peers/_forwarder.py
@@ -162,7 +162,7 @@
                 return await self._submitter.submit(call, later)
             except (NotTakenError, PeerReplyError) as fault:
                 self._observer.log.debug(
-                    "no next leader yet", request=str(call.key), reason=str(fault)
+                    "no_next_leader_yet", request=str(call.key), reason=str(fault)
                 )
         return None
 
@@ -178,7 +178,7 @@
         facts, outcome = await self._ask(call, attached_to)
         decision = decide_recovery(facts, self._budget, clock_ms())
         self._observer.log.info(
-            "submission recovered",
+            "submission_recovered",
             request=str(call.key),
             reason=reason,
             decision=decision.value,
--- a/packages/node/src/marigoldpath_node/peers/_leaders.py
+++ b/packages/node/src/marigoldpath_node/peers/_leaders.py
@@ -74,7 +74,7 @@
             self._views.learn_row(zone, value, clock_ms())
         except (PlatformError, KeyError, TypeError, ValueError) as fault:
             self._views.mark_checked(zone, clock_ms())
-            self._observer.log.info("leader row not read", of=zone, reason=str(fault))
+            self._observer.log.info("leader_row_not_read", of=zone, reason=str(fault))
         finally:
             del self._reads[zone]
             await reading.set()
--- a/packages/node/src/marigoldpath_node/runtime/_polls.py
+++ b/packages/node/src/marigoldpath_node/runtime/_polls.py
@@ -161,7 +161,7 @@
             except WorkerError as fault:
                 self._observer.metrics.count("worker.poll_failed")
                 self._observer.log.debug(
-                    "events not read", worker=name, reason=str(fault)
+                    "events_not_read", worker=name, reason=str(fault)
                 )
                 await curio.sleep(RETRY_S)
 
@@ -179,7 +179,7 @@
                     await self._feed(UsageReported(name, usages))
             except WorkerError as fault:
                 self._observer.log.debug(
-                    "usage not read", worker=name, reason=str(fault)
+                    "usage_not_read", worker=name, reason=str(fault)
                 )
             await curio.sleep(USAGE_S)
 
--- a/packages/node/src/marigoldpath_node/runtime/_runtime.py
+++ b/packages/node/src/marigoldpath_node/runtime/_runtime.py
@@ -121,7 +121,7 @@
             # each successor that gets the same event.
             self._observer.metrics.count("core.errors")
             self._observer.log.error(
-                "event failed", type=type(event).__name__, exc_info=True
+                "event_failed", type=type(event).__name__, exc_info=True
             )
             return
         await self._polls.note(event)
@@ -179,7 +179,7 @@
                 hosts = await self._platform.hosts()
             except PlatformError as fault:
                 self._observer.metrics.count("platform.hosts_failed")
-                self._observer.log.debug("hosts not listed", reason=str(fault))
+                self._observer.log.debug("hosts_not_listed", reason=str(fault))
             else:
                 self._directory.update(hosts, clock_ms())
                 await self.feed(HostsListed(hosts.workers, hosts.entry_hosts))
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -198,7 +198,7 @@
     def test_log_events(self) -> None:
         found = emitted(LogCalls, PASSING_ON)
         # Written by the logger itself in place of a line that is too long.
-        found.add("log line too long")
+        found.add("log_line_too_long")
         self.assertEqual(self.named(page("reference/log-events.md")), found)
 
     def test_metrics(self) -> None:
