--- a/features/environment.py
+++ b/features/environment.py
@@ -3,8 +3,8 @@
 import json
 from typing import Any
 
+from marigoldpath_bench.process_run import SHARED
 from marigoldpath_bench.soak import check_world
-from process_run import SHARED
 
 
 def before_scenario(context: Any, scenario: Any) -> None:
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -8,8 +8,8 @@
 import curio.subprocess
 from behave import given, then, when
 
+from marigoldpath_bench.process_run import SHARED, ProcessRun, Reply, show
 from marigoldpath_bench.server import now_ms
-from process_run import SHARED, ProcessRun, Reply, show
 
 POLL_S = 0.1
 SLOW_MS = 800
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -8,9 +8,16 @@
 
 from marigoldpath_bench.load import Ending
 from marigoldpath_bench.load._call import is_own_answer
+from marigoldpath_bench.process_run import (
+    SHARED,
+    ProcessRun,
+    send_everywhere,
+    send_faulty,
+    show,
+    simple_request,
+    submit,
+)
 from marigoldpath_bench.server import now_ms
-from process_calls import send_everywhere, send_faulty, simple_request, submit
-from process_run import SHARED, ProcessRun, show
 
 FOUND_S = 15.0
 STOP_S = 15.0
--- a/features/steps/zone_steps.py
+++ b/features/steps/zone_steps.py
@@ -4,57 +4,17 @@
 
 from behave import given, then, when
 
-from marigoldpath_bench.oracle import Interval
-from marigoldpath_bench.world import Callers, Faults, World, WorldSettings
-from marigoldpath_core.messages import StartTasks
+from marigoldpath_bench.world import ServedZone
 from marigoldpath_core.requests import Size
 
-SERVE_MS = 20_000
 # Longer than any scenario waits, so that only the scenario on deadlines meets one.
 DEADLINE_MS = 300_000
 
 
-class ServedZone:
-    """A world, its callers and the leader that served first."""
-
-    def __init__(self, settings: WorldSettings) -> None:
-        self.world = World(settings, Faults(1))
-        self.callers = Callers(self.world)
-        assert self.world.run_until(lambda: bool(self.world.serving), SERVE_MS)
-        self.leader = self.world.serving[0]
-        self.starts_ms: dict[str, int] = {}
-
-    @property
-    def others(self) -> list[str]:
-        """The entry hosts that do not lead."""
-        return [name for name in self.world.host_names if name != self.leader]
-
-    def runs(self, name: str) -> list[Interval]:
-        """Return the runs of a request from the workers' records."""
-        return self.world.verdict().intervals.get(f"counter/zadar/{name}", [])
-
-    def wait_for_successor(self) -> None:
-        """Let time pass until another host serves."""
-        others = set(self.others)
-        found = self.world.run_until(
-            lambda: bool(others & set(self.world.serving)), 60_000
-        )
-        assert found, "no other entry host took over within 60 s"
-
-    def advance_to_start(self) -> None:
-        """Stop time between the decision to start a task and the sending of it."""
-        host = self.world.unsent_of(self.leader)
-        for _ in range(20_000):
-            if any(isinstance(effect, StartTasks) for effect in host()):
-                return
-            self.world.run(1, step_ms=1)
-        raise AssertionError("no start was decided within 20 s")
-
-
 @given("a zone with {hosts:d} entry hosts and {workers:d} workers")
 def given_zone(context: Any, hosts: int, workers: int) -> None:
     names = tuple("abcdef"[:hosts])
-    context.served = ServedZone(WorldSettings(hosts=names, workers=workers))
+    context.served = ServedZone(hosts=names, workers=workers)
 
 
 @given('"{name}" runs for {run_ms:d} ms')
--- a/features/process_calls.py
+++ b/packages/bench/src/marigoldpath_bench/process_run/_calls.py
@@ -8,7 +8,8 @@
 import curio
 
 from marigoldpath_bench.server import now_ms
-from process_run import ProcessRun, Reply
+
+from ._run import ProcessRun, Reply
 
 LARGE_BODY = 32_000_000
 
--- a/packages/bench/src/marigoldpath_bench/world/__init__.py
+++ b/packages/bench/src/marigoldpath_bench/world/__init__.py
@@ -5,6 +5,7 @@
 
 from ._callers import Call, Callers
 from ._faults import Faults
+from ._served import ServedZone
 from ._world import KINDS, World, WorldSettings
 
-__all__ = ["KINDS", "Call", "Callers", "Faults", "World", "WorldSettings"]
+__all__ = ["KINDS", "Call", "Callers", "Faults", "ServedZone", "World", "WorldSettings"]
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -1,35 +1,20 @@
 """Tests of the zone scheduler on the message-driven world."""
 
 import unittest
-from typing import Any
 from unittest.mock import patch
 
 from marigoldpath_bench.worker import Behaviour
-from marigoldpath_bench.world import KINDS, Callers, Faults, World, WorldSettings
+from marigoldpath_bench.world import KINDS, ServedZone
 from marigoldpath_core.configuration import Configuration, TeamQuota
 from marigoldpath_core.messages import Tick
 from marigoldpath_core.requests import OutcomeKind, Size
 
 
-class ServedWorld:
-    """A world whose zone has a leader, and its callers."""
-
-    def __init__(self, **settings: Any) -> None:
-        self.world = World(WorldSettings(**settings), Faults(1))
-        self.callers = Callers(self.world)
-        assert self.world.run_until(lambda: bool(self.world.serving), 15_000)
-
-    def outcome(self, name: str) -> tuple[OutcomeKind | None, str]:
-        """Return the kind and the code of what a caller was told last."""
-        call = self.callers.call(name)
-        return call.outcome, call.outcomes[-1].code if call.outcomes else ""
-
-
 class IntakeTests(unittest.TestCase):
     def test_a_job_larger_than_the_empty_zone_is_refused_instead_of_waiting(
         self,
     ) -> None:
-        served = ServedWorld()
+        served = ServedZone()
         half = Size(33_000, 1_000, 0, 1, 1)
         served.callers.submit("large", size=half, tasks=5)
         served.callers.submit("fits", size=half, tasks=4)
@@ -38,7 +23,7 @@
         self.assertEqual(served.outcome("fits"), (OutcomeKind.DONE, ""))
 
     def test_a_task_larger_than_any_worker_names_the_dimension(self) -> None:
-        served = ServedWorld()
+        served = ServedZone()
         served.callers.submit("wide", size=Size(1, 300_000, 0, 1, 1))
         served.callers.run(500)
         outcome = served.callers.call("wide").outcomes[-1]
@@ -47,7 +32,7 @@
         )
 
     def test_an_id_reused_with_other_content_is_refused(self) -> None:
-        served = ServedWorld()
+        served = ServedZone()
         served.callers.submit("same", work={"run_ms": 10})
         served.callers.run(500)
         served.callers.submit("same", work={"run_ms": 20})
@@ -55,7 +40,7 @@
         self.assertEqual(served.outcome("same")[1], "id_conflict")
 
     def test_a_request_that_comes_back_gets_the_first_answer(self) -> None:
-        served = ServedWorld()
+        served = ServedZone()
         served.callers.submit("again", repeatable=False)
         served.callers.run(500)
         served.callers.ask("again")
@@ -66,7 +51,7 @@
         self.assertEqual(len(runs), 1)
 
     def test_a_request_is_not_accepted_and_then_refused_by_its_quota(self) -> None:
-        served = ServedWorld()
+        served = ServedZone()
         quota = TeamQuota("counter", Size(1_000, 10_000, 0, 8, 8))
         configuration = Configuration(1, KINDS, (quota,))
         served.world.scheduler(served.world.serving[0]).configure(configuration)
@@ -79,7 +64,7 @@
         self.assertEqual(call.outcomes[-1].code, "over_quota")
 
     def test_a_recorded_request_is_refused_while_the_platform_is_down(self) -> None:
-        served = ServedWorld()
+        served = ServedZone()
         served.world.faults.table_down = True
         served.callers.run(3_000)
         served.callers.submit("once", repeatable=False, deadline_ms=1_000)
@@ -92,7 +77,7 @@
 
     def test_an_accepted_request_outlasts_an_outage_of_the_platform(self) -> None:
         """A plan that was accepted but not started was refused in an outage."""
-        served = ServedWorld(workers=1)
+        served = ServedZone(workers=1)
         served.callers.submit("first", size=Size(64_000), work={"run_ms": 3_000})
         served.callers.submit(
             "plan", kind="cord_path_plan", wait=False, repeatable=False
@@ -109,7 +94,7 @@
 
     def test_an_accepted_request_whose_deadline_passed_is_not_forgotten(self) -> None:
         """A caller that asked for its plan later was told that it is unknown."""
-        served = ServedWorld(workers=1)
+        served = ServedZone(workers=1)
         served.callers.submit("first", size=Size(64_000), work={"run_ms": 3_000})
         served.callers.submit(
             "plan",
@@ -130,7 +115,7 @@
         self,
     ) -> None:
         """A floor of another kind kept a whole worker's task waiting for ever."""
-        served = ServedWorld(workers=1)
+        served = ServedZone(workers=1)
         served.callers.submit("check")
         served.callers.run(1_000)
         served.callers.submit("whole", kind="cord_path_plan", size=Size(64_000))
@@ -140,7 +125,7 @@
 
 class CancelTests(unittest.TestCase):
     def test_a_running_task_is_stopped_and_does_not_come_back(self) -> None:
-        served = ServedWorld()
+        served = ServedZone()
         served.callers.submit("long", work={"run_ms": 60_000})
         served.callers.run(300)
         served.callers.cancel("long")
@@ -150,7 +135,7 @@
         self.assertEqual(run.status, "stopped")
 
     def test_a_waiting_request_is_cancelled_without_a_run(self) -> None:
-        served = ServedWorld(workers=1)
+        served = ServedZone(workers=1)
         served.callers.submit("first", size=Size(64_000), work={"run_ms": 2_000})
         served.callers.submit("second", size=Size(64_000))
         served.callers.run(300)
@@ -163,7 +148,7 @@
 
 class StandingTests(unittest.TestCase):
     def test_a_standing_request_moves_from_a_leaving_worker(self) -> None:
-        served = ServedWorld()
+        served = ServedZone()
         served.callers.submit("watch", kind="tension_watch", work={"run_ms": None})
         served.callers.run(1_000)
         (first,) = served.world.verdict().intervals["counter/zadar/watch"]
@@ -178,7 +163,7 @@
         self,
     ) -> None:
         """The next leader took the end of the run for that of the request."""
-        served = ServedWorld()
+        served = ServedZone()
         served.callers.submit("watch", kind="tension_watch", work={"run_ms": 12_000})
         served.callers.run(10_000)
         served.world.kill(served.world.serving[0])
@@ -190,14 +175,14 @@
         self,
     ) -> None:
         """Without a delay it was started some 400 times a second."""
-        served = ServedWorld()
+        served = ServedZone()
         served.callers.submit("watch", kind="tension_watch", work={"run_ms": 0})
         served.callers.run(10_000)
         runs = served.world.verdict().intervals["counter/zadar/watch"]
         self.assertIn(len(runs), range(3, 6))
 
     def test_a_standing_request_survives_its_leader(self) -> None:
-        served = ServedWorld()
+        served = ServedZone()
         served.callers.submit("watch", kind="tension_watch", work={"run_ms": None})
         served.callers.run(1_000)
         served.world.kill(served.world.serving[0])
@@ -210,7 +195,7 @@
     whole = Size(50_000, 1_000, 0, 1, 1)
 
     def test_an_urgent_request_starts_in_time_on_a_full_zone(self) -> None:
-        served = ServedWorld(workers=1)
+        served = ServedZone(workers=1)
         plan = {"kind": "cord_path_plan", "size": self.whole}
         served.callers.submit("plan", work={"run_ms": 5_000}, **plan)
         served.callers.run(500)
@@ -224,7 +209,7 @@
         )
 
     def test_a_task_that_is_not_repeatable_is_never_stopped_for_room(self) -> None:
-        served = ServedWorld(workers=1)
+        served = ServedZone(workers=1)
         plan = {"kind": "cord_path_plan", "size": self.whole, "repeatable": False}
         served.callers.submit("plan", work={"run_ms": 5_000}, **plan)
         served.callers.run(500)
@@ -238,7 +223,7 @@
 class HealthTests(unittest.TestCase):
     def test_a_worker_that_fails_everything_gets_five_tasks_at_most(self) -> None:
         """It is always free, so that it drew in all work."""
-        served = ServedWorld()
+        served = ServedZone()
         served.world.machines["w1"].set_behaviour(Behaviour(fail=True))
         for number in range(100):
             served.callers.submit(f"r{number}", work={"run_ms": 20})
@@ -252,7 +237,7 @@
 
     def test_a_failed_request_is_tried_on_another_worker(self) -> None:
         """It was tried three times on the same failing worker and given up."""
-        served = ServedWorld(workers=2)
+        served = ServedZone(workers=2)
         served.world.machines["w1"].set_behaviour(Behaviour(fail=True))
         for number in range(3):
             served.callers.submit(f"r{number}", work={"run_ms": 20})
@@ -266,7 +251,7 @@
     def test_a_request_that_fails_everywhere_is_given_up_and_takes_no_worker_out(
         self,
     ) -> None:
-        served = ServedWorld()
+        served = ServedZone()
         served.callers.submit("bad", work={"run_ms": 5, "fail": True})
         served.callers.run(5_000)
         self.assertEqual(served.outcome("bad"), (OutcomeKind.DONE, "task_failed"))
@@ -278,7 +263,7 @@
     def test_a_task_that_outgrows_its_host_is_stopped_before_the_host_is_full(
         self,
     ) -> None:
-        served = ServedWorld(workers=1)
+        served = ServedZone(workers=1)
         modest = {"run_ms": 60_000}
         greedy = {"run_ms": 60_000, "use": {"memory_mb": 200_000, "slots": 1}}
         small = Size(1_000, 50_000, 0, 1, 1)
@@ -295,7 +280,7 @@
         self,
     ) -> None:
         """The same worker was chosen again without end, so the leader stood still."""
-        served = ServedWorld(workers=1)
+        served = ServedZone(workers=1)
         (leader,) = served.world.serving
         scheduler = served.world.scheduler(leader)
         with patch.object(
@@ -311,7 +296,7 @@
 class RecoveryTests(unittest.TestCase):
     def test_a_recorded_start_that_was_never_sent_is_placed_anew(self) -> None:
         """An intent without a start left the request unknown for good."""
-        served = ServedWorld()
+        served = ServedZone()
         leader = served.world.serving[0]
         served.callers.submit("once", repeatable=False)
         while not served.world.store.list("journal/") or not self.has_intent(served):
@@ -323,7 +308,7 @@
         self.assertEqual(len(runs), 1)
 
     @staticmethod
-    def has_intent(served: ServedWorld) -> bool:
+    def has_intent(served: ServedZone) -> bool:
         rows = served.world.store.list("journal/")
         return any("intent" in str(row.value["entries"]) for row in rows)
 
