Take no start for never sent on a worker that restarted since

A start whose reply was still awaited while its worker restarted was compared with the new incarnation, taken for never started, and placed again: a request that is not repeatable ran twice. Change: a task notes the incarnation to which its start was sent.

--- a/packages/core/src/marigoldpath_core/ledger/_state.py
+++ b/packages/core/src/marigoldpath_core/ledger/_state.py
@@ -31,10 +31,14 @@
 
 
 class TaskState:
-    """One task on its worker. Times ending in `clock_ms` are on the worker's clock."""
+    """One task on its worker. Times ending in `clock_ms` are on the worker's clock.
+
+    `incarnation` is that of the worker when the start was sent.
+    """
 
     __slots__ = (
         "answer",
+        "incarnation",
         "lease_over_at_ms",
         "missing_clock_ms",
         "phase",
@@ -52,6 +56,7 @@
         self.worker = worker
         self.size = size
         self.phase = TaskPhase.RESERVED
+        self.incarnation = ""
         self.start_before_clock_ms = 0
         self.lease_over_at_ms = 0
         self.missing_clock_ms: int | None = None
--- a/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_dispatch.py
@@ -170,6 +170,7 @@
         clock_ms = zone.leadership.worker_clock_ms(task.worker, now_ms)
         assert limit is not None and clock_ms is not None
         task.phase = TaskPhase.STARTING
+        task.incarnation = zone.watch(task.worker).incarnation
         task.start_before_clock_ms = limit
         task.lease_over_at_ms = lease_over_at_ms(zone, lease_ms, now_ms)
         start = Start(
--- a/packages/core/src/marigoldpath_core/scheduler/_leases.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_leases.py
@@ -104,7 +104,8 @@
         missing_ms = task.missing_clock_ms
         if missing_ms is None or event.clock_ms < missing_ms or not task.may_run:
             continue
-        if task.phase is TaskPhase.CHECKING:
+        # A worker that restarted since may have run the task before.
+        if task.phase is TaskPhase.CHECKING and task.incarnation == event.incarnation:
             mark_never_started(zone, state, task, now_ms, "its worker never started it")
         else:
             mark_lost(zone, state, task, now_ms, f"{event.worker} does not run it")
--- a/tests/core/test_scheduler.py
+++ b/tests/core/test_scheduler.py
@@ -293,6 +293,24 @@
         self.assertEqual(state["state"], "waiting")
 
 
+class RestartTests(unittest.TestCase):
+    @patch("marigoldpath_bench.world._world.REPLY_TIMEOUT_MS", 8_000)
+    def test_a_start_without_reply_on_a_restarted_worker_may_have_run(self) -> None:
+        """It was taken for never started and would have been run again."""
+        served = ServedZone(workers=1)
+        world = served.world
+        served.callers.submit("once", repeatable=False, work={"run_ms": 60_000})
+        served.advance_to_start()
+        world.faults.muted.add("w1")
+        world.run(50, step_ms=1)
+        self.assertEqual(len(served.runs("once")), 1)
+        world.restart_worker("w1")
+        world.faults.muted.clear()
+        served.callers.run(20_000)
+        self.assertEqual(len(served.runs("once")), 1)
+        self.assertEqual(served.outcome("once"), (OutcomeKind.UNKNOWN, "outcome_lost"))
+
+
 class RecoveryTests(unittest.TestCase):
     def test_a_recorded_start_that_was_never_sent_is_placed_anew(self) -> None:
         """An intent without a start left the request unknown for good."""
