Share the benchmarks' Measure and drop state that nothing reads

Cause: read-through of the whole change: three benchmarks had the same TypedDict; cancel_reason and quiet_since_ms were never read, and a recovered request's failures were set to the 0 that they have. Change: marigoldpath_bench.measure; the three are gone. Behaviour is the same.

--- a/packages/bench/src/marigoldpath_bench/journal_bench.py
+++ b/packages/bench/src/marigoldpath_bench/journal_bench.py
@@ -7,8 +7,9 @@
 import sys
 import time
 from collections import deque
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple
 
+from marigoldpath_bench.measure import Measure
 from marigoldpath_core.journal import Accepted, Entry, Finished, Intent, Journal
 from marigoldpath_core.messages import (
     CreateRow,
@@ -30,18 +31,6 @@
 RATES = (250, 1_000)
 
 
-class Measure(TypedDict):
-    """One line of the benchmark's output."""
-
-    measure: str
-    variant: str
-    value: float
-    unit: str
-    target: float | None
-    met: bool | None
-    seed: int
-
-
 class Variant(NamedTuple):
     """How entries are grouped into rows."""
 
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/measure.py
@@ -0,0 +1,15 @@
+"""The type of one line that a benchmark prints."""
+
+from typing import TypedDict
+
+
+class Measure(TypedDict):
+    """One line of a benchmark's output."""
+
+    measure: str
+    variant: str
+    value: float
+    unit: str
+    target: float | None
+    met: bool | None
+    seed: int
--- a/packages/bench/src/marigoldpath_bench/policy_bench.py
+++ b/packages/bench/src/marigoldpath_bench/policy_bench.py
@@ -6,8 +6,9 @@
 import sys
 import time
 from collections.abc import Callable
-from typing import Any, NamedTuple, TypedDict
+from typing import Any, NamedTuple
 
+from marigoldpath_bench.measure import Measure
 from marigoldpath_core.admission import AdmissionQueue, QueuedRequest
 from marigoldpath_core.configuration import Configuration, WorkKind
 from marigoldpath_core.requests import Request, RequestKey, Size
@@ -31,18 +32,6 @@
 ROUNDS = 24
 
 
-class Measure(TypedDict):
-    """One line of the benchmark's output."""
-
-    measure: str
-    variant: str
-    value: float
-    unit: str
-    target: float | None
-    met: bool | None
-    seed: int
-
-
 VARIANTS = (
     BASELINE,
     Variant("weighted_fair+best_fit", "weighted_fair", "best_fit", True),
--- a/packages/bench/src/marigoldpath_bench/process_bench/_model.py
+++ b/packages/bench/src/marigoldpath_bench/process_bench/_model.py
@@ -2,24 +2,13 @@
 
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple
 
 from marigoldpath_bench.deployment import ROOT
+from marigoldpath_bench.measure import Measure
 from marigoldpath_core.registry import Registry
 
 
-class Measure(TypedDict):
-    """One line of the benchmark's output."""
-
-    measure: str
-    variant: str
-    value: float
-    unit: str
-    target: float | None
-    met: bool | None
-    seed: int
-
-
 class BenchSettings(NamedTuple):
     """The seed, the daemons' Python and the folder for the files of the runs."""
 
--- a/packages/core/src/marigoldpath_core/ledger/_state.py
+++ b/packages/core/src/marigoldpath_core/ledger/_state.py
@@ -86,7 +86,6 @@
 
     __slots__ = (
         "attempt",
-        "cancel_reason",
         "ended_at_ms",
         "failed_on",
         "failures",
@@ -123,7 +122,6 @@
         self.is_accepted = False
         self.is_adopted = False
         self.is_cancelled = False
-        self.cancel_reason = ""
         self.requeue_reason = ""
         self.restarts = 0
         self.history = History()
--- a/packages/core/src/marigoldpath_core/scheduler/_recovery.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_recovery.py
@@ -132,7 +132,6 @@
         _load_finished(zone, state, recovered, now_ms)
     elif state.phase is not RequestPhase.ENDED:
         state.is_cancelled = recovered.cancelled
-        state.failures = 0
         zone.unresolved[recovered.key] = Unresolved(state, recovered.intents)
 
 
--- a/packages/core/src/marigoldpath_core/scheduler/_zone.py
+++ b/packages/core/src/marigoldpath_core/scheduler/_zone.py
@@ -131,7 +131,6 @@
         self.estimates = Estimates()
         self.watches: dict[str, WorkerWatch] = {}
         self.tickets: dict[int, Ticket] = {}
-        self.quiet_since_ms: int | None = None
         self.unresolved: dict[RequestKey, Unresolved] = {}
         self.quorum_at_ms = None
         self.held_back: list[RequestState] = []
