--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,11 @@
 SEED ?= 1
 RUNS ?= 100
 PYTHON := $(VENV)/bin/python
-SOURCES := packages tests features tools
+SOURCES := packages platform tests features tools
 PACKAGES := packages/core packages/node packages/cli packages/bench
 empty :=
 space := $(empty) $(empty)
-export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(abspath $(package))/src))
+export PYTHONPATH := $(subst $(space),:,$(foreach package,$(PACKAGES),$(abspath $(package))/src)):$(abspath platform)
 
 .PHONY: setup lint format types test demo fleet bench soak replay clean
 
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/fleet/_ends.py
@@ -0,0 +1,81 @@
+"""What follows from the end of a run, by its kind."""
+
+from marigoldpath_core.jobs import JobState
+from marigoldpath_core.registry import Registry
+
+from . import _health
+from ._fleet import Fleet
+from ._jobs import complete_task, finish
+from ._messages import EndedRun, EndKind
+from ._work import Task
+from ._worker import Worker
+
+ends: Registry = Registry("kind of end")
+
+
+def take_end(fleet: Fleet, worker: Worker, ended: EndedRun) -> None:
+    """Free what the run held and let its kind decide what becomes of the task."""
+    run = worker.runs.get(ended.task)
+    if run is not None and run.number == ended.run:
+        _health.note_end(fleet, worker, run, ended.kind)
+        fleet.release(run)
+    task = fleet.task(ended.task)
+    fleet.note(
+        "run_ended",
+        job=ended.task.job_id,
+        task=tuple(ended.task[1:]),
+        run=ended.run,
+        worker=worker.worker_id,
+        kind=ended.kind.value,
+        known=task is not None,
+    )
+    if task is None or task.step.job.state.is_final:
+        return
+    task.number = max(task.number, ended.run)
+    if ended.saved and not task.done:
+        _keep_saved(task, ended.saved)
+    ends.get(ended.kind)(fleet, worker, task, ended)
+
+
+@ends.register(EndKind.DONE)
+def _done(fleet: Fleet, _worker: Worker, task: Task, _ended: EndedRun) -> None:
+    step = task.step
+    if step.spec.long_running:
+        return
+    # One end of a gang stands for all of its tasks.
+    for member in step.tasks if step.spec.gang else [task]:
+        if member.run is not None and not step.spec.gang:
+            fleet.stop(member.run, "done elsewhere")
+        complete_task(fleet, member)
+
+
+@ends.register(EndKind.FAILED)
+def _failed(fleet: Fleet, worker: Worker, task: Task, ended: EndedRun) -> None:
+    step = task.step
+    task.avoided.add(worker.worker_id)
+    if step.spec.long_running or task.done:
+        return
+    # The failures of a gang are counted on its first task, once for a run.
+    counted = step.tasks[0] if step.spec.gang else task
+    if ended.run <= counted.failed_number:
+        return
+    counted.failures += 1
+    counted.failed_number = ended.run
+    fleet.mark_dirty(step.job)
+    if counted.failures >= step.job.queue.attempts:
+        finish(fleet, step.job, JobState.FAILED, "a task failed too often")
+
+
+@ends.register(EndKind.STOPPED)
+@ends.register(EndKind.LAPSED)
+@ends.register(EndKind.BROKEN)
+@ends.register(EndKind.ALONE)
+def _interrupted(fleet: Fleet, _worker: Worker, task: Task, _ended: EndedRun) -> None:
+    if task.saved:
+        fleet.mark_dirty(task.step.job)
+
+
+def _keep_saved(task: Task, saved: str) -> None:
+    # All tasks of a gang must resume from the same checkpoint.
+    for member in task.step.tasks if task.step.spec.gang else [task]:
+        member.saved = saved
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -0,0 +1,111 @@
+"""The state that the parts of the scheduler share."""
+
+from marigoldpath_core.jobs import JobState, Queue, TaskKey
+from marigoldpath_core.registry import Registry
+
+from ._messages import Effect, Note, StopRun
+from ._settings import FleetSettings
+from ._work import Job, Run, RunState, Step, Task
+from ._worker import Worker
+
+# Runs of one epoch are numbered above those of all earlier epochs.
+RUNS_PER_EPOCH = 10_000
+
+handlers: Registry = Registry("fleet event")
+
+
+class Fleet:
+    """Jobs, workers and queues as one leader knows them; `now_ms` is monotonic."""
+
+    def __init__(
+        self, settings: FleetSettings, epoch: int, roster: dict[str, str], now_ms: float
+    ) -> None:
+        self.settings = settings
+        self.epoch = epoch
+        self.now_ms = now_ms
+        self.wall_ms = 0
+        self.jobs: dict[str, Job] = {}
+        self.final: dict[str, JobState] = {}
+        self.cancelled: set[str] = set()
+        self.workers: dict[str, Worker] = {}
+        self.queues: dict[str, Queue] = {}
+        self.open_steps: dict[tuple[str, int, int], Step] = {}
+        self.future_jobs: dict[str, Job] = {}
+        self.effects: list[Effect] = []
+        self.dirty: set[str] = set()
+        self.roster = dict(roster)
+        self.roster_dirty = False
+        self.stored_roster = set(roster)
+        # Workers of earlier epochs that may run tasks unknown to this leader.
+        self.unheard = set(roster)
+        self.unheard_until_ms = (
+            now_ms
+            + settings.order_limit_ms
+            + settings.lease_ms * (1 + settings.clock_slack)
+            + 300
+        )
+        self.deposed = False
+        self.slow_questions: set[tuple[str, int, int]] = set()
+        self.needs_dispatch = True
+        self.needs_commit = False
+
+    def emit(self, effect: Effect) -> None:
+        """Ask for something to be done."""
+        self.effects.append(effect)
+
+    def note(self, event: str, **fields: object) -> None:
+        """Log a decision."""
+        self.effects.append(Note(event, fields))
+
+    def task(self, key: TaskKey) -> Task | None:
+        """Return the task of an open job."""
+        job = self.jobs.get(key.job_id)
+        if job is None:
+            return None
+        step = job.steps.get((key.occurrence, key.step))
+        if step is None or key.place >= len(step.tasks):
+            return None
+        return step.tasks[key.place]
+
+    def next_number(self, *tasks: Task) -> int:
+        """Return a run number above all earlier ones of these tasks."""
+        first = (self.epoch - 1) * RUNS_PER_EPOCH + 1
+        return max(first, 1 + max(task.number for task in tasks))
+
+    def stop(self, run: Run, reason: str) -> None:
+        """Order a run to stop; its resources stay held until its end is listed."""
+        worker = self.workers.get(run.worker_id)
+        if worker is None:
+            return
+        if run.state is not RunState.STOPPING:
+            self.note(
+                "run_stopping",
+                job=run.task.key.job_id,
+                task=tuple(run.task.key[1:]),
+                run=run.number,
+                worker=run.worker_id,
+                reason=reason,
+            )
+        run.state = RunState.STOPPING
+        run.stop_sent_ms = self.now_ms
+        self.emit(
+            StopRun(run.worker_id, worker.entry.address, run.task.key, run.number)
+        )
+
+    def release(self, run: Run) -> None:
+        """Free what a run held; its task waits again unless it is done."""
+        worker = self.workers.get(run.worker_id)
+        if worker is not None:
+            worker.remove(run)
+        if run.task.run is run:
+            run.task.run = None
+        self.needs_dispatch = True
+
+    def mark_dirty(self, job: Job) -> None:
+        """Store the job's progress with the next commit."""
+        self.dirty.add(job.spec.job_id)
+        self.needs_commit = True
+
+    def is_blocked(self, job: Job) -> bool:
+        """Return whether unfound tasks of the job may run on an unheard worker."""
+        return bool(self.unheard) and job.accepted.epoch < self.epoch
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -0,0 +1,216 @@
+"""Events that the scheduler takes and effects that it asks for."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from marigoldpath_core.jobs import AcceptedJob, Progress, Queue, Resources, TaskKey
+
+
+class EndKind(Enum):
+    """How a run ended, as the worker tells it."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+class StartResult(Enum):
+    """What became of an order to start a run."""
+
+    STARTED = "started"
+    FENCED = "fenced"
+    OLD_RUN = "old_run"
+    LATE = "late"
+    NO_ROOM = "no_room"
+    BAD_TICKET = "bad_ticket"
+    OTHER_LIFE = "other_life"
+    REFUSED = "refused"
+    NOT_SENT = "not_sent"
+    UNKNOWN = "unknown"
+
+
+class WorkerEntry(NamedTuple):
+    """A worker as the directory lists it; `born` is 0 where it is not told."""
+
+    worker_id: str
+    service: str
+    address: str
+    zone: str
+    labels: tuple[str, ...]
+    rack: str
+    capacity: Resources
+    draining: bool
+    remaining_ms: int
+    born: int
+
+
+class RunningTask(NamedTuple):
+    """A row of a worker's list of runs.
+
+    `load` is the tail of the response times in milliseconds for a task with a target,
+    and the processor time in use for any other.
+    """
+
+    task: TaskKey
+    run: int
+    saved: str
+    percent: int
+    load: int
+
+
+class EndedRun(NamedTuple):
+    """An end that a worker tells; `number` rises within a life of the worker."""
+
+    number: int
+    task: TaskKey
+    run: int
+    kind: EndKind
+    saved: str
+
+
+class JobAccepted(NamedTuple):
+    """A job was read from the store or told by the host that accepted it."""
+
+    job: AcceptedJob
+    progress: Progress | None = None
+
+
+class JobCancelled(NamedTuple):
+    """A cancellation was stored."""
+
+    job_id: str
+
+
+class QueuesChanged(NamedTuple):
+    """A configuration is in force."""
+
+    queues: dict[str, Queue]
+
+
+class WorkersListed(NamedTuple):
+    """The directory was read."""
+
+    entries: tuple[WorkerEntry, ...]
+
+
+class WorkerReport(NamedTuple):
+    """A worker's answer to a look; `clock_ms` is on the worker's clock."""
+
+    worker_id: str
+    clock_ms: int
+    born: int
+    running: tuple[RunningTask, ...]
+    ended: tuple[EndedRun, ...]
+
+
+class WorkerSilent(NamedTuple):
+    """A look at a worker was not answered."""
+
+    worker_id: str
+
+
+class StartAnswered(NamedTuple):
+    """The outcome of StartRun; `clock_ms` is 0 without an answer."""
+
+    worker_id: str
+    task: TaskKey
+    run: int
+    result: StartResult
+    clock_ms: int = 0
+
+
+class AdviceAnswered(NamedTuple):
+    """The outcome of AskAdvice; `tickets` is None when there was no answer."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    workers: tuple[str, ...]
+    tickets: dict[str, str] | None
+    asked_ms: float
+
+
+class Tick(NamedTuple):
+    """Time has passed; `wall_ms` is milliseconds since the epoch of Unix."""
+
+    wall_ms: int
+
+
+Event = (
+    JobAccepted
+    | JobCancelled
+    | QueuesChanged
+    | WorkersListed
+    | WorkerReport
+    | WorkerSilent
+    | StartAnswered
+    | AdviceAnswered
+    | Tick
+)
+
+
+class StartRun(NamedTuple):
+    """Start a run; the worker refuses it after `until_clock_ms` on its clock."""
+
+    worker_id: str
+    address: str
+    task: TaskKey
+    run: int
+    payload: str
+    saved: str
+    ticket: str
+    until_clock_ms: int
+
+
+class StopRun(NamedTuple):
+    """Stop a run."""
+
+    worker_id: str
+    address: str
+    task: TaskKey
+    run: int
+
+
+class PaceRun(NamedTuple):
+    """Let a run work at a share of its speed, in percent."""
+
+    worker_id: str
+    address: str
+    task: TaskKey
+    run: int
+    percent: int
+
+
+class AskAdvice(NamedTuple):
+    """Ask which of the workers may run a step; `cost_ms` is the expected time."""
+
+    job_id: str
+    occurrence: int
+    step: int
+    workers: tuple[str, ...]
+    cost_ms: float
+
+
+class Note(NamedTuple):
+    """A decision to be logged."""
+
+    event: str
+    fields: dict[str, object]
+
+
+Effect = StartRun | StopRun | PaceRun | AskAdvice | Note
+
+
+class Commit(NamedTuple):
+    """What the next transaction stores.
+
+    `ends` maps a worker to its life and the number of the last end that is covered.
+    """
+
+    progress: dict[str, Progress]
+    ends: dict[str, tuple[int, int]]
+    roster: dict[str, str] | None
+    final: tuple[str, ...]
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -0,0 +1,238 @@
+"""What workers tell of themselves, and what follows when they are silent."""
+
+from marigoldpath_core.jobs import JobState, TaskKey
+
+from ._ends import take_end
+from ._fleet import Fleet, handlers
+from ._messages import (
+    RunningTask,
+    StopRun,
+    WorkerReport,
+    WorkerSilent,
+    WorkersListed,
+)
+from ._work import Run, RunState
+from ._worker import Worker
+
+# An order that is refused from a time on is settled by a list a little after it.
+SETTLE_MARGIN_MS = 50
+
+
+@handlers.register(WorkersListed)
+def take_list(fleet: Fleet, event: WorkersListed) -> None:
+    """Take over the directory's entries."""
+    listed = set()
+    for entry in event.entries:
+        listed.add(entry.worker_id)
+        worker = fleet.workers.get(entry.worker_id)
+        if worker is None:
+            worker = fleet.workers[entry.worker_id] = Worker(entry)
+            worker.lease_end_ms = fleet.unheard_until_ms
+            fleet.note("worker_listed", worker=entry.worker_id, zone=entry.zone)
+        elif entry.draining and not worker.entry.draining:
+            fleet.note("worker_draining", worker=entry.worker_id)
+        worker.update_entry(entry)
+        if entry.draining:
+            worker.drain_read_ms = fleet.now_ms
+        if worker.born and entry.born > worker.born:
+            lose_runs(fleet, worker, "the worker restarted")
+            worker.begin_life(entry.born)
+        if fleet.roster.get(entry.worker_id) != entry.address:
+            fleet.roster[entry.worker_id] = entry.address
+            fleet.roster_dirty = fleet.needs_commit = True
+    for worker in list(fleet.workers.values()):
+        if worker.worker_id not in listed:
+            worker.is_listed = False
+            _forget_if_gone(fleet, worker)
+
+
+@handlers.register(WorkerReport)
+def take_report(fleet: Fleet, event: WorkerReport) -> None:
+    """Take over what a worker lists."""
+    worker = fleet.workers.get(event.worker_id)
+    if worker is None or event.born < worker.born:
+        return
+    if event.born > worker.born:
+        if worker.born:
+            lose_runs(fleet, worker, "the worker restarted")
+        worker.begin_life(event.born)
+    if worker.is_silent or worker.heard_ms is None:
+        fleet.needs_dispatch = True
+    worker.heard_ms = fleet.now_ms
+    worker.is_silent = False
+    fleet.unheard.discard(event.worker_id)
+    is_newest = event.clock_ms >= worker.clock_ms
+    if is_newest:
+        worker.clock_ms, worker.clock_read_ms = event.clock_ms, fleet.now_ms
+    are_ends_taken = _take_ends(fleet, worker, event)
+    if is_newest:
+        _take_running(fleet, worker, event, are_ends_taken)
+
+
+@handlers.register(WorkerSilent)
+def note_silence(fleet: Fleet, event: WorkerSilent) -> None:
+    """Place nothing on a worker until it answers again."""
+    worker = fleet.workers.get(event.worker_id)
+    if worker is None:
+        return
+    if not worker.is_silent:
+        fleet.note("worker_silent", worker=worker.worker_id, runs=len(worker.runs))
+    worker.is_silent = True
+
+
+def expire_leases(fleet: Fleet) -> None:
+    """Give up the runs of workers whose lease is over on any clock."""
+    for worker in list(fleet.workers.values()):
+        if worker.is_silent and fleet.now_ms > worker.lease_end_ms and worker.runs:
+            lose_runs(fleet, worker, "the worker's lease is over")
+        if not worker.is_listed:
+            _forget_if_gone(fleet, worker)
+    if fleet.unheard and fleet.now_ms > fleet.unheard_until_ms:
+        fleet.note("unheard_workers_given_up", workers=sorted(fleet.unheard))
+        fleet.unheard.clear()
+        fleet.needs_dispatch = True
+
+
+def retry_stops(fleet: Fleet) -> None:
+    """Repeat stops whose run is still listed after the time that a stop takes."""
+    for worker in fleet.workers.values():
+        for run in worker.runs.values():
+            if run.state is not RunState.STOPPING:
+                continue
+            if fleet.now_ms - run.stop_sent_ms > fleet.settings.retry_stop_ms:
+                fleet.stop(run, "repeated")
+
+
+def lose_runs(fleet: Fleet, worker: Worker, reason: str) -> None:
+    """Let the tasks of a worker's runs wait again."""
+    if worker.runs:
+        fleet.note(
+            "runs_lost", worker=worker.worker_id, runs=len(worker.runs), reason=reason
+        )
+    for run in list(worker.runs.values()):
+        fleet.release(run)
+
+
+def _take_ends(fleet: Fleet, worker: Worker, event: WorkerReport) -> bool:
+    for ended in sorted(event.ended):
+        if ended.number <= worker.seen_end:
+            continue
+        if not _is_known(fleet, ended.task) and _may_become_known(fleet, worker):
+            return False
+        take_end(fleet, worker, ended)
+        worker.seen_end = ended.number
+        fleet.needs_commit = True
+    worker.unknown_since_ms = None
+    return True
+
+
+def _take_running(
+    fleet: Fleet, worker: Worker, event: WorkerReport, are_ends_taken: bool
+) -> None:
+    listed = set()
+    strays: dict[tuple[TaskKey, int], float] = {}
+    for row in event.running:
+        run = worker.runs.get(row.task)
+        if run is None or run.number != row.run:
+            run = _adopt(fleet, worker, row, strays)
+        if run is not None:
+            listed.add(row.task)
+            _update(fleet, run, row, event.clock_ms)
+    worker.strays = strays
+    if not are_ends_taken:
+        return
+    for run in list(worker.runs.values()):
+        if run.task.key not in listed and _is_absent(run, event.clock_ms):
+            fleet.note(
+                "run_absent",
+                job=run.task.key.job_id,
+                task=tuple(run.task.key[1:]),
+                run=run.number,
+                worker=worker.worker_id,
+            )
+            fleet.release(run)
+
+
+def _is_absent(run: Run, clock_ms: int) -> bool:
+    if run.seen_clock_ms is not None:
+        return clock_ms > run.seen_clock_ms
+    return clock_ms > run.until_clock_ms + SETTLE_MARGIN_MS
+
+
+def _adopt(
+    fleet: Fleet,
+    worker: Worker,
+    row: RunningTask,
+    strays: dict[tuple[TaskKey, int], float],
+) -> Run | None:
+    """Return the run of a listed task, or stop it when it must not run here."""
+    task = fleet.task(row.task)
+    is_open = task is not None and not task.step.job.state.is_final
+    if task is not None and is_open and not task.done and task.run is None:
+        run = Run(task, row.run, worker.worker_id, task.step.need, fleet.now_ms)
+        run.state = RunState.RUNNING
+        task.run = run
+        task.number = max(task.number, row.run)
+        worker.add(run)
+        return run
+    key = (row.task, row.run)
+    strays[key] = first_ms = worker.strays.get(key, fleet.now_ms)
+    grace_ms = 0 if _is_known(fleet, row.task) else fleet.settings.stray_grace_ms
+    if fleet.now_ms - first_ms >= grace_ms:
+        fleet.note(
+            "stray_run_stopping",
+            job=row.task.job_id,
+            task=tuple(row.task[1:]),
+            run=row.run,
+            worker=worker.worker_id,
+            job_known=grace_ms == 0,
+        )
+        fleet.emit(StopRun(worker.worker_id, worker.entry.address, row.task, row.run))
+    return None
+
+
+def _update(fleet: Fleet, run: Run, row: RunningTask, clock_ms: int) -> None:
+    task = run.task
+    run.seen_clock_ms = clock_ms
+    run.load = row.load
+    if run.state is RunState.SENT:
+        run.state = RunState.RUNNING
+    if row.percent > run.percent:
+        run.progressed_ms = fleet.now_ms
+        run.still_reports = 0
+    else:
+        run.still_reports += 1
+        if row.percent < run.percent:
+            run.progressed_ms = fleet.now_ms
+    run.percent = row.percent
+    if row.saved:
+        task.saved = row.saved
+    mark_started(task.step.job)
+
+
+def mark_started(job) -> None:
+    """Note that a task of the job has started."""
+    job.has_started = True
+    if job.state is JobState.QUEUED:
+        job.state = JobState.RUNNING
+
+
+def _is_known(fleet: Fleet, key: TaskKey) -> bool:
+    return key.job_id in fleet.jobs or key.job_id in fleet.final
+
+
+def _may_become_known(fleet: Fleet, worker: Worker) -> bool:
+    """Return whether a job that a worker names may still be read from the store."""
+    if worker.unknown_since_ms is None:
+        worker.unknown_since_ms = fleet.now_ms
+    age_ms = fleet.now_ms - worker.unknown_since_ms
+    return age_ms < fleet.settings.stray_grace_ms
+
+
+def _forget_if_gone(fleet: Fleet, worker: Worker) -> None:
+    if worker.runs or not worker.is_silent or fleet.now_ms < worker.lease_end_ms:
+        return
+    del fleet.workers[worker.worker_id]
+    if fleet.roster.pop(worker.worker_id, None) is not None:
+        fleet.roster_dirty = fleet.needs_commit = True
+    fleet.note("worker_gone", worker=worker.worker_id)
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -0,0 +1,190 @@
+"""Decides for all workers of a cell; events go in, effects come out."""
+
+from typing import NamedTuple
+
+from marigoldpath_core.jobs import JobState
+
+from . import _advice, _ends, _evacuation, _health, _jobs, _pacing, _reports, _starts
+from ._dispatch import dispatch
+from ._fleet import Fleet, handlers
+from ._messages import Commit, Effect, Event, Tick
+from ._settings import FleetSettings
+
+_MODULES_WITH_HANDLERS = (_advice, _ends, _jobs, _reports, _starts)
+
+
+class LookOrder(NamedTuple):
+    """How to look at a worker; `until_clock_ms` is None when no lease is granted."""
+
+    address: str
+    until_clock_ms: int | None
+    last_seen: int
+    wait_ms: int
+
+
+class FleetScheduler:
+    """The decisions of one leader; `now_ms` is a monotonic clock in milliseconds."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        epoch: int,
+        roster: dict[str, str],
+        now_ms: float,
+    ) -> None:
+        self._settings = settings
+        self._fleet = Fleet(settings, epoch, roster, now_ms)
+        self._confirmed_ms = now_ms
+
+    @property
+    def is_deposed(self) -> bool:
+        """Whether a leader of a later epoch has been noticed."""
+        return self._fleet.deposed
+
+    @property
+    def needs_dispatch(self) -> bool:
+        """Whether a pass may start something."""
+        return self._fleet.needs_dispatch
+
+    @property
+    def needs_commit(self) -> bool:
+        """Whether there is something to store."""
+        return self._fleet.needs_commit
+
+    @property
+    def workers(self) -> tuple[str, ...]:
+        """The workers that are looked at."""
+        return tuple(self._fleet.workers)
+
+    def handle(self, event: Event, now_ms: float) -> None:
+        """Take an event."""
+        self._fleet.now_ms = now_ms
+        handlers.get(type(event))(self._fleet, event)
+
+    def dispatch(self, now_ms: float) -> None:
+        """Start what has room, unless the right to order is in doubt."""
+        self._fleet.now_ms = now_ms
+        if self.may_order(now_ms) and not self._fleet.deposed:
+            dispatch(self._fleet)
+
+    def take_effects(self) -> list[Effect]:
+        """Return what was asked for since the last call."""
+        effects = self._fleet.effects
+        self._fleet.effects = []
+        return effects
+
+    def may_order(self, now_ms: float) -> bool:
+        """Return whether no successor can have reached its first start.
+
+        Either the leader's row was stored recently, or most workers answered under
+        this epoch recently.
+        """
+        if now_ms - self._confirmed_ms < self._settings.order_limit_ms:
+            return True
+        workers = [each for each in self._fleet.workers.values() if each.is_listed]
+        oldest_ms = now_ms - self._settings.majority_ms
+        heard = sum(
+            1 for each in workers if each.heard_ms and each.heard_ms >= oldest_ms
+        )
+        return heard * 2 > len(workers)
+
+    def look_order(self, worker_id: str, now_ms: float) -> LookOrder | None:
+        """Return how to look at a worker now, or None when it is gone.
+
+        A worker that does not answer is looked at without a lease, so that the time
+        after which its tasks may run elsewhere does not move on.
+        """
+        worker = self._fleet.workers.get(worker_id)
+        if worker is None:
+            return None
+        address = worker.entry.address
+        if worker.is_silent or worker.heard_ms is None or not self.may_order(now_ms):
+            return LookOrder(address, None, worker.stored_end, 0)
+        worker.extend_lease(self._settings, self._settings.lease_ms, now_ms)
+        until = worker.estimated_clock_ms(now_ms) + self._settings.lease_ms
+        return LookOrder(address, until, worker.stored_end, self._settings.look_wait_ms)
+
+    def has_unstored_ends(self, worker_id: str) -> bool:
+        """Return whether the worker told ends that are not stored yet."""
+        worker = self._fleet.workers.get(worker_id)
+        return worker is not None and worker.seen_end > worker.stored_end
+
+    def take_commit(self, most: int) -> Commit:
+        """Return what is to be stored now, of at most `most` jobs."""
+        fleet = self._fleet
+        taken = sorted(fleet.dirty)[:most]
+        fleet.dirty.difference_update(taken)
+        fleet.needs_commit = bool(fleet.dirty)
+        jobs = {job_id: fleet.jobs[job_id] for job_id in taken}
+        roster = dict(fleet.roster) if fleet.roster_dirty else None
+        fleet.roster_dirty = False
+        ends = {
+            worker.worker_id: (worker.born, worker.seen_end)
+            for worker in fleet.workers.values()
+            # An end may be forgotten only when all that follows from it is stored.
+            if worker.seen_end > worker.stored_end and not fleet.dirty
+        }
+        final = tuple(job_id for job_id, job in jobs.items() if job.state.is_final)
+        progress = {job_id: job.progress() for job_id, job in jobs.items()}
+        return Commit(progress, ends, roster, final)
+
+    def committed(self, commit: Commit, sent_ms: float, now_ms: float) -> None:
+        """Note that a commit is stored; it was sent at `sent_ms`."""
+        fleet = self._fleet
+        fleet.now_ms = now_ms
+        self._confirmed_ms = max(self._confirmed_ms, sent_ms)
+        for worker_id, (born, number) in commit.ends.items():
+            worker = fleet.workers.get(worker_id)
+            if worker is not None and worker.born == born:
+                worker.stored_end = max(worker.stored_end, number)
+        if commit.roster is not None:
+            fleet.stored_roster = set(commit.roster)
+            fleet.needs_dispatch = True
+        for job_id in commit.final:
+            job = fleet.jobs.pop(job_id, None)
+            if job is not None:
+                fleet.final[job_id] = job.state
+
+    def not_committed(self, commit: Commit) -> None:
+        """Take back a commit that was not stored."""
+        fleet = self._fleet
+        fleet.dirty |= {job_id for job_id in commit.progress if job_id in fleet.jobs}
+        fleet.roster_dirty |= commit.roster is not None
+        fleet.needs_commit = True
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """Return what callers are told of a job, None when it is not known."""
+        fleet = self._fleet
+        if job_id in fleet.final:
+            return fleet.final[job_id]
+        if job_id in fleet.cancelled:
+            return JobState.CANCELLED
+        job = fleet.jobs.get(job_id)
+        if job is None:
+            return None
+        if job.state.is_final:
+            # An outcome is told only once it is stored.
+            return JobState.RUNNING
+        return job.state
+
+    def pending(self) -> dict[str, int]:
+        """Return for each queue the number of accepted jobs that have not started."""
+        counts: dict[str, int] = {}
+        for job in self._fleet.jobs.values():
+            if not job.has_started and not job.state.is_final:
+                name = job.queue.name
+                counts[name] = counts.get(name, 0) + 1
+        return counts
+
+
+@handlers.register(Tick)
+def _tick(fleet: Fleet, event: Tick) -> None:
+    fleet.wall_ms = event.wall_ms
+    _jobs.begin_due_occurrences(fleet)
+    _reports.expire_leases(fleet)
+    _reports.retry_stops(fleet)
+    _health.stop_stalled_runs(fleet)
+    _evacuation.evacuate(fleet)
+    _pacing.pace_fillers(fleet)
+    # Tickets and quarantines run out without an event.
+    fleet.needs_dispatch = True
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -0,0 +1,127 @@
+"""Orders to start and what their answers mean."""
+
+from marigoldpath_core.registry import Registry
+
+from ._fleet import Fleet, handlers
+from ._messages import StartAnswered, StartResult, StartRun
+from ._reports import mark_started
+from ._work import Run, RunState, Task
+from ._worker import Worker
+
+results: Registry = Registry("result of a start")
+# A worker that refuses as unhealthy is left alone for this long.
+REFUSED_PAUSE_MS = 1_000
+
+
+def start(fleet: Fleet, worker: Worker, task: Task, number: int) -> None:
+    """Hold resources on the worker and order the start."""
+    step = task.step
+    now_ms = fleet.now_ms
+    settings = fleet.settings
+    run = Run(task, number, worker.worker_id, step.need, now_ms)
+    run.until_clock_ms = worker.estimated_clock_ms(now_ms) + settings.start_window_ms
+    worker.extend_lease(settings, settings.start_window_ms, now_ms)
+    task.run = run
+    task.number = number
+    worker.add(run)
+    ticket = step.tickets.get(worker.worker_id)
+    fleet.emit(
+        StartRun(
+            worker.worker_id,
+            worker.entry.address,
+            task.key,
+            number,
+            step.job.spec.payload,
+            task.saved,
+            ticket.text if ticket else "",
+            run.until_clock_ms,
+        )
+    )
+    fleet.note(
+        "run_starting",
+        job=task.key.job_id,
+        task=tuple(task.key[1:]),
+        run=number,
+        worker=worker.worker_id,
+        free_cpu=worker.free.cpu_millis,
+        look_age_ms=round(now_ms - worker.clock_read_ms),
+    )
+
+
+@handlers.register(StartAnswered)
+def take_answer(fleet: Fleet, event: StartAnswered) -> None:
+    """Settle an order to start."""
+    worker = fleet.workers.get(event.worker_id)
+    run = worker.runs.get(event.task) if worker is not None else None
+    if worker is None or run is None or run.number != event.run:
+        return
+    if event.result is not StartResult.STARTED:
+        fleet.note(
+            "start_not_confirmed",
+            job=event.task.job_id,
+            task=tuple(event.task[1:]),
+            run=event.run,
+            worker=event.worker_id,
+            result=event.result.value,
+        )
+    results.get(event.result)(fleet, worker, run, event)
+
+
+@results.register(StartResult.STARTED)
+def _started(_fleet: Fleet, _worker: Worker, run: Run, event: StartAnswered) -> None:
+    run.seen_clock_ms = event.clock_ms
+    if run.state is RunState.SENT:
+        run.state = RunState.RUNNING
+    mark_started(run.task.step.job)
+
+
+@results.register(StartResult.FENCED)
+def _fenced(fleet: Fleet, _worker: Worker, _run: Run, _event: StartAnswered) -> None:
+    fleet.deposed = True
+
+
+@results.register(StartResult.UNKNOWN)
+def _unknown(_fleet: Fleet, _worker: Worker, _run: Run, _event: StartAnswered) -> None:
+    """The next list of the worker settles it."""
+
+
+@results.register(StartResult.OLD_RUN)
+@results.register(StartResult.LATE)
+@results.register(StartResult.NO_ROOM)
+def _nothing_done(fleet: Fleet, _worker: Worker, run: Run, _event: object) -> None:
+    _abandon(fleet, run)
+
+
+@results.register(StartResult.BAD_TICKET)
+def _bad_ticket(fleet: Fleet, worker: Worker, run: Run, _event: object) -> None:
+    run.task.step.tickets.pop(worker.worker_id, None)
+    _abandon(fleet, run)
+
+
+@results.register(StartResult.REFUSED)
+def _refused(fleet: Fleet, worker: Worker, run: Run, _event: object) -> None:
+    run.task.avoided.add(worker.worker_id)
+    pause_until_ms = fleet.now_ms + REFUSED_PAUSE_MS
+    worker.quarantined_until_ms = max(worker.quarantined_until_ms, pause_until_ms)
+    _abandon(fleet, run)
+
+
+@results.register(StartResult.NOT_SENT)
+@results.register(StartResult.OTHER_LIFE)
+def _unreachable(fleet: Fleet, worker: Worker, run: Run, _event: object) -> None:
+    worker.is_silent = True
+    _abandon(fleet, run)
+
+
+def _abandon(fleet: Fleet, run: Run) -> None:
+    step = run.task.step
+    fleet.release(run)
+    if not step.spec.gang:
+        return
+    # The other members would only wait for this one.
+    for member in step.tasks:
+        if member.run is not None and member.run.number == run.number:
+            fleet.stop(member.run, "a member of the gang did not start")
+
+
+__all__ = ["start", "take_answer"]
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -0,0 +1,238 @@
+"""The state of jobs, steps, tasks and runs in memory."""
+
+from enum import Enum
+
+from marigoldpath_core.jobs import (
+    AcceptedJob,
+    JobSpec,
+    JobState,
+    Progress,
+    Queue,
+    Resources,
+    StepSpec,
+    TaskKey,
+)
+
+
+class RunState(Enum):
+    """Where a run stands from the leader's view."""
+
+    SENT = "sent"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class Run:
+    """One start of a task on a worker; times in milliseconds.
+
+    `until_clock_ms` and `seen_clock_ms` are on the worker's clock: after the first an
+    order that is still under way is refused; a list from after the second has the run.
+    """
+
+    __slots__ = (
+        "load",
+        "need",
+        "number",
+        "pace",
+        "percent",
+        "progressed_ms",
+        "seen_clock_ms",
+        "started_ms",
+        "state",
+        "still_reports",
+        "stop_sent_ms",
+        "task",
+        "until_clock_ms",
+        "worker_id",
+    )
+
+    def __init__(
+        self, task: "Task", number: int, worker_id: str, need: Resources, now_ms: float
+    ) -> None:
+        self.task = task
+        self.number = number
+        self.worker_id = worker_id
+        self.need = need
+        self.state = RunState.SENT
+        self.started_ms = now_ms
+        self.until_clock_ms = 0
+        self.seen_clock_ms: int | None = None
+        self.percent = 0
+        self.progressed_ms = now_ms
+        self.still_reports = 0
+        self.stop_sent_ms = 0.0
+        self.load = 0
+        self.pace = 100
+
+
+class Task:
+    """A task of one occurrence of a step."""
+
+    __slots__ = (
+        "avoided",
+        "done",
+        "failed_number",
+        "failures",
+        "key",
+        "number",
+        "run",
+        "saved",
+        "step",
+    )
+
+    def __init__(self, key: TaskKey, step: "Step") -> None:
+        self.key = key
+        self.step = step
+        self.done = False
+        self.run: Run | None = None
+        self.number = 0
+        self.failures = 0
+        self.failed_number = 0
+        self.saved = ""
+        self.avoided: set[str] = set()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Return whether the task needs a start."""
+        return not self.done and self.run is None
+
+
+class Ticket:
+    """Leave to run a step on one life of a worker until `until_ms`."""
+
+    __slots__ = ("born", "text", "until_ms")
+
+    def __init__(self, text: str, until_ms: float, born: int) -> None:
+        self.text = text
+        self.until_ms = until_ms
+        self.born = born
+
+
+class Step:
+    """One occurrence of a step."""
+
+    def __init__(self, job: "Job", occurrence: int, number: int) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.spec: StepSpec = job.spec.steps[number]
+        self.tasks = [
+            Task(TaskKey(job.spec.job_id, occurrence, number, place), self)
+            for place in range(self.spec.width)
+        ]
+        self.left = self.spec.width
+        self.tickets: dict[str, Ticket] = {}
+        self.denied: set[str] = set()
+        self.is_asking = False
+        self.asked_ms = -1e12
+
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Return what names the step in the cell."""
+        return self.job.spec.job_id, self.occurrence, self.number
+
+    @property
+    def need(self) -> Resources:
+        """Return what a run holds; a filler's processors are not counted."""
+        if self.spec.fills:
+            return self.spec.need._replace(cpu_millis=0)
+        return self.spec.need
+
+    @property
+    def waiting(self) -> list[Task]:
+        """Return the tasks that need a start."""
+        return [task for task in self.tasks if task.is_waiting]
+
+    @property
+    def is_started(self) -> bool:
+        """Return whether any task has run."""
+        return any(task.number or task.done for task in self.tasks)
+
+
+class Job:
+    """An accepted job that is not final."""
+
+    def __init__(self, accepted: AcceptedJob, progress: Progress | None) -> None:
+        self.accepted = accepted
+        self.state = JobState.QUEUED
+        self.steps: dict[tuple[int, int], Step] = {}
+        self.stored = progress
+        self.begun_occurrences = 0
+        self.due_ms = 0.0
+        self.is_final_stored = False
+        self.has_started = False
+
+    @property
+    def spec(self) -> JobSpec:
+        """Return what the caller submitted."""
+        return self.accepted.spec
+
+    @property
+    def queue(self) -> Queue:
+        """Return the policy of the job's queue."""
+        return self.accepted.queue
+
+    @property
+    def occurrences(self) -> int:
+        """Return how many times the steps run."""
+        return max(1, self.spec.occurrences)
+
+    def begin_occurrence(self, occurrence: int) -> list[Step]:
+        """Create the steps of an occurrence from what is stored of them."""
+        steps = [
+            Step(self, occurrence, number) for number in range(len(self.spec.steps))
+        ]
+        for step in steps:
+            self.steps[occurrence, step.number] = step
+            if self.stored is not None:
+                _restore(step, self.stored)
+        self.begun_occurrences = max(self.begun_occurrences, occurrence + 1)
+        return steps
+
+    def predecessors_done(self, step: Step) -> bool:
+        """Return whether all steps that `step` waits for are done."""
+        return all(
+            self.steps[step.occurrence, number].left == 0 for number in step.spec.after
+        )
+
+    def longest_chain_ms(self) -> int:
+        """Return the longest chain of estimated work, in milliseconds."""
+        lengths: list[int] = []
+        for step in self.spec.steps:
+            before = max((lengths[number] for number in step.after), default=0)
+            lengths.append(before + step.estimate_ms)
+        return max(lengths, default=0)
+
+    def progress(self) -> Progress:
+        """Return what is to be stored."""
+        done: dict[tuple[int, int], int] = {}
+        failures: dict[tuple[int, int, int], tuple[int, int]] = {}
+        saved: dict[tuple[int, int, int], str] = {}
+        if self.state.is_final:
+            return Progress(self.state)
+        for (occurrence, number), step in self.steps.items():
+            mask = 0
+            for task in step.tasks:
+                place = task.key.place
+                if task.done:
+                    mask |= 1 << place
+                    continue
+                if task.failures and not step.spec.long_running:
+                    counted = task.failures, task.failed_number
+                    failures[occurrence, number, place] = counted
+                if task.saved and task.run is None:
+                    saved[occurrence, number, place] = task.saved
+            if mask:
+                done[occurrence, number] = mask
+        return Progress(self.state, done, failures, saved)
+
+
+def _restore(step: Step, stored: Progress) -> None:
+    mask = stored.done.get((step.occurrence, step.number), 0)
+    for task in step.tasks:
+        place = (step.occurrence, step.number, task.key.place)
+        if mask >> task.key.place & 1:
+            task.done = True
+            step.left -= 1
+        task.failures, task.failed_number = stored.failures.get(place, (0, 0))
+        task.saved = stored.saved.get(place, "")
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/cell/_commits.py
@@ -0,0 +1,133 @@
+"""Stores what the scheduler decided, one transaction after another."""
+
+import time
+from typing import Any
+
+import curio
+
+from marigoldpath_core.fleet import Commit, FleetScheduler
+
+from ._codec import LeaderRow, Term, decode_leader
+from ._ports import (
+    Row,
+    Store,
+    StoreConflictError,
+    StoreLostError,
+    StoreRefusedError,
+)
+from ._records import LEADER_ROW, commit_rows
+from ._settings import CellSettings
+
+
+class Committer:
+    """Commits under the condition that the leader's row is as this leader wrote it.
+
+    A transaction whose outcome is unknown is repeated unchanged until it is known, so
+    that the row's beat tells whether it was applied.
+    """
+
+    def __init__(
+        self,
+        settings: CellSettings,
+        store: Store,
+        scheduler: FleetScheduler,
+        term: Term,
+        log: Any,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._scheduler = scheduler
+        self._row, self._version = term
+        self._log = log
+        self._kick = curio.Event()
+        self._done = curio.Event()
+        self._stored_s = time.monotonic()
+        self._is_failing = False
+        self._lock = curio.Lock()
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the last commit was stored."""
+        return time.monotonic() - self._stored_s
+
+    async def kick(self) -> None:
+        """Let the next commit begin soon."""
+        await self._kick.set()
+
+    async def wait_for_commit(self) -> None:
+        """Wait for the end of the next commit, for a bounded time."""
+        done = self._done
+        await curio.ignore_after(self._settings.stored_ends_wait_s, done.wait)
+
+    async def run(self) -> None:
+        """Commit until the leader's row is somebody else's."""
+        while True:
+            await curio.ignore_after(self._settings.beat_s, self._kick.wait)
+            if self._kick.is_set():
+                await curio.sleep(self._settings.commit_gap_s)
+            self._kick.clear()
+            async with self._lock:
+                if self._row.released or not await self._commit(released=False):
+                    return
+
+    async def release(self) -> None:
+        """Store what is left and mark the row as free, if that is soon done."""
+        # One commit may be under way, and its end decides the next condition.
+        async with curio.ignore_after(self._settings.silent_s), self._lock:
+            await self._commit(released=True)
+
+    async def _commit(self, *, released: bool) -> bool:
+        """Return whether the row is still this leader's."""
+        commit = self._scheduler.take_commit(self._settings.commit_jobs)
+        row = self._row._replace(beat=self._row.beat + 1, released=released)
+        rows = commit_rows(row, commit)
+        try:
+            while True:
+                sent_s = time.monotonic()
+                version = await self._try(row, rows)
+                if version is not None:
+                    break
+                await curio.sleep(self._settings.commit_retry_s)
+        except StoreConflictError as fault:
+            self._log.warning("commit_fenced", reason=str(fault), epoch=row.epoch)
+            self._scheduler.not_committed(commit)
+            return False
+        self._row, self._version = row, version
+        self._stored_s = sent_s
+        await self._note_stored(commit, sent_s)
+        return True
+
+    async def _try(self, row: LeaderRow, rows: dict) -> int | None:
+        """Return the new version of the row, or None when it must be tried again."""
+        try:
+            return await self._store.commit({LEADER_ROW: self._version}, rows)
+        except StoreConflictError as fault:
+            stored = _leader_in(fault.rows)
+            if stored is None:
+                raise
+            found = decode_leader(stored.value)
+            if (found.token, found.beat) != (row.token, row.beat):
+                raise
+            return stored.version
+        except (StoreRefusedError, StoreLostError) as fault:
+            if not self._is_failing:
+                self._log.warning("store_lost", reason=repr(fault), age_s=self.age_s)
+            self._is_failing = True
+            return None
+
+    async def _note_stored(self, commit: Commit, sent_s: float) -> None:
+        if self._is_failing:
+            self._log.info("store_regained", epoch=self._row.epoch)
+        self._is_failing = False
+        self._scheduler.committed(commit, sent_s * 1000, time.monotonic() * 1000)
+        done, self._done = self._done, curio.Event()
+        await done.set()
+        if self._scheduler.needs_commit:
+            await self.kick()
+
+
+def _leader_in(rows: tuple[Row, ...]) -> Row | None:
+    for row in rows:
+        if row.key == LEADER_ROW and row.value:
+            return row
+    return None
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -0,0 +1,177 @@
+"""Finds the leader, watches it and takes over from one that is lost."""
+
+import time
+from typing import Any
+
+import curio
+
+from ._codec import LeaderRow, Term, decode_leader, encode_leader
+from ._peers import (
+    LeaderView,
+    PeerClient,
+    PeerError,
+    PeerUnreachableError,
+)
+from ._ports import Store, StoreConflictError, StoreError
+from ._records import LEADER_ROW, read_leader
+from ._settings import CellSettings
+
+
+class Election:
+    """Watches the leader's row and its process on behalf of one entry host."""
+
+    def __init__(
+        self, settings: CellSettings, store: Store, peers: PeerClient, log: Any
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._peers = peers
+        self._log = log
+        self._leader: LeaderRow | None = None
+        self._view: LeaderView | None = None
+        self._is_stopped = False
+        self._known_epoch = 0
+
+    @property
+    def leader(self) -> LeaderRow | None:
+        """The leader that answered last, if it still does."""
+        return self._leader
+
+    @property
+    def view(self) -> LeaderView | None:
+        """What the leader told last."""
+        return self._view
+
+    @property
+    def known_epoch(self) -> int:
+        """The latest epoch that this host has heard of."""
+        return self._known_epoch
+
+    def note_epoch(self, epoch: int) -> None:
+        """Note an epoch that a term of this host has."""
+        self._known_epoch = max(self._known_epoch, epoch)
+
+    def stop(self) -> None:
+        """Take part no longer."""
+        self._is_stopped = True
+
+    async def win(self) -> Term:
+        """Follow the leader and return once this host has become the leader."""
+        while True:
+            term = await self._find()
+            if term is not None:
+                return term
+            await self._watch()
+
+    async def _watch(self) -> None:
+        """Return when the leader is lost or cannot store anything."""
+        while self._leader is not None:
+            await curio.sleep(self._settings.watch_s)
+            try:
+                view = await self._peers.view(
+                    self._leader.address, self._settings.address
+                )
+            except PeerError as fault:
+                self._lose(repr(fault))
+                return
+            if not view.epoch:
+                self._lose("it does not lead any more")
+                return
+            self._take_view(view)
+            if view.store_age_s > self._settings.store_trouble_s:
+                self._log.info("leader_without_store", age_s=view.store_age_s)
+                return
+
+    async def _find(self) -> Term | None:
+        """Return a term of this host, or None once a leader answers."""
+        unchanged_since_s = time.monotonic()
+        known = -1
+        while True:
+            if self._is_stopped:
+                await curio.sleep(self._settings.watch_s)
+                continue
+            try:
+                row, version = await read_leader(self._store)
+            except StoreError as fault:
+                self._log.debug("leader_unreadable", reason=repr(fault))
+                known = -1
+                if self._leader is not None:
+                    return None
+                await curio.sleep(self._settings.election_read_s)
+                continue
+            if version != known:
+                known, unchanged_since_s = version, time.monotonic()
+            limit_s = await self._patience_s(row)
+            if limit_s is None:
+                return None
+            if time.monotonic() - unchanged_since_s >= limit_s:
+                term = await self._replace(row, version)
+                if term is not None:
+                    return term
+            await curio.sleep(self._settings.election_read_s)
+
+    async def _patience_s(self, row: LeaderRow | None) -> float | None:
+        """Return how long the row must stay unchanged, None when its leader leads."""
+        settings = self._settings
+        if row is None or row.released:
+            return 0.0
+        self.note_epoch(row.epoch)
+        if row.address == settings.address:
+            # An earlier life of this process; it is over.
+            return 0.0
+        try:
+            view = await self._peers.view(row.address, settings.address)
+        except PeerUnreachableError:
+            return settings.refused_s
+        except PeerError:
+            return settings.silent_s
+        if view.token != row.token:
+            # The process that led is gone: another one answers at its address.
+            return 0.0
+        if not view.epoch:
+            return settings.refused_s
+        self._leader = row
+        self._take_view(view)
+        if view.store_age_s > settings.store_trouble_s:
+            return settings.silent_s
+        return None
+
+    def _take_view(self, view: LeaderView) -> None:
+        self._view = view
+        self.note_epoch(view.epoch)
+
+    def _lose(self, reason: str) -> None:
+        assert self._leader is not None
+        self._log.info("leader_lost", address=self._leader.address, reason=reason)
+        self._leader = None
+
+    async def _replace(self, row: LeaderRow | None, version: int) -> Term | None:
+        """Try to become the leader after `row`."""
+        epoch = 1 if row is None else row.epoch + 1
+        own = LeaderRow(epoch, self._settings.address, self._settings.token)
+        try:
+            won = await self._store.commit(
+                {LEADER_ROW: version}, {LEADER_ROW: encode_leader(own)}
+            )
+        except StoreConflictError as fault:
+            return self._own_term(fault, own)
+        except StoreError as fault:
+            # If the write took effect, the row is found with this host's token.
+            self._log.info("takeover_failed", epoch=epoch, reason=repr(fault))
+            return None
+        return self._won(own, won)
+
+    def _own_term(self, fault: StoreConflictError, own: LeaderRow) -> Term | None:
+        for row in fault.rows:
+            if row.key == LEADER_ROW and row.value:
+                found = decode_leader(row.value)
+                self.note_epoch(found.epoch)
+                if found == own:
+                    return self._won(own, row.version)
+        return None
+
+    def _won(self, row: LeaderRow, version: int) -> Term:
+        self._leader = None
+        self.note_epoch(row.epoch)
+        self._log.info("leadership_won", epoch=row.epoch, version=version)
+        return Term(row, version)
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/cell/_helpers.py
@@ -0,0 +1,57 @@
+"""Spreads questions to the advice service over the entry hosts."""
+
+import time
+from typing import Any
+
+from marigoldpath_core.jobs import TaskKey
+
+from ._peers import PeerClient, PeerError
+from ._ports import AdviceClient
+
+# A question that takes this long must not stand before a quick one.
+SLOW_MS = 100.0
+# A helper that was not heard for this long gets no questions.
+HELPER_AGE_S = 1.5
+
+
+class Helpers:
+    """The entry hosts that call this leader, and the questions that each is asking."""
+
+    def __init__(self, advice: AdviceClient, peers: PeerClient, log: Any) -> None:
+        self._advice = advice
+        self._peers = peers
+        self._log = log
+        self._heard_s: dict[str, float] = {}
+        self._waiting_ms: dict[str, float] = {"": 0.0}
+
+    def note_helper(self, address: str) -> None:
+        """Note that an entry host called."""
+        self._heard_s[address] = time.monotonic()
+        self._waiting_ms.setdefault(address, 0.0)
+
+    async def ask(
+        self, step: TaskKey, workers: tuple[str, ...], cost_ms: float
+    ) -> dict[str, str] | None:
+        """Return the tickets of the approved workers, None without an answer."""
+        address = self._choose(cost_ms)
+        self._waiting_ms[address] += cost_ms
+        try:
+            if not address:
+                return await self._advice.ask(step, workers, cost_ms)
+            return await self._peers.ask_advice(address, step, workers, cost_ms)
+        except PeerError as fault:
+            self._log.info("helper_failed", address=address, reason=repr(fault))
+            self._heard_s.pop(address, None)
+            return None
+        finally:
+            self._waiting_ms[address] -= cost_ms
+
+    def _choose(self, cost_ms: float) -> str:
+        """Return the least busy helper, empty for this process itself."""
+        oldest_s = time.monotonic() - HELPER_AGE_S
+        helpers = [
+            address for address, heard_s in self._heard_s.items() if heard_s > oldest_s
+        ]
+        if cost_ms < SLOW_MS or not helpers:
+            helpers.append("")
+        return min(helpers, key=lambda each: self._waiting_ms[each] + 10 * bool(each))
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -0,0 +1,333 @@
+"""One entry host of a cell: accepts jobs, and leads when it is elected."""
+
+import time
+from enum import Enum
+
+import curio
+
+from marigoldpath_core.jobs import AcceptedJob, JobSpec, JobState, Queue, TaskKey
+
+from ._election import Election
+from ._helpers import Helpers
+from ._leader import Leader, wall_ms
+from ._peers import (
+    LeaderView,
+    NotLeadingError,
+    PeerClient,
+    PeerError,
+    PeerUnreachableError,
+    job_in,
+    peer_routes,
+)
+from ._ports import (
+    Configuration,
+    StoreError,
+    StoreLostError,
+    Surroundings,
+)
+from ._records import (
+    cancel_row,
+    read_job,
+    read_state,
+    write_job,
+)
+from ._settings import CellSettings
+
+
+class Submission(Enum):
+    """What is known of a job after an attempt to store it."""
+
+    ACCEPTED = "accepted"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class UnavailableError(Exception):
+    """What was asked for cannot be told or done now; it may be asked again."""
+
+
+class EntryHost:
+    """Serves callers and peers, and runs the leader while this host is elected."""
+
+    def __init__(
+        self,
+        settings: CellSettings,
+        surroundings: Surroundings,
+        peers: PeerClient,
+    ) -> None:
+        self._settings = settings
+        self._surroundings = surroundings
+        self._store = surroundings.store
+        self._log = surroundings.log
+        self._peers = peers
+        self._election = Election(settings, self._store, peers, self._log)
+        self._leader: Leader | None = None
+        self._helpers: Helpers | None = None
+        self._configuration: Configuration | None = None
+        self._is_store_suspect = False
+        self._is_stopping = False
+        self._new_jobs: dict[str, list[float]] = {}
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections should come here."""
+        return self._configuration is not None and not self._is_stopping
+
+    @property
+    def is_leading(self) -> bool:
+        """Whether this host leads now."""
+        return self._leader is not None
+
+    async def run(self) -> None:
+        """Take part in elections, and lead when elected, until cancelled."""
+        while True:
+            term = await self._election.win()
+            self._helpers = Helpers(self._surroundings.advice, self._peers, self._log)
+            self._leader = Leader(
+                self._settings, self._surroundings, self._helpers, term
+            )
+            if self._configuration is not None:
+                await self._leader.change_queues(self._configuration.queues)
+            try:
+                await self._leader.run()
+            finally:
+                self._leader = None
+
+    async def stop(self) -> None:
+        """Give up leadership and take part in no election again."""
+        self._is_stopping = True
+        self._election.stop()
+        if self._leader is not None:
+            await self._leader.stop()
+
+    async def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force, unless a newer one already is."""
+        current = self._configuration
+        if current is not None and configuration.version <= current.version:
+            return
+        self._configuration = configuration
+        self._log.info(
+            "configuration_in_force",
+            version=configuration.version,
+            queues=len(configuration.queues),
+        )
+        if self._leader is not None:
+            await self._leader.change_queues(configuration.queues)
+
+    def note_store(self, *, is_working: bool, reason: str = "") -> None:
+        """Note whether the store answers this host."""
+        if is_working == self._is_store_suspect:
+            event = "store_answers" if is_working else "store_silent"
+            self._log.info(event, reason=reason)
+        self._is_store_suspect = not is_working
+
+    async def submit(
+        self, spec: JobSpec, queue: Queue, patience_s: float
+    ) -> Submission:
+        """Store a job within `patience_s` and return what is known of it."""
+        job = AcceptedJob(spec, queue, self._election.known_epoch, wall_ms())
+        outcome = Submission.NOT_RUN
+        if not self._is_store_suspect:
+            outcome = await self._store_here(job, patience_s)
+        if outcome is not Submission.ACCEPTED:
+            outcome = await self._store_at_leader(job, outcome)
+        if outcome is Submission.ACCEPTED:
+            self._new_jobs.setdefault(queue.name, []).append(time.monotonic())
+            await curio.spawn(self._tell_job, job, daemon=True)
+        self._log.info(
+            "job_submitted",
+            job=spec.job_id,
+            queue=queue.name,
+            outcome=outcome.value,
+            epoch=job.epoch,
+            store_suspect=self._is_store_suspect,
+        )
+        return outcome
+
+    async def state(self, job_id: str) -> JobState | None:
+        """Return the state of a job, None when it does not exist.
+
+        Raises UnavailableError when neither the leader nor the store answers.
+        """
+        state = await self._state_at_leader(job_id)
+        if state is not None:
+            return state
+        try:
+            return await read_state(self._store, job_id)
+        except StoreError as fault:
+            raise UnavailableError(str(fault)) from fault
+
+    async def cancel(self, job_id: str) -> bool:
+        """Store a cancellation; return whether the job exists.
+
+        Raises UnavailableError when the store does not answer.
+        """
+        try:
+            if await read_job(self._store, job_id) is None:
+                return False
+            await self._store.commit({}, {cancel_row(job_id): b"1"})
+        except StoreError as fault:
+            raise UnavailableError(str(fault)) from fault
+        self._log.info("job_cancelled", job=job_id)
+        await curio.spawn(self._tell_cancel, job_id, daemon=True)
+        return True
+
+    async def pending(self, queue: str) -> int:
+        """Return the number of a queue's jobs that have not started."""
+        leader = self._election.leader
+        if self._leader is not None and self._leader.is_serving:
+            return self._leader.pending().get(queue, 0)
+        if leader is not None:
+            try:
+                return (await self._peers.pending(leader.address)).get(queue, 0)
+            except PeerError as fault:
+                self._log.info("pending_from_memory", reason=repr(fault))
+        return self._remembered_pending(queue)
+
+    def _remembered_pending(self, queue: str) -> int:
+        """Return the last count of the leader and the jobs accepted here since."""
+        view = self._election.view
+        recent = [
+            accepted_s
+            for accepted_s in self._new_jobs.get(queue, [])
+            if accepted_s > time.monotonic() - 10
+        ]
+        return (view.pending.get(queue, 0) if view is not None else 0) + len(recent)
+
+    async def _store_here(self, job: AcceptedJob, patience_s: float) -> Submission:
+        """Repeat the write until its outcome is known or the time is over."""
+        until_s = time.monotonic() + patience_s
+        refused_until_s = time.monotonic() + self._settings.accept_refused_s
+        outcome = Submission.NOT_RUN
+        while True:
+            try:
+                left_s = max(0.05, until_s - time.monotonic())
+                await curio.timeout_after(left_s, write_job, self._store, job)
+                self.note_store(is_working=True)
+                return Submission.ACCEPTED
+            except (StoreLostError, curio.TaskTimeout) as fault:
+                outcome = Submission.UNKNOWN
+                limit_s = until_s
+                self.note_store(is_working=False, reason=repr(fault))
+            except StoreError as fault:
+                limit_s = min(until_s, refused_until_s)
+                if outcome is Submission.UNKNOWN:
+                    limit_s = until_s
+                self.note_store(is_working=False, reason=repr(fault))
+            if time.monotonic() + self._settings.accept_retry_s >= limit_s:
+                return outcome
+            await curio.sleep(self._settings.accept_retry_s)
+
+    async def _store_at_leader(
+        self, job: AcceptedJob, outcome: Submission
+    ) -> Submission:
+        """Let the leader store a job that this host could not store."""
+        leader = self._election.leader
+        view = self._election.view
+        if leader is None or view is None:
+            return outcome
+        if view.store_age_s > self._settings.store_trouble_s:
+            return outcome
+        try:
+            told = Submission(await self._peers.store_job(leader.address, job))
+        except (PeerUnreachableError, NotLeadingError) as fault:
+            self._log.info("job_not_stored_by_leader", reason=repr(fault))
+            return outcome
+        except PeerError as fault:
+            self._log.info("job_not_stored_by_leader", reason=repr(fault))
+            return Submission.UNKNOWN
+        if told is Submission.NOT_RUN:
+            return outcome
+        return told
+
+    async def _state_at_leader(self, job_id: str) -> JobState | None:
+        if self._leader is not None:
+            return self._leader.state_of(job_id)
+        leader = self._election.leader
+        if leader is None:
+            return None
+        try:
+            return await self._peers.state(leader.address, job_id)
+        except PeerError as fault:
+            self._log.info("state_from_store", job=job_id, reason=repr(fault))
+            return None
+
+    async def _tell_job(self, job: AcceptedJob) -> None:
+        try:
+            if self._leader is not None:
+                await self._leader.accept(job)
+            elif self._election.leader is not None:
+                await self._peers.tell_job(self._election.leader.address, job)
+        except PeerError as fault:
+            # The leader finds the job when it reads the changes of the table.
+            self._log.info("job_not_told", job=job.spec.job_id, reason=repr(fault))
+
+    async def _tell_cancel(self, job_id: str) -> None:
+        try:
+            if self._leader is not None:
+                await self._leader.cancel(job_id)
+            elif self._election.leader is not None:
+                await self._peers.tell_cancel(self._election.leader.address, job_id)
+        except PeerError as fault:
+            self._log.info("cancel_not_told", job=job_id, reason=repr(fault))
+
+    def _own_view(self) -> LeaderView:
+        token = self._settings.token
+        if self._leader is None:
+            return LeaderView(0, token, 0.0, {})
+        return LeaderView(
+            self._leader.epoch,
+            token,
+            self._leader.store_age_s,
+            self._leader.pending(),
+        )
+
+    @peer_routes.register("view")
+    async def _serve_view(self, data: dict) -> dict | None:
+        if self._helpers is not None:
+            self._helpers.note_helper(data["address"])
+        return dict(self._own_view()._asdict())
+
+    @peer_routes.register("job")
+    async def _serve_job(self, data: dict) -> dict | None:
+        if self._leader is None:
+            return None
+        await self._leader.accept(job_in(data))
+        return {}
+
+    @peer_routes.register("cancel")
+    async def _serve_cancel(self, data: dict) -> dict | None:
+        if self._leader is None:
+            return None
+        await self._leader.cancel(data["job"])
+        return {}
+
+    @peer_routes.register("store-job")
+    async def _serve_store_job(self, data: dict) -> dict | None:
+        if self._leader is None:
+            return None
+        job = job_in(data)
+        outcome = await self._store_here(job, self._settings.peer_reply_s / 2)
+        if outcome is Submission.ACCEPTED and self._leader is not None:
+            await self._leader.accept(job)
+        return {"outcome": outcome.value}
+
+    @peer_routes.register("state")
+    async def _serve_state(self, data: dict) -> dict | None:
+        if self._leader is None or not self._leader.is_serving:
+            return None
+        state = self._leader.state_of(data["job"])
+        return {"state": state.value if state is not None else ""}
+
+    @peer_routes.register("pending")
+    async def _serve_pending(self, _data: dict) -> dict | None:
+        if self._leader is None or not self._leader.is_serving:
+            return None
+        return {"pending": self._leader.pending()}
+
+    @peer_routes.register("advice")
+    async def _serve_advice(self, data: dict) -> dict | None:
+        step = TaskKey(*data["step"])
+        workers = tuple(data["workers"])
+        tickets = await self._surroundings.advice.ask(step, workers, data["cost_ms"])
+        return {"tickets": tickets}
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -0,0 +1,352 @@
+"""Runs the fleet's scheduler while this process leads."""
+
+import time
+from typing import Any
+
+import curio
+
+from marigoldpath_core.fleet import (
+    AdviceAnswered,
+    AskAdvice,
+    Event,
+    FleetScheduler,
+    JobAccepted,
+    JobCancelled,
+    Note,
+    PaceRun,
+    QueuesChanged,
+    StartRun,
+    StopRun,
+    Tick,
+    WorkerSilent,
+    WorkersListed,
+)
+from marigoldpath_core.jobs import AcceptedJob, JobState, Queue, TaskKey
+from marigoldpath_core.registry import Registry
+
+from ._codec import Term
+from ._commits import Committer
+from ._helpers import Helpers
+from ._ports import (
+    FencedError,
+    HistoryGoneError,
+    StoreError,
+    Surroundings,
+    WorkerFailedError,
+)
+from ._records import JOBS_TABLE, cancelled_jobs, read_all, sort_job_rows
+from ._settings import CellSettings
+
+performers: Registry = Registry("fleet effect")
+
+
+def now_ms() -> float:
+    """Return milliseconds of the monotonic clock."""
+    return time.monotonic() * 1000
+
+
+def wall_ms() -> int:
+    """Return milliseconds since the epoch of Unix."""
+    return time.time_ns() // 1_000_000
+
+
+class Leader:
+    """One term of leadership; `run` ends when a successor is noticed or on `stop`."""
+
+    def __init__(
+        self,
+        settings: CellSettings,
+        surroundings: Surroundings,
+        helpers: Helpers,
+        term: Term,
+    ) -> None:
+        self._settings = settings
+        self._store = surroundings.store
+        self._workers = surroundings.workers
+        self._directory = surroundings.directory
+        self._log = surroundings.log
+        self._helpers = helpers
+        self._term = term
+        self._scheduler: FleetScheduler | None = None
+        self._committer: Committer | None = None
+        self._queues: dict[str, Queue] = {}
+        self._swept_version = 0
+        self._looking: set[str] = set()
+        self._gates: dict[str, curio.Semaphore] = {}
+        self._kick = curio.Event()
+        self._ended = curio.Event()
+        self._tasks: list[curio.Task] = []
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of this term."""
+        return self._term.row.epoch
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the stored jobs are loaded."""
+        return self._scheduler is not None
+
+    @property
+    def store_age_s(self) -> float:
+        """Seconds since the leader's row was last stored."""
+        return 0.0 if self._committer is None else self._committer.age_s
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """Return what callers are told of a job, None when it is not known."""
+        return None if self._scheduler is None else self._scheduler.state_of(job_id)
+
+    def pending(self) -> dict[str, int]:
+        """Return for each queue the number of jobs that have not started."""
+        return {} if self._scheduler is None else self._scheduler.pending()
+
+    async def run(self) -> None:
+        """Lead until the term ends."""
+        try:
+            await self._load()
+            loops = (
+                self._commit_loop,
+                self._directory_loop,
+                self._sweep_loop,
+                self._tick_loop,
+                self._dispatch_loop,
+            )
+            for loop in loops:
+                await self._spawn(loop)
+            await self._ended.wait()
+        finally:
+            for task in list(self._tasks):
+                await task.cancel(blocking=False)
+
+    async def stop(self) -> None:
+        """Store what is left and give the leadership up."""
+        if self._committer is not None:
+            await self._committer.release()
+        await self._ended.set()
+
+    async def accept(self, job: AcceptedJob) -> None:
+        """Take a stored job over."""
+        if self._scheduler is not None:
+            await self.handle(JobAccepted(job))
+
+    async def cancel(self, job_id: str) -> None:
+        """Take a stored cancellation over."""
+        if self._scheduler is not None:
+            await self.handle(JobCancelled(job_id))
+
+    async def change_queues(self, queues: dict[str, Queue]) -> None:
+        """Use the queues of a new configuration."""
+        self._queues = queues
+        if self._scheduler is not None:
+            await self.handle(QueuesChanged(queues))
+
+    async def handle(self, event: Event) -> None:
+        """Pass an event to the scheduler and perform what it asks for."""
+        assert self._scheduler is not None
+        self._scheduler.handle(event, now_ms())
+        await self._perform()
+
+    async def _perform(self) -> None:
+        scheduler = self._scheduler
+        assert scheduler is not None
+        for effect in scheduler.take_effects():
+            await performers.get(type(effect))(self, effect)
+        if scheduler.is_deposed:
+            await self._end("a later epoch was noticed")
+        if scheduler.needs_dispatch:
+            await self._kick.set()
+        if scheduler.needs_commit and self._committer is not None:
+            await self._committer.kick()
+
+    async def _end(self, reason: str) -> None:
+        if not self._ended.is_set():
+            self._log.info("leadership_lost", epoch=self.epoch, reason=reason)
+            await self._ended.set()
+
+    async def _load(self) -> None:
+        started_ms = now_ms()
+        while True:
+            try:
+                stored = await read_all(self._store)
+                entries = await self._directory.list_workers()
+                break
+            except (StoreError, curio.TaskGroupError) as fault:
+                self._log.warning("leader_load_failed", reason=repr(fault))
+                await curio.sleep(self._settings.commit_retry_s)
+        scheduler = FleetScheduler(
+            self._settings.fleet, self.epoch, stored.roster, now_ms()
+        )
+        self._swept_version = stored.version
+        scheduler.handle(QueuesChanged(self._queues), now_ms())
+        scheduler.handle(Tick(wall_ms()), now_ms())
+        for job_id, stored_job in stored.jobs.items():
+            if stored_job.is_cancelled:
+                scheduler.handle(JobCancelled(job_id), now_ms())
+            progress = stored.progress.get(job_id)
+            scheduler.handle(JobAccepted(stored_job.job, progress), now_ms())
+        self._scheduler = scheduler
+        self._committer = Committer(
+            self._settings, self._store, scheduler, self._term, self._log
+        )
+        self._log.info(
+            "leader_loaded",
+            epoch=self.epoch,
+            jobs=len(stored.jobs),
+            roster=len(stored.roster),
+            workers=len(entries),
+            took_ms=round(now_ms() - started_ms),
+        )
+        await self.handle(WorkersListed(entries))
+        await self._look_at_new_workers()
+
+    async def _commit_loop(self) -> None:
+        assert self._committer is not None
+        await self._committer.run()
+        await self._end("the leader's row was replaced")
+
+    async def _directory_loop(self) -> None:
+        while True:
+            await curio.sleep(self._settings.directory_s)
+            try:
+                entries = await self._directory.list_workers()
+            except StoreError as fault:
+                self._log.warning("directory_unavailable", reason=repr(fault))
+                continue
+            await self.handle(WorkersListed(entries))
+            await self._look_at_new_workers()
+
+    async def _sweep_loop(self) -> None:
+        """Find the jobs and cancellations of which no message came."""
+        while True:
+            await curio.sleep(self._settings.sweep_s)
+            try:
+                changed = await self._store.changes(JOBS_TABLE, self._swept_version, 0)
+            except HistoryGoneError:
+                self._log.info("sweep_history_gone", after=self._swept_version)
+                await self._sweep_all()
+                continue
+            except StoreError as fault:
+                self._log.warning("sweep_failed", reason=repr(fault))
+                continue
+            await self._take_rows(changed.rows)
+            self._swept_version = max(self._swept_version, changed.version)
+
+    async def _sweep_all(self) -> None:
+        try:
+            stored = await read_all(self._store)
+        except (StoreError, curio.TaskGroupError) as fault:
+            self._log.warning("sweep_failed", reason=repr(fault))
+            return
+        for job_id, stored_job in stored.jobs.items():
+            if stored_job.is_cancelled:
+                await self.handle(JobCancelled(job_id))
+            await self.handle(JobAccepted(stored_job.job, stored.progress.get(job_id)))
+        self._swept_version = stored.version
+
+    async def _take_rows(self, rows: tuple) -> None:
+        for job_id in cancelled_jobs(rows):
+            await self.handle(JobCancelled(job_id))
+        for stored_job in sort_job_rows(rows).values():
+            await self.handle(JobAccepted(stored_job.job))
+
+    async def _tick_loop(self) -> None:
+        while True:
+            await curio.sleep(self._settings.tick_s)
+            await self.handle(Tick(wall_ms()))
+
+    async def _dispatch_loop(self) -> None:
+        assert self._scheduler is not None
+        while True:
+            await self._kick.wait()
+            await curio.sleep(self._settings.dispatch_gap_s)
+            self._kick.clear()
+            self._scheduler.dispatch(now_ms())
+            await self._perform()
+
+    async def _look_at_new_workers(self) -> None:
+        assert self._scheduler is not None
+        for worker_id in self._scheduler.workers:
+            if worker_id not in self._looking:
+                self._looking.add(worker_id)
+                await self._spawn(self._look_loop, worker_id)
+
+    async def _look_loop(self, worker_id: str) -> None:
+        """Look at one worker again and again; each look renews its lease."""
+        assert self._scheduler is not None and self._committer is not None
+        failures = 0
+        while True:
+            order = self._scheduler.look_order(worker_id, now_ms())
+            if order is None:
+                break
+            try:
+                report = await self._workers.look(worker_id, self.epoch, order)
+            except FencedError:
+                await self._end(f"worker {worker_id} has seen a later epoch")
+                break
+            except WorkerFailedError as fault:
+                failures += 1
+                self._log.debug("look_failed", worker=worker_id, reason=repr(fault))
+                await self.handle(WorkerSilent(worker_id))
+                settings = self._settings
+                pause_s = min(settings.look_backoff_s, settings.look_retry_s * failures)
+                await curio.sleep(pause_s)
+                continue
+            failures = 0
+            await self.handle(report)
+            if self._scheduler.has_unstored_ends(worker_id):
+                await self._committer.wait_for_commit()
+            elif order.until_clock_ms is not None:
+                await curio.sleep(self._settings.look_gap_s)
+        self._looking.discard(worker_id)
+
+    async def _spawn(self, function: Any, *arguments: Any) -> None:
+        self._tasks = [task for task in self._tasks if not task.terminated]
+        self._tasks.append(await curio.spawn(function, *arguments, daemon=True))
+
+    @performers.register(StartRun)
+    async def _perform_start(self, order: StartRun) -> None:
+        await self._spawn(self._start, order)
+
+    @performers.register(StopRun)
+    async def _perform_stop(self, order: StopRun) -> None:
+        await self._spawn(self._order, order.worker_id, self._workers.stop, order)
+
+    @performers.register(PaceRun)
+    async def _perform_pace(self, order: PaceRun) -> None:
+        await self._spawn(self._order, order.worker_id, self._workers.pace, order)
+
+    @performers.register(AskAdvice)
+    async def _perform_question(self, question: AskAdvice) -> None:
+        await self._spawn(self._ask, question)
+
+    @performers.register(Note)
+    async def _perform_note(self, note: Note) -> None:
+        self._log.info(note.event, **note.fields)
+
+    def _gate(self, worker_id: str) -> curio.Semaphore:
+        gate = self._gates.get(worker_id)
+        if gate is None:
+            gate = curio.Semaphore(self._settings.orders_per_worker)
+            self._gates[worker_id] = gate
+        return gate
+
+    async def _start(self, order: StartRun) -> None:
+        async with self._gate(order.worker_id):
+            answer = await self._workers.start(order, self.epoch)
+        await self.handle(answer)
+
+    async def _order(self, worker_id: str, call: Any, order: Any) -> None:
+        try:
+            async with self._gate(worker_id):
+                await call(order, self.epoch)
+        except FencedError:
+            await self._end(f"worker {worker_id} has seen a later epoch")
+        except WorkerFailedError as fault:
+            # The next list shows whether the order was carried out.
+            self._log.info("order_failed", worker=worker_id, reason=repr(fault))
+
+    async def _ask(self, question: AskAdvice) -> None:
+        asked_ms = now_ms()
+        step = TaskKey(question.job_id, question.occurrence, question.step, 0)
+        tickets = await self._helpers.ask(step, question.workers, question.cost_ms)
+        await self.handle(AdviceAnswered(*question[:4], tickets, asked_ms))
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -0,0 +1,158 @@
+"""Where a cell keeps its rows, and the reads and writes of them."""
+
+import json
+from typing import NamedTuple
+
+import curio
+
+from marigoldpath_core.fleet import Commit
+from marigoldpath_core.jobs import AcceptedJob, JobState, Progress
+
+from ._codec import (
+    LeaderRow,
+    decode_job,
+    decode_leader,
+    decode_progress,
+    encode_job,
+    encode_leader,
+    encode_progress,
+    to_json,
+)
+from ._ports import Row, RowKey, Store, StoreConflictError
+
+JOBS_TABLE = "jobs"
+LEAD_TABLE = "lead"
+PROGRESS_TABLE = "progress"
+# All that a leader writes is in one part, so that one condition guards it.
+LEAD_PART = "leader"
+LEADER_ROW = RowKey(LEAD_TABLE, LEAD_PART, "leader")
+ROSTER_ROW = RowKey(LEAD_TABLE, LEAD_PART, "roster")
+# A part takes its transactions one after another; acceptance uses several.
+JOB_PARTS = 8
+CANCEL_SUFFIX = ".cancel"
+
+
+class StoredJob(NamedTuple):
+    """A job as the store has it."""
+
+    job: AcceptedJob
+    is_cancelled: bool
+
+
+class StoredState(NamedTuple):
+    """All that a new leader needs, and the version up to which jobs were read."""
+
+    jobs: dict[str, StoredJob]
+    progress: dict[str, Progress]
+    roster: dict[str, str]
+    version: int
+
+
+def job_row(job_id: str) -> RowKey:
+    """Return the row of a job."""
+    return RowKey(JOBS_TABLE, str(int(job_id[0], 16) % JOB_PARTS), job_id)
+
+
+def cancel_row(job_id: str) -> RowKey:
+    """Return the row that says that a job is cancelled."""
+    row = job_row(job_id)
+    return row._replace(key=job_id + CANCEL_SUFFIX)
+
+
+def progress_row(job_id: str) -> RowKey:
+    """Return the row of a job's progress."""
+    return RowKey(PROGRESS_TABLE, LEAD_PART, job_id)
+
+
+async def write_job(store: Store, job: AcceptedJob) -> None:
+    """Store a job once; a repeat of the same id changes nothing."""
+    row = job_row(job.spec.job_id)
+    try:
+        await store.commit({row: 0}, {row: encode_job(job)})
+    except StoreConflictError:
+        return
+
+
+async def read_leader(store: Store) -> tuple[LeaderRow | None, int]:
+    """Return the leader's row and its version, 0 when there is none."""
+    found = await store.read(
+        LEAD_TABLE, LEAD_PART, LEADER_ROW.key, LEADER_ROW.key + "~"
+    )
+    for row in found.rows:
+        return decode_leader(row.value), row.version
+    return None, 0
+
+
+async def read_job(store: Store, job_id: str) -> StoredJob | None:
+    """Return a stored job."""
+    row = job_row(job_id)
+    found = await store.read(row.table, row.part, job_id, job_id + "~")
+    return sort_job_rows(found.rows).get(job_id)
+
+
+async def read_state(store: Store, job_id: str) -> JobState | None:
+    """Return what the store alone says of a job, None when it does not exist."""
+    stored = await read_job(store, job_id)
+    if stored is None:
+        return None
+    found = await store.read(PROGRESS_TABLE, LEAD_PART, job_id, job_id + "~")
+    for row in found.rows:
+        state = decode_progress(row.value).state
+        if state.is_final:
+            return state
+        return JobState.CANCELLED if stored.is_cancelled else state
+    return JobState.CANCELLED if stored.is_cancelled else JobState.QUEUED
+
+
+async def read_all(store: Store) -> StoredState:
+    """Return all jobs, their progress and the roster."""
+    async with curio.TaskGroup(wait=all) as group:
+        parts = [
+            await group.spawn(store.read, JOBS_TABLE, str(part))
+            for part in range(JOB_PARTS)
+        ]
+        progress_task = await group.spawn(store.read, PROGRESS_TABLE, LEAD_PART)
+        roster_task = await group.spawn(
+            store.read, LEAD_TABLE, LEAD_PART, ROSTER_ROW.key, ROSTER_ROW.key + "~"
+        )
+    job_rows: list[Row] = []
+    for part in parts:
+        job_rows.extend(part.result.rows)
+    progress = {
+        row.key.key: decode_progress(row.value) for row in progress_task.result.rows
+    }
+    roster: dict[str, str] = {}
+    for row in roster_task.result.rows:
+        roster = json.loads(row.value)
+    version = min(part.result.version for part in parts)
+    return StoredState(sort_job_rows(job_rows), progress, roster, version)
+
+
+def sort_job_rows(rows: tuple[Row, ...] | list[Row]) -> dict[str, StoredJob]:
+    """Return the jobs among rows of the job table, with their cancellations."""
+    jobs: dict[str, StoredJob] = {}
+    cancelled = cancelled_jobs(rows)
+    for row in rows:
+        if row.value and not row.key.key.endswith(CANCEL_SUFFIX):
+            job_id = row.key.key
+            jobs[job_id] = StoredJob(decode_job(row.value), job_id in cancelled)
+    return jobs
+
+
+def cancelled_jobs(rows: tuple[Row, ...] | list[Row]) -> set[str]:
+    """Return the jobs whose cancellation is among rows of the job table."""
+    return {
+        row.key.key.removesuffix(CANCEL_SUFFIX)
+        for row in rows
+        if row.value and row.key.key.endswith(CANCEL_SUFFIX)
+    }
+
+
+def commit_rows(leader: LeaderRow, commit: Commit) -> dict[RowKey, bytes]:
+    """Return the rows of a leader's transaction."""
+    rows = {LEADER_ROW: encode_leader(leader)}
+    for job_id, progress in commit.progress.items():
+        rows[progress_row(job_id)] = encode_progress(progress)
+    if commit.roster is not None:
+        rows[ROSTER_ROW] = to_json(commit.roster)
+    return rows
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -0,0 +1,41 @@
+"""Limits of a cell's processes."""
+
+from typing import NamedTuple
+
+from marigoldpath_core.fleet import FleetSettings
+
+
+class CellSettings(NamedTuple):
+    """The settings of one process; times in seconds.
+
+    `host` names the process, `address` is where peers call it. `beat_s` is the longest
+    time between commits of a leader; a candidate replaces a leader whose row did not
+    change for `silent_s`, or for `refused_s` when its address refuses connections.
+    """
+
+    host: str
+    address: str
+    availability_zone: str
+    token: str
+    fleet: FleetSettings = FleetSettings()
+    beat_s: float = 0.5
+    refused_s: float = 0.9
+    silent_s: float = 1.5
+    watch_s: float = 0.4
+    peer_reply_s: float = 0.8
+    store_trouble_s: float = 1.2
+    commit_gap_s: float = 0.06
+    commit_retry_s: float = 0.15
+    commit_jobs: int = 80
+    tick_s: float = 0.1
+    dispatch_gap_s: float = 0.005
+    look_gap_s: float = 0.03
+    look_retry_s: float = 0.25
+    look_backoff_s: float = 1.0
+    stored_ends_wait_s: float = 0.4
+    directory_s: float = 1.0
+    sweep_s: float = 1.5
+    election_read_s: float = 0.25
+    orders_per_worker: int = 3
+    accept_retry_s: float = 0.1
+    accept_refused_s: float = 0.35
--- a/packages/node/src/marigoldpath_node/daemon/_signals.py
+++ b/packages/node/src/marigoldpath_node/daemon/_signals.py
@@ -10,7 +10,10 @@
 class StopSignals:
     """Wakes a task for each signal; needs no thread."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, numbers: tuple[int, ...] = (signal.SIGTERM, signal.SIGINT)
+    ) -> None:
+        self._numbers = numbers
         self._receiver, self._sender = socket.socketpair()
         self._receiver.setblocking(False)
         self._sender.setblocking(False)
@@ -18,13 +21,13 @@
     def install(self) -> None:
         """Take over the signals; call it on the main thread."""
         signal.set_wakeup_fd(self._sender.fileno(), warn_on_full_buffer=False)
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in self._numbers:
             signal.signal(number, _ignore)
 
-    async def wait(self) -> None:
-        """Wait for the next signal."""
+    async def wait(self) -> int:
+        """Return the number of the next signal."""
         receiver = curio.io.Socket(self._receiver)
-        await receiver.recv(1)
+        return (await receiver.recv(1))[0]
 
 
 def _ignore(_number: int, _frame: FrameType | None) -> None:
