Settle orders that meet another life of a worker, and count each failed run once

A search over the core in simulated time (new, marigoldpath_bench.fleet_world) found more: an order under way to a worker that restarts reaches the new life, whose clock is behind the order's limit; an answer of the new life was compared with lists of the old one; runs that must not be on a worker were not counted, so a start beside them overloaded it; a gang that could never leave the urgent share free never started.

Change: failed runs are stored by number. An order that no list of the old life showed is stopped on the new one and settled by the list after the stop. A worker with a stray run takes nothing new. Gangs and tasks larger than the background share may use all of it.

--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_search.py
@@ -0,0 +1,127 @@
+"""A seeded search for orders of faults that break a rule of the cell."""
+
+from random import Random
+
+from marigoldpath_core.jobs import AcceptedJob, JobSpec, Queue, Resources, StepSpec
+from marigoldpath_core.registry import Registry
+
+from ._oracle import Fault
+from ._world import FleetWorld, WorldSettings
+
+faults: Registry = Registry("fault of the simulated cell")
+# Faults end some time before the checks, so that everything can be repaired.
+REPAIR_MS = 60_000
+URGENT = Queue("urgent", "service", 0, 3, 1.5, 300)
+BACKGROUND = Queue("background", "service", 2, 3, 2.2, 1_200)
+
+
+class FleetSearch:
+    """One run of random jobs under random faults."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = Random(f"fleet {seed}")
+        lost = self._random.choice([0.0, 0.02, 0.1])
+        late = self._random.choice([0.0, 0.05, 0.2])
+        delay_ms = self._random.choice([5.0, 40.0, 400.0])
+        self._world = FleetWorld(
+            seed, WorldSettings(lost=lost, late=late, delay_ms=delay_ms)
+        )
+        self._jobs = 0
+
+    @property
+    def world(self) -> FleetWorld:
+        """The cell that is searched."""
+        return self._world
+
+    def run(self, steps: int) -> list[Fault]:
+        """Return the rules that were broken."""
+        world = self._world
+        world.elect()
+        for _ in range(steps):
+            world.run(self._random.uniform(20, 400))
+            if self._random.random() < 0.5:
+                self._submit()
+            if self._random.random() < 0.12:
+                name = self._random.choice(sorted(faults))
+                faults.get(name)(self)
+            if world.leader is None:
+                world.run(self._random.uniform(100, 6_000))
+                world.elect()
+        self._repair()
+        return world.oracle.faults(world.states())
+
+    def _submit(self) -> None:
+        self._jobs += 1
+        queue = self._random.choice([URGENT, BACKGROUND])
+        steps = []
+        for number in range(self._random.choice([1, 1, 2, 3])):
+            gang = queue is BACKGROUND and self._random.random() < 0.1
+            steps.append(
+                StepSpec(
+                    width=self._random.randint(1, 8),
+                    need=Resources(
+                        self._random.randint(500, 8_000),
+                        self._random.randint(500, 16_000),
+                    ),
+                    estimate_ms=self._random.randint(100, 4_000),
+                    after=(number - 1,) if number else (),
+                    gang=gang and number == 0,
+                    checkpointable=self._random.random() < 0.5,
+                )
+            )
+        job_id = f"{self._jobs:016x}"
+        spec = JobSpec(job_id, "payload", tuple(steps))
+        self._world.submit(AcceptedJob(spec, queue, 0, int(self._world.now_ms)))
+
+    def _repair(self) -> None:
+        world = self._world
+        for worker in world.workers.values():
+            worker.fails_all = False
+        world.is_store_up = True
+        world.settings = world.settings._replace(lost=0.0, late=0.0)
+        for leader in world.leaders:
+            leader.cut.clear()
+        world.run(3_000)
+        if world.leader is None:
+            world.elect()
+        for _ in range(3):
+            world.run(REPAIR_MS)
+
+    @faults.register("kill the leader")
+    def _kill_leader(self) -> None:
+        if self._world.leader is not None:
+            self._world.leader.is_alive = False
+
+    @faults.register("elect a second leader")
+    def _elect(self) -> None:
+        self._world.elect()
+
+    @faults.register("restart a worker")
+    def _restart_worker(self) -> None:
+        worker = self._random.choice(list(self._world.workers.values()))
+        worker.begin_life(self._world.now_ms)
+
+    @faults.register("cut workers off from the leader")
+    def _cut(self) -> None:
+        if self._world.leader is not None:
+            names = list(self._world.workers)
+            self._world.leader.cut = set(self._random.sample(names, 2))
+
+    @faults.register("heal the cut")
+    def _heal(self) -> None:
+        for leader in self._world.leaders:
+            leader.cut = set()
+
+    @faults.register("the store goes down or up")
+    def _switch_store(self) -> None:
+        self._world.is_store_up = not self._world.is_store_up
+
+    @faults.register("a worker fails all")
+    def _fail_all(self) -> None:
+        worker = self._random.choice(list(self._world.workers.values()))
+        worker.fails_all = not worker.fails_all
+
+    @faults.register("cancel a job")
+    def _cancel(self) -> None:
+        if self._world.store.jobs:
+            self._world.cancel(self._random.choice(list(self._world.store.jobs)))
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_store.py
@@ -0,0 +1,30 @@
+"""What a cell keeps in the platform's store, with the condition on the leader's row."""
+
+from marigoldpath_core.fleet import Commit
+from marigoldpath_core.jobs import AcceptedJob, Progress
+
+
+class StandInStore:
+    """Jobs, progress, roster, and the leader's row as (epoch, beat)."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, AcceptedJob] = {}
+        self.cancelled: set[str] = set()
+        self.progress: dict[str, Progress] = {}
+        self.roster: dict[str, str] = {}
+        self.leader = (0, 0)
+
+    def take_over(self) -> int:
+        """Replace the leader and return the new epoch."""
+        self.leader = (self.leader[0] + 1, 0)
+        return self.leader[0]
+
+    def commit(self, expected: tuple[int, int], commit: Commit) -> bool:
+        """Apply a commit if the leader's row is as expected."""
+        if self.leader != expected:
+            return False
+        self.leader = (expected[0], expected[1] + 1)
+        self.progress.update(commit.progress)
+        if commit.roster is not None:
+            self.roster = dict(commit.roster)
+        return True
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -4,7 +4,7 @@
 
 from . import _advice, _preemption
 from ._fleet import Fleet
-from ._placement import Candidates, candidates, choose, has_room
+from ._placement import Candidates, background_share, candidates, choose
 from ._starts import start
 from ._work import Step, Task
 from ._worker import Worker
@@ -75,8 +75,10 @@
 def _plan_gang(fleet: Fleet, step: Step, among: Candidates) -> list[Worker] | None:
     count = len(step.tasks)
     avoided = step.tasks[0].avoided
+    # A gang that could never leave the urgent share free does not have to.
+    could_fit = sum(_most_fitting(fleet, step, worker) for worker in among.workers)
     rooms = [
-        (_room_for(fleet, step, worker, count), worker)
+        (_room_for(fleet, step, worker, could_fit >= count), worker)
         for worker in among.workers
         if worker.worker_id not in avoided
     ]
@@ -97,16 +99,25 @@
     return None
 
 
-def _room_for(fleet: Fleet, step: Step, worker: Worker, count: int) -> int:
+def _room_for(fleet: Fleet, step: Step, worker: Worker, leave_share: bool) -> int:
     """Return how many tasks of the step fit on the worker now."""
-    if not has_room(fleet, step, worker):
-        return 0
-    free, need = worker.free, step.need
+    free = worker.free
+    if leave_share and step.job.queue.priority > 0:
+        usable = background_share(fleet, worker) - worker.background_cpu
+        free = free._replace(cpu_millis=min(free.cpu_millis, usable))
+    return _count_fitting(step, free)
+
+
+def _most_fitting(fleet: Fleet, step: Step, worker: Worker) -> int:
+    """Return how many tasks of the step fit on the worker when it is empty."""
+    capacity = worker.entry.capacity
     if step.job.queue.priority > 0:
-        kept = 1 - fleet.settings.urgent_reserve
-        usable = int(kept * worker.entry.capacity.cpu_millis) - worker.background_cpu
-        free = Resources(min(free.cpu_millis, usable), free.memory_mb, free[2])
-    fits = [have // want for have, want in zip(free, need) if want]
+        capacity = capacity._replace(cpu_millis=background_share(fleet, worker))
+    return _count_fitting(step, capacity)
+
+
+def _count_fitting(step: Step, room: Resources) -> int:
+    fits = [have // want for have, want in zip(room, step.need) if want]
     if step.spec.max_per_worker:
         fits.append(step.spec.max_per_worker)
-    return max(0, min([*fits, count]))
+    return max(0, min(fits, default=len(step.tasks)))
--- a/packages/core/src/marigoldpath_core/fleet/_ends.py
+++ b/packages/core/src/marigoldpath_core/fleet/_ends.py
@@ -57,12 +57,11 @@
         return
     # The failures of a gang are counted on its first task, once for a run.
     counted = step.tasks[0] if step.spec.gang else task
-    if ended.run <= counted.failed_number:
+    if ended.run in counted.failed_runs:
         return
-    counted.failures += 1
-    counted.failed_number = ended.run
+    counted.failed_runs.add(ended.run)
     fleet.mark_dirty(step.job)
-    if counted.failures >= step.job.queue.attempts:
+    if len(counted.failed_runs) >= step.job.queue.attempts:
         finish(fleet, step.job, JobState.FAILED, "a task failed too often")
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -122,6 +122,15 @@
     clock_ms: int = 0
 
 
+class StopAnswered(NamedTuple):
+    """A stop was acknowledged: the run cannot begin after `clock_ms` any more."""
+
+    worker_id: str
+    task: TaskKey
+    run: int
+    clock_ms: int
+
+
 class AdviceAnswered(NamedTuple):
     """The outcome of AskAdvice; `tickets` is None when there was no answer."""
 
@@ -147,6 +156,7 @@
     | WorkerReport
     | WorkerSilent
     | StartAnswered
+    | StopAnswered
     | AdviceAnswered
     | Tick
 )
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -71,11 +71,17 @@
         return False
     if step.job.queue.priority == 0 or step.spec.long_running or not need.cpu_millis:
         return True
+    usable = background_share(fleet, worker)
+    if need.cpu_millis > usable:
+        # The task would never start if it had to leave the share free.
+        return not worker.background_cpu
+    return worker.background_cpu + need.cpu_millis <= usable
+
+
+def background_share(fleet: Fleet, worker: Worker) -> int:
+    """Return the processors, in thousandths, that background work may hold."""
     kept = 1 - fleet.settings.urgent_reserve
-    return (
-        worker.background_cpu + need.cpu_millis
-        <= kept * worker.entry.capacity.cpu_millis
-    )
+    return int(kept * worker.entry.capacity.cpu_millis)
 
 
 def choose(fleet: Fleet, step: Step, task: Task, among: Candidates) -> Worker | None:
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -35,8 +35,7 @@
         if entry.draining:
             worker.drain_read_ms = fleet.now_ms
         if worker.born and entry.born > worker.born:
-            lose_runs(fleet, worker, "the worker restarted")
-            worker.begin_life(entry.born)
+            _begin_life(fleet, worker, entry.born)
         if fleet.roster.get(entry.worker_id) != entry.address:
             fleet.roster[entry.worker_id] = entry.address
             fleet.roster_dirty = fleet.needs_commit = True
@@ -53,9 +52,7 @@
     if worker is None or event.born < worker.born:
         return
     if event.born > worker.born:
-        if worker.born:
-            lose_runs(fleet, worker, "the worker restarted")
-        worker.begin_life(event.born)
+        _begin_life(fleet, worker, event.born)
     if worker.is_silent or worker.heard_ms is None:
         fleet.needs_dispatch = True
     worker.heard_ms = fleet.now_ms
@@ -113,6 +110,27 @@
         fleet.release(run)
 
 
+def _begin_life(fleet: Fleet, worker: Worker, born: int) -> None:
+    """Give up what an earlier life of a worker ran.
+
+    An order that no list of that life showed may still reach the new one, whose clock
+    is behind the order's limit. Only a stop settles such a run.
+    """
+    settings = fleet.settings
+    under_way = [] if not worker.born else list(worker.runs.values())
+    worker.begin_life(born)
+    for run in under_way:
+        if run.is_listed:
+            fleet.release(run)
+            continue
+        run.seen_clock_ms = run.until_clock_ms = None
+        late_ms = settings.late_order_ms + settings.longest_lease_ms
+        worker.extend_lease(settings, late_ms, fleet.now_ms)
+        fleet.stop(run, "the worker restarted while the order was under way")
+    if under_way:
+        fleet.note("worker_restarted", worker=worker.worker_id, runs=len(under_way))
+
+
 def _take_ends(fleet: Fleet, worker: Worker, event: WorkerReport) -> bool:
     for ended in sorted(event.ended):
         if ended.number <= worker.seen_end:
@@ -156,6 +174,8 @@
 def _is_absent(run: Run, clock_ms: int) -> bool:
     if run.seen_clock_ms is not None:
         return clock_ms > run.seen_clock_ms
+    if run.until_clock_ms is None:
+        return False
     return clock_ms > run.until_clock_ms + SETTLE_MARGIN_MS
 
 
@@ -194,6 +214,7 @@
 def _update(fleet: Fleet, run: Run, row: RunningTask, clock_ms: int) -> None:
     task = run.task
     run.seen_clock_ms = clock_ms
+    run.is_listed = True
     run.load = row.load
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -8,13 +8,16 @@
 
     `lease_ms` is asked for at each look at a worker. `clock_slack` is the rate by which
     a worker's clock may be slow. `start_window_ms` bounds how late an order to start
-    may be carried out.
+    may be carried out by a life whose clock is known, `late_order_ms` by any other.
+    `longest_lease_ms` is the most that a worker grants.
     """
 
     lease_ms: int = 4_500
     clock_slack: float = 0.03
     lease_margin_ms: int = 150
     start_window_ms: int = 1_200
+    longest_lease_ms: int = 6_000
+    late_order_ms: int = 12_000
     order_limit_ms: int = 3_000
     majority_ms: int = 2_000
     look_wait_ms: int = 1_000
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -3,7 +3,7 @@
 from marigoldpath_core.registry import Registry
 
 from ._fleet import Fleet, handlers
-from ._messages import StartAnswered, StartResult, StartRun
+from ._messages import StartAnswered, StartResult, StartRun, StopAnswered
 from ._reports import mark_started
 from ._work import Run, RunState, Task
 from ._worker import Worker
@@ -11,6 +11,8 @@
 results: Registry = Registry("result of a start")
 # A worker that refuses as unhealthy is left alone for this long.
 REFUSED_PAUSE_MS = 1_000
+# A clock that is this far behind its estimate belongs to another life of the worker.
+OTHER_LIFE_MS = 300
 
 
 def start(fleet: Fleet, worker: Worker, task: Task, number: int) -> None:
@@ -67,8 +69,25 @@
     results.get(event.result)(fleet, worker, run, event)
 
 
+@handlers.register(StopAnswered)
+def take_stop(fleet: Fleet, event: StopAnswered) -> None:
+    """Let the next list settle a run that cannot begin any more."""
+    worker = fleet.workers.get(event.worker_id)
+    run = worker.runs.get(event.task) if worker is not None else None
+    if run is not None and run.number == event.run:
+        run.seen_clock_ms = max(event.clock_ms, run.seen_clock_ms or 0)
+
+
 @results.register(StartResult.STARTED)
-def _started(_fleet: Fleet, _worker: Worker, run: Run, event: StartAnswered) -> None:
+def _started(fleet: Fleet, _worker: Worker, run: Run, event: StartAnswered) -> None:
+    if run.until_clock_ms is None:
+        # The answer may come from an earlier life of the worker.
+        return
+    sent_clock_ms = run.until_clock_ms - fleet.settings.start_window_ms
+    if event.clock_ms < sent_clock_ms - OTHER_LIFE_MS:
+        # A later life answered; its lists settle the run.
+        run.until_clock_ms = None
+        return
     run.seen_clock_ms = event.clock_ms
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
@@ -122,6 +141,3 @@
     for member in step.tasks:
         if member.run is not None and member.run.number == run.number:
             fleet.stop(member.run, "a member of the gang did not start")
-
-
-__all__ = ["start", "take_answer"]
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -26,10 +26,12 @@
     """One start of a task on a worker; times in milliseconds.
 
     `until_clock_ms` and `seen_clock_ms` are on the worker's clock: after the first an
-    order that is still under way is refused; a list from after the second has the run.
+    order that is still under way is refused, unless it is None; a list from after the
+    second shows whether the run is there.
     """
 
     __slots__ = (
+        "is_listed",
         "load",
         "need",
         "number",
@@ -55,7 +57,8 @@
         self.need = need
         self.state = RunState.SENT
         self.started_ms = now_ms
-        self.until_clock_ms = 0
+        self.until_clock_ms: int | None = 0
+        self.is_listed = False
         self.seen_clock_ms: int | None = None
         self.percent = 0
         self.progressed_ms = now_ms
@@ -71,8 +74,7 @@
     __slots__ = (
         "avoided",
         "done",
-        "failed_number",
-        "failures",
+        "failed_runs",
         "key",
         "number",
         "run",
@@ -86,8 +88,8 @@
         self.done = False
         self.run: Run | None = None
         self.number = 0
-        self.failures = 0
-        self.failed_number = 0
+        # Ends of several workers come in any order, and again to a new leader.
+        self.failed_runs: set[int] = set()
         self.saved = ""
         self.avoided: set[str] = set()
 
@@ -206,7 +208,7 @@
     def progress(self) -> Progress:
         """Return what is to be stored."""
         done: dict[tuple[int, int], int] = {}
-        failures: dict[tuple[int, int, int], tuple[int, int]] = {}
+        failures: dict[tuple[int, int, int], tuple[int, ...]] = {}
         saved: dict[tuple[int, int, int], str] = {}
         if self.state.is_final:
             return Progress(self.state)
@@ -217,9 +219,9 @@
                 if task.done:
                     mask |= 1 << place
                     continue
-                if task.failures and not step.spec.long_running:
-                    counted = task.failures, task.failed_number
-                    failures[occurrence, number, place] = counted
+                if task.failed_runs:
+                    failed = tuple(sorted(task.failed_runs))
+                    failures[occurrence, number, place] = failed
                 if task.saved and task.run is None:
                     saved[occurrence, number, place] = task.saved
             if mask:
@@ -234,5 +236,5 @@
         if mask >> task.key.place & 1:
             task.done = True
             step.left -= 1
-        task.failures, task.failed_number = stored.failures.get(place, (0, 0))
+        task.failed_runs = set(stored.failures.get(place, ()))
         task.saved = stored.saved.get(place, "")
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -114,6 +114,8 @@
             and self.heard_ms is not None
             and not self.is_silent
             and not self._entry.draining
+            # What a run that must not be here holds is not counted.
+            and not self.strays
             and now_ms >= self.quarantined_until_ms
         )
 
--- a/packages/core/src/marigoldpath_core/jobs/_model.py
+++ b/packages/core/src/marigoldpath_core/jobs/_model.py
@@ -119,11 +119,10 @@
     """What is stored of a job that has begun.
 
     `done` maps (occurrence, step) to a bit mask of done tasks, `failures` a task to the
-    number of its failed runs and the last run counted, and `saved` a task to its newest
-    checkpoint.
+    numbers of its failed runs, and `saved` a task to its newest checkpoint.
     """
 
     state: JobState
     done: dict[tuple[int, int], int] = {}  # noqa: RUF012
-    failures: dict[tuple[int, int, int], tuple[int, int]] = {}  # noqa: RUF012
+    failures: dict[tuple[int, int, int], tuple[int, ...]] = {}  # noqa: RUF012
     saved: dict[tuple[int, int, int], str] = {}  # noqa: RUF012
--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -95,7 +95,7 @@
         data["done"] = {_join(key): f"{mask:x}" for key, mask in progress.done.items()}
     if progress.failures:
         data["failures"] = {
-            _join(key): [*counted] for key, counted in progress.failures.items()
+            _join(key): [*runs] for key, runs in progress.failures.items()
         }
     if progress.saved:
         data["saved"] = {_join(key): text for key, text in progress.saved.items()}
@@ -108,10 +108,7 @@
     return Progress(
         JobState(data["state"]),
         {_pair(key): int(mask, 16) for key, mask in data.get("done", {}).items()},
-        {
-            _triple(key): (counted[0], counted[1])
-            for key, counted in data.get("failures", {}).items()
-        },
+        {_triple(key): tuple(runs) for key, runs in data.get("failures", {}).items()},
         {_triple(key): text for key, text in data.get("saved", {}).items()},
     )
 
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -338,7 +338,9 @@
     async def _order(self, worker_id: str, call: Any, order: Any) -> None:
         try:
             async with self._gate(worker_id):
-                await call(order, self.epoch)
+                answer = await call(order, self.epoch)
+            if answer is not None:
+                await self.handle(answer)
         except FencedError:
             await self._end(f"worker {worker_id} has seen a later epoch")
         except WorkerFailedError as fault:
--- a/packages/node/src/marigoldpath_node/cell/_ports.py
+++ b/packages/node/src/marigoldpath_node/cell/_ports.py
@@ -7,6 +7,7 @@
     PaceRun,
     StartAnswered,
     StartRun,
+    StopAnswered,
     StopRun,
     WorkerEntry,
     WorkerReport,
@@ -112,7 +113,7 @@
         """Order a start and return its outcome."""
         ...
 
-    async def stop(self, order: StopRun, epoch: int) -> None:
+    async def stop(self, order: StopRun, epoch: int) -> StopAnswered:
         """Order a stop; raises WorkerFailedError or FencedError."""
         ...
 
