--- /dev/null
+++ b/tests/core/fleet_fixture.py
@@ -0,0 +1,153 @@
+"""Builds a scheduler with workers whose reports a test writes by hand."""
+
+from marigoldpath_core.fleet import (
+    AdviceAnswered,
+    AskAdvice,
+    EndedRun,
+    EndKind,
+    FleetScheduler,
+    FleetSettings,
+    JobAccepted,
+    RunningTask,
+    StartAnswered,
+    StartResult,
+    StartRun,
+    StopRun,
+    Tick,
+    WorkerEntry,
+    WorkerReport,
+    WorkersListed,
+)
+from marigoldpath_core.jobs import (
+    AcceptedJob,
+    AdvicePolicy,
+    JobSpec,
+    Progress,
+    Queue,
+    Resources,
+    StepSpec,
+    TaskKey,
+)
+
+URGENT = Queue("urgent", "service", 0, 3, 1.5, 300)
+LASTING = Queue("lasting", "service", 1, 3, 2.2, 2_500)
+BACKGROUND = Queue("background", "service", 2, 2, 2.2, 1_200)
+ADVISED = URGENT._replace(advice=AdvicePolicy(20.0, 0.5, 2_000.0))
+JOB = "00000000000000aa"
+
+
+def entry(worker_id, cpu=10_000, memory=100_000, **fields):
+    """Return a worker's entry."""
+    values = {
+        "service": "service",
+        "address": f"{worker_id}:1",
+        "zone": "zone",
+        "labels": ("a", "rack-1"),
+        "rack": "rack-1",
+        "draining": False,
+        "remaining_ms": 0,
+        "born": 1_000,
+    }
+    values.update(fields)
+    return WorkerEntry(
+        worker_id=worker_id, capacity=Resources(cpu, memory, 0), **values
+    )
+
+
+def step(width=1, cpu=1_000, memory=100, **fields):
+    """Return a step of small tasks."""
+    return StepSpec(width=width, need=Resources(cpu, memory), **fields)
+
+
+def job(*steps, queue=URGENT, job_id=JOB, epoch=1):
+    """Return an accepted job."""
+    return AcceptedJob(JobSpec(job_id, "payload", steps), queue, epoch, 0)
+
+
+class Cell:
+    """A scheduler and the time; all workers share one clock, equal to the time."""
+
+    def __init__(self, *entries, epoch=1, roster=None, settings=None):
+        self.now_ms = 10_000.0
+        self.entries = entries
+        roster = (
+            {each.worker_id: each.address for each in entries}
+            if roster is None
+            else roster
+        )
+        self.scheduler = FleetScheduler(
+            settings or FleetSettings(), epoch, roster, self.now_ms
+        )
+        self.scheduler.handle(WorkersListed(entries), self.now_ms)
+        self.effects = []
+
+    def handle(self, event):
+        self.scheduler.handle(event, self.now_ms)
+        return self._take()
+
+    def hear_all(self):
+        for each in self.entries:
+            self.report(each.worker_id)
+
+    def report(self, worker_id, running=(), ended=(), born=1_000, clock_ms=None):
+        clock_ms = int(self.now_ms) if clock_ms is None else clock_ms
+        return self.handle(
+            WorkerReport(worker_id, clock_ms, born, tuple(running), tuple(ended))
+        )
+
+    def accept(self, accepted, progress: Progress | None = None):
+        return self.handle(JobAccepted(accepted, progress))
+
+    def dispatch(self):
+        self.scheduler.dispatch(self.now_ms)
+        return self._take()
+
+    def wait(self, for_ms):
+        self.now_ms += for_ms
+        return self.handle(Tick(0))
+
+    def starts(self):
+        """Dispatch and return the starts that are ordered."""
+        return [each for each in self.dispatch() if isinstance(each, StartRun)]
+
+    def started(self, order):
+        """Confirm a start."""
+        return self.answer(order, StartResult.STARTED)
+
+    def answer(self, order, result, clock_ms=None):
+        clock_ms = int(self.now_ms) if clock_ms is None else clock_ms
+        return self.handle(
+            StartAnswered(order.worker_id, order.task, order.run, result, clock_ms)
+        )
+
+    def advise(self, question: AskAdvice, tickets):
+        return self.handle(AdviceAnswered(*question[:4], tickets, self.now_ms))
+
+    def commit(self):
+        """Store what is to be stored and return it."""
+        commit = self.scheduler.take_commit(100)
+        self.scheduler.committed(commit, self.now_ms, self.now_ms)
+        return commit
+
+    def _take(self):
+        return self.scheduler.take_effects()
+
+
+def running(order, percent=10, saved="", load=0):
+    """Return the row of a started run."""
+    return RunningTask(order.task, order.run, saved, percent, load)
+
+
+def ended(number, order, kind=EndKind.DONE, saved=""):
+    """Return the end of a started run."""
+    return EndedRun(number, order.task, order.run, kind, saved)
+
+
+def stops(effects):
+    """Return the stops among effects."""
+    return [each for each in effects if isinstance(each, StopRun)]
+
+
+def task(place=0, step_number=0, job_id=JOB):
+    """Return the name of a task."""
+    return TaskKey(job_id, 0, step_number, place)
--- /dev/null
+++ b/tests/core/test_fleet.py
@@ -0,0 +1,563 @@
+"""Guards the decisions of the fleet's scheduler."""
+
+import unittest
+
+from marigoldpath_core.fleet import (
+    AskAdvice,
+    EndedRun,
+    EndKind,
+    JobCancelled,
+    PaceRun,
+    RunningTask,
+    StartResult,
+    StopAnswered,
+    WorkerSilent,
+    WorkersListed,
+)
+from marigoldpath_core.jobs import JobState, Progress
+from tests.core.fleet_fixture import (
+    ADVISED,
+    BACKGROUND,
+    JOB,
+    LASTING,
+    URGENT,
+    Cell,
+    ended,
+    entry,
+    job,
+    running,
+    step,
+    stops,
+    task,
+)
+
+
+class PlacementTests(unittest.TestCase):
+    def test_no_worker_holds_more_than_its_capacity(self):
+        cell = Cell(entry("a", cpu=2_500), entry("b", cpu=2_500))
+        cell.hear_all()
+        cell.accept(job(step(width=9)))
+        orders = cell.starts()
+        counts = {"a": 0, "b": 0}
+        for order in orders:
+            counts[order.worker_id] += 1
+        self.assertEqual(counts, {"a": 2, "b": 2})
+
+    def test_a_stopping_run_still_counts(self):
+        cell = Cell(entry("a", cpu=1_000))
+        cell.hear_all()
+        cell.accept(job(step()))
+        (order,) = cell.starts()
+        cell.started(order)
+        cell.handle(JobCancelled(JOB))
+        cell.accept(job(step(), job_id="00000000000000ab"))
+        self.assertEqual(cell.starts(), [])
+
+    def test_a_label_and_a_limit_for_each_worker_are_kept(self):
+        cell = Cell(entry("a", labels=("b", "r")), entry("b"), entry("c"))
+        cell.hear_all()
+        cell.accept(job(step(width=6, required_label="a", max_per_worker=1)))
+        self.assertEqual(sorted(o.worker_id for o in cell.starts()), ["b", "c"])
+
+    def test_urgent_work_starts_before_background_work(self):
+        cell = Cell(entry("a", cpu=1_000))
+        cell.hear_all()
+        cell.accept(job(step(), queue=BACKGROUND, job_id="00000000000000ab"))
+        cell.accept(job(step()))
+        self.assertEqual([order.task.job_id for order in cell.starts()], [JOB])
+
+    def test_background_work_leaves_a_share_for_urgent_work(self):
+        cell = Cell(entry("a", cpu=10_000))
+        cell.hear_all()
+        cell.accept(job(step(width=20), queue=BACKGROUND))
+        self.assertEqual(len(cell.starts()), 8)
+
+    def test_a_task_larger_than_the_background_share_starts(self):
+        cell = Cell(entry("a", cpu=10_000))
+        cell.hear_all()
+        cell.accept(job(step(cpu=9_500), queue=BACKGROUND))
+        self.assertEqual(len(cell.starts()), 1)
+
+    def test_nothing_starts_on_a_worker_that_leaves(self):
+        cell = Cell(entry("a", draining=True, remaining_ms=9_000))
+        cell.hear_all()
+        cell.accept(job(step()))
+        self.assertEqual(cell.starts(), [])
+
+    def test_nothing_starts_on_a_worker_that_is_not_in_the_stored_roster(self):
+        cell = Cell(entry("a"), roster={})
+        cell.hear_all()
+        cell.accept(job(step()))
+        self.assertEqual(cell.starts(), [])
+        self.assertEqual(cell.commit().roster, {"a": "a:1"})
+        self.assertEqual(len(cell.starts()), 1)
+
+    def test_a_step_waits_for_the_steps_before_it(self):
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        cell.accept(job(step(), step(after=(0,))))
+        (first,) = cell.starts()
+        cell.report("a", ended=[ended(1, first)])
+        self.assertEqual([order.task.step for order in cell.starts()], [1])
+
+
+class GangTests(unittest.TestCase):
+    def test_all_tasks_start_with_one_run_number_or_none_does(self):
+        cell = Cell(entry("a", cpu=2_000), entry("b", cpu=2_000))
+        cell.hear_all()
+        cell.accept(job(step(width=5, gang=True)))
+        self.assertEqual(cell.starts(), [])
+        cell.accept(job(step(width=4, gang=True), job_id="00000000000000ab"))
+        orders = cell.starts()
+        self.assertEqual((len(orders), {order.run for order in orders}), (4, {1}))
+
+    def test_a_gang_that_cannot_leave_the_urgent_share_free_starts(self):
+        cell = Cell(entry("a", cpu=10_000), entry("b", cpu=10_000))
+        cell.hear_all()
+        cell.accept(job(step(width=4, cpu=5_000, gang=True), queue=BACKGROUND))
+        self.assertEqual(len(cell.starts()), 4)
+
+    def test_a_refused_member_stops_the_others(self):
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        cell.accept(job(step(width=2, gang=True)))
+        first, second = cell.starts()
+        cell.started(first)
+        (stop,) = stops(cell.answer(second, StartResult.NO_ROOM))
+        self.assertEqual(stop.task, first.task)
+
+    def test_one_end_stands_for_all(self):
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        cell.accept(job(step(width=2, gang=True)))
+        first, second = cell.starts()
+        cell.report("a", running=[running(second)], ended=[ended(1, first)])
+        cell.commit()
+        self.assertIs(cell.scheduler.state_of(JOB), JobState.DONE)
+
+
+class EndTests(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(entry("a"), entry("b"))
+        self.cell.hear_all()
+
+    def test_an_end_is_acknowledged_only_after_it_is_stored(self):
+        self.cell.accept(job(step()))
+        (order,) = self.cell.starts()
+        self.cell.report(order.worker_id, ended=[ended(1, order)])
+        look = self.cell.scheduler.look_order(order.worker_id, self.cell.now_ms)
+        self.assertEqual(look.last_seen, 0)
+        commit = self.cell.commit()
+        self.assertIs(commit.progress[JOB].state, JobState.DONE)
+        look = self.cell.scheduler.look_order(order.worker_id, self.cell.now_ms)
+        self.assertEqual(look.last_seen, 1)
+
+    def test_a_job_is_shown_as_done_only_after_that_is_stored(self):
+        self.cell.accept(job(step()))
+        (order,) = self.cell.starts()
+        self.cell.started(order)
+        self.cell.report(order.worker_id, ended=[ended(1, order)])
+        self.assertIs(self.cell.scheduler.state_of(JOB), JobState.RUNNING)
+        self.cell.commit()
+        self.assertIs(self.cell.scheduler.state_of(JOB), JobState.DONE)
+
+    def test_a_task_that_failed_runs_elsewhere_with_a_higher_run(self):
+        self.cell.accept(job(step()))
+        (first,) = self.cell.starts()
+        self.cell.report(first.worker_id, ended=[ended(1, first, EndKind.FAILED)])
+        (second,) = self.cell.starts()
+        self.assertNotEqual(second.worker_id, first.worker_id)
+        self.assertGreater(second.run, first.run)
+
+    def test_a_job_fails_after_its_attempts(self):
+        self.cell.accept(job(step(), queue=BACKGROUND))
+        for number in (1, 2):
+            (order,) = self.cell.starts()
+            end = ended(number, order, EndKind.FAILED)
+            self.cell.report(order.worker_id, ended=[end])
+        self.cell.commit()
+        self.assertIs(self.cell.scheduler.state_of(JOB), JobState.FAILED)
+
+    def test_failed_runs_that_are_told_out_of_order_all_count(self):
+        """A new leader reads the ends of several workers in any order."""
+        cell = Cell(entry("a"), entry("b"), epoch=2)
+        cell.accept(job(step(), queue=BACKGROUND))
+        cell.report("a", ended=[EndedRun(1, task(), 2, EndKind.FAILED, "")])
+        cell.report("b", ended=[EndedRun(1, task(), 1, EndKind.FAILED, "")])
+        cell.commit()
+        self.assertIs(cell.scheduler.state_of(JOB), JobState.FAILED)
+
+    def test_a_failed_run_that_is_told_again_counts_once(self):
+        cell = Cell(entry("a"), epoch=2)
+        stored = Progress(JobState.RUNNING, failures={(0, 0, 0): (1,)})
+        cell.accept(job(step(), queue=BACKGROUND), stored)
+        cell.report("a", ended=[EndedRun(1, task(), 1, EndKind.FAILED, "")])
+        self.assertEqual(len(cell.starts()), 1)
+
+    def test_a_stopped_run_resumes_from_its_checkpoint(self):
+        self.cell.accept(job(step(checkpointable=True)))
+        (first,) = self.cell.starts()
+        end = ended(1, first, EndKind.STOPPED, saved="point")
+        self.cell.report(first.worker_id, ended=[end])
+        (second,) = self.cell.starts()
+        self.assertEqual(second.saved, "point")
+
+    def test_a_lasting_task_starts_again_however_it_ended(self):
+        for number, kind in enumerate((EndKind.DONE, EndKind.FAILED, EndKind.LAPSED)):
+            with self.subTest(kind=kind):
+                job_id = f"{number:016x}"
+                self.cell.accept(
+                    job(step(long_running=True), queue=LASTING, job_id=job_id)
+                )
+                (first,) = self.cell.starts()
+                end = ended(number + 1, first, kind)
+                self.cell.report(first.worker_id, ended=[end])
+                (second,) = self.cell.starts()
+                self.assertEqual(second.task, first.task)
+
+
+class StartTests(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(entry("a", cpu=1_000))
+        self.cell.hear_all()
+        self.cell.accept(job(step()))
+        (self.order,) = self.cell.starts()
+
+    def test_an_unanswered_start_is_settled_by_a_list_after_its_limit(self):
+        self.cell.answer(self.order, StartResult.UNKNOWN)
+        self.cell.report("a", clock_ms=self.order.until_clock_ms - 1)
+        self.assertEqual(self.cell.starts(), [])
+        self.cell.now_ms += 1_500
+        self.cell.report("a", clock_ms=self.order.until_clock_ms + 100)
+        (again,) = self.cell.starts()
+        self.assertGreater(again.run, self.order.run)
+
+    def test_an_unanswered_start_that_is_listed_goes_on(self):
+        self.cell.answer(self.order, StartResult.UNKNOWN)
+        self.cell.now_ms += 2_000
+        self.cell.report("a", running=[running(self.order)])
+        self.assertEqual(self.cell.starts(), [])
+
+    def test_a_fenced_start_ends_the_leadership(self):
+        self.cell.answer(self.order, StartResult.FENCED)
+        self.assertTrue(self.cell.scheduler.is_deposed)
+
+    def test_a_start_that_was_not_sent_is_placed_again(self):
+        self.cell.answer(self.order, StartResult.NOT_SENT)
+        self.assertEqual(self.cell.starts(), [])
+        self.cell.report("a")
+        self.assertEqual(len(self.cell.starts()), 1)
+
+    def test_an_order_under_way_to_a_restarted_worker_is_stopped_first(self):
+        """The clock of the new life is behind the order's limit."""
+        effects = self.cell.report("a", born=2_000, clock_ms=5)
+        self.assertEqual([stop.run for stop in stops(effects)], [self.order.run])
+        self.assertEqual(self.cell.starts(), [])
+        self.cell.report("a", born=2_000, clock_ms=400)
+        self.assertEqual(self.cell.starts(), [])
+        self.cell.handle(StopAnswered("a", self.order.task, self.order.run, 410))
+        self.cell.report("a", born=2_000, clock_ms=500)
+        self.assertEqual(len(self.cell.starts()), 1)
+
+    def test_a_listed_run_of_a_restarted_worker_starts_again_at_once(self):
+        self.cell.report("a", running=[running(self.order)])
+        self.cell.report("a", born=2_000, clock_ms=5)
+        self.assertEqual(len(self.cell.starts()), 1)
+
+    def test_an_answer_of_another_life_is_not_compared_with_older_lists(self):
+        self.cell.answer(self.order, StartResult.STARTED, clock_ms=100)
+        self.cell.report("a", clock_ms=int(self.cell.now_ms) + 50)
+        self.assertEqual(self.cell.starts(), [])
+
+
+class TakeoverTests(unittest.TestCase):
+    def test_what_runs_is_adopted(self):
+        cell = Cell(entry("a"), epoch=2)
+        cell.accept(job(step()))
+        cell.report("a", running=[RunningTask(task(), 1, "", 30, 0)])
+        self.assertEqual(cell.starts(), [])
+        self.assertIs(cell.scheduler.state_of(JOB), JobState.RUNNING)
+
+    def test_an_old_job_waits_for_workers_that_were_not_heard(self):
+        cell = Cell(entry("a"), entry("b"), epoch=2)
+        cell.accept(job(step()))
+        cell.report("a")
+        self.assertEqual(cell.starts(), [])
+        cell.report("b")
+        self.assertEqual(len(cell.starts()), 1)
+
+    def test_an_old_job_starts_once_the_leases_are_surely_over(self):
+        cell = Cell(entry("a"), entry("b"), epoch=2)
+        cell.accept(job(step()))
+        for _ in range(7):
+            cell.wait(1_000)
+            cell.commit()
+            cell.report("a")
+        self.assertEqual(cell.starts(), [])
+        cell.wait(1_500)
+        cell.commit()
+        cell.report("a")
+        self.assertEqual(len(cell.starts()), 1)
+
+    def test_a_job_of_the_new_epoch_starts_at_once(self):
+        cell = Cell(entry("a"), entry("b"), epoch=2)
+        cell.accept(job(step(), epoch=2))
+        cell.report("a")
+        self.assertEqual(len(cell.starts()), 1)
+
+    def test_a_job_of_a_later_epoch_ends_the_leadership(self):
+        cell = Cell(entry("a"))
+        cell.accept(job(step(), epoch=2))
+        self.assertTrue(cell.scheduler.is_deposed)
+
+    def test_a_worker_with_a_run_that_must_not_be_there_takes_nothing_new(self):
+        """What a stray run holds is not counted, so a start could overload."""
+        cell = Cell(entry("a"), epoch=2)
+        cell.accept(job(step()), Progress(JobState.CANCELLED))
+        row = RunningTask(task(), 1, "", 30, 0)
+        self.assertEqual(len(stops(cell.report("a", running=[row]))), 1)
+        cell.accept(job(step(), job_id="00000000000000ab", epoch=2))
+        self.assertEqual(cell.starts(), [])
+        cell.now_ms += 500
+        cell.report("a")
+        self.assertEqual(len(cell.starts()), 1)
+
+    def test_an_end_of_an_unknown_job_is_not_acknowledged_at_first(self):
+        cell = Cell(entry("a"), epoch=2)
+        cell.report("a", ended=[EndedRun(1, task(), 1, EndKind.DONE, "")])
+        self.assertFalse(cell.scheduler.has_unstored_ends("a"))
+        cell.accept(job(step()))
+        cell.report("a", ended=[EndedRun(1, task(), 1, EndKind.DONE, "")])
+        self.assertEqual(cell.starts(), [])
+
+
+class SilenceTests(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(entry("a"), entry("b"))
+        # After this time no lease of an earlier leader is left.
+        self.cell.now_ms += 9_000
+        self.cell.commit()
+        self.cell.hear_all()
+        self.cell.accept(job(step()))
+        (self.order,) = self.cell.starts()
+        self.cell.started(self.order)
+        self.cell.scheduler.look_order(self.order.worker_id, self.cell.now_ms)
+        self.other = "b" if self.order.worker_id == "a" else "a"
+
+    def test_a_task_of_a_silent_worker_waits_for_the_end_of_its_lease(self):
+        self.cell.handle(WorkerSilent(self.order.worker_id))
+        for _ in range(4):
+            self.cell.wait(1_000)
+            self.cell.commit()
+            self.cell.report(self.other)
+        self.assertEqual(self.cell.starts(), [])
+        self.cell.wait(1_000)
+        self.cell.report(self.other)
+        self.assertEqual([o.worker_id for o in self.cell.starts()], [self.other])
+
+    def test_a_silent_worker_gets_no_new_lease(self):
+        self.cell.handle(WorkerSilent("a"))
+        look = self.cell.scheduler.look_order("a", self.cell.now_ms)
+        self.assertIsNone(look.until_clock_ms)
+
+    def test_a_leader_without_proof_neither_renews_nor_starts(self):
+        self.cell.now_ms += 3_500
+        look = self.cell.scheduler.look_order(self.other, self.cell.now_ms)
+        self.assertIsNone(look.until_clock_ms)
+        self.cell.accept(job(step(), job_id="00000000000000ab"))
+        self.assertEqual(self.cell.starts(), [])
+
+    def test_most_workers_are_proof_while_the_store_is_down(self):
+        self.cell.now_ms += 3_500
+        self.cell.hear_all()
+        look = self.cell.scheduler.look_order(self.other, self.cell.now_ms)
+        self.assertIsNotNone(look.until_clock_ms)
+
+
+class HealthTests(unittest.TestCase):
+    def test_a_worker_that_fails_several_jobs_is_taken_out_of_use(self):
+        cell = Cell(*(entry(name) for name in "abcde"))
+        cell.report("a")
+        cell.accept(job(step()))
+        cell.accept(job(step(), job_id="00000000000000ab"))
+        for number in (1, 3):
+            orders = cell.starts()
+            ends = [
+                ended(number + place, order, EndKind.FAILED)
+                for place, order in enumerate(orders)
+            ]
+            cell.report("a", ended=ends)
+        cell.accept(job(step(), job_id="00000000000000ff"))
+        self.assertEqual(cell.starts(), [])
+        cell.wait(6_500)
+        cell.commit()
+        cell.report("a")
+        self.assertTrue(cell.starts())
+
+    def test_failures_of_one_job_do_not_take_a_worker_out_of_use(self):
+        cell = Cell(entry("a"), entry("b"), entry("c"), entry("d"), entry("e"))
+        cell.report("a")
+        cell.accept(job(step(width=4), queue=BACKGROUND._replace(attempts=9)))
+        for number, order in enumerate(cell.starts()):
+            cell.report("a", ended=[ended(number + 1, order, EndKind.FAILED)])
+        self.assertTrue(cell.starts())
+
+    def test_a_run_without_progress_is_stopped(self):
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        cell.accept(job(step(estimate_ms=1_000)))
+        (order,) = cell.starts()
+        cell.report("a", running=[running(order, percent=20)])
+        found = []
+        for _ in range(5):
+            cell.now_ms += 700
+            cell.report("a", running=[running(order, percent=20)])
+            found.extend(stops(cell.wait(0)))
+        self.assertEqual(found[0].task, order.task)
+
+
+class LeavingTests(unittest.TestCase):
+    def test_a_lasting_task_moves_before_its_worker_is_gone(self):
+        cell = Cell(entry("a"), entry("b"))
+        cell.hear_all()
+        cell.accept(job(step(long_running=True), queue=LASTING))
+        (order,) = cell.starts()
+        cell.report(order.worker_id, running=[running(order, percent=100)])
+        leaving = entry(order.worker_id, draining=True, remaining_ms=9_000)
+        cell.handle(WorkersListed((leaving,)))
+        self.assertEqual([stop.task for stop in stops(cell.wait(10))], [order.task])
+
+    def test_a_run_that_ends_in_time_is_left_alone(self):
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        cell.accept(job(step(estimate_ms=1_000)))
+        (order,) = cell.starts()
+        cell.report("a", running=[running(order, percent=50)])
+        leaving = entry("a", draining=True, remaining_ms=5_000)
+        cell.handle(WorkersListed((leaving,)))
+        self.assertEqual(stops(cell.wait(10)), [])
+
+
+class PreemptionTests(unittest.TestCase):
+    def test_a_run_that_saves_its_work_is_stopped_for_urgent_work(self):
+        cell = Cell(entry("a", cpu=1_000))
+        cell.hear_all()
+        cell.accept(
+            job(
+                step(checkpointable=True),
+                queue=BACKGROUND,
+                job_id="00000000000000ab",
+            )
+        )
+        (order,) = cell.starts()
+        cell.report("a", running=[running(order, percent=60)])
+        cell.accept(job(step()))
+        self.assertEqual([stop.run for stop in stops(cell.dispatch())], [order.run])
+
+    def test_a_run_that_would_lose_its_work_is_not_stopped(self):
+        cell = Cell(entry("a", cpu=1_000))
+        cell.hear_all()
+        cell.accept(job(step(), queue=BACKGROUND, job_id="00000000000000ab"))
+        (order,) = cell.starts()
+        cell.report("a", running=[running(order, percent=60)])
+        cell.accept(job(step()))
+        self.assertEqual(stops(cell.dispatch()), [])
+
+
+class AdviceTests(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(entry("a"), entry("b"))
+        self.cell.hear_all()
+        self.cell.accept(job(step(width=2), queue=ADVISED))
+        (self.question,) = self.ask()
+
+    def ask(self):
+        return [each for each in self.cell.dispatch() if isinstance(each, AskAdvice)]
+
+    def test_a_task_starts_only_with_a_ticket_for_its_worker(self):
+        self.assertEqual(sorted(self.question.workers), ["a", "b"])
+        self.cell.advise(self.question, {"b": "ticket"})
+        orders = self.cell.starts()
+        self.assertEqual(
+            [(o.worker_id, o.ticket) for o in orders], [("b", "ticket")] * 2
+        )
+
+    def test_a_ticket_is_renewed_only_for_approved_workers(self):
+        self.cell.advise(self.question, {"b": "ticket"})
+        orders = self.cell.starts()
+        for order in orders:
+            self.cell.answer(order, StartResult.NO_ROOM)
+        self.cell.now_ms += 2_100
+        self.cell.hear_all()
+        (again,) = self.ask()
+        self.assertEqual(again.workers, ("b",))
+
+    def test_a_question_without_an_answer_is_asked_again(self):
+        self.cell.advise(self.question, None)
+        self.cell.now_ms += 200
+        (again,) = self.ask()
+        self.assertEqual(again.workers, self.question.workers)
+
+    def test_a_ticket_is_of_no_use_for_the_next_life_of_a_worker(self):
+        self.cell.advise(self.question, {"a": "ticket", "b": "ticket"})
+        self.cell.report("a", born=2_000, clock_ms=10)
+        self.cell.report("b", born=2_000, clock_ms=10)
+        self.assertEqual(self.cell.starts(), [])
+
+
+class PacingTests(unittest.TestCase):
+    def test_fillers_rest_while_a_task_beside_them_is_over_its_target(self):
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        serving = step(long_running=True, target_ms=100)
+        cell.accept(job(serving, queue=LASTING))
+        filler = step(fills=True, estimate_ms=60_000)
+        cell.accept(job(filler, queue=BACKGROUND, job_id="00000000000000ab"))
+        orders = {order.task.job_id: order for order in cell.starts()}
+        paces = []
+        for load in (150, 150, 150, 20, 20, 20, 20, 20, 20):
+            cell.now_ms += 700
+            cell.report(
+                "a",
+                running=[
+                    running(orders[JOB], percent=100, load=load),
+                    running(orders["00000000000000ab"]),
+                ],
+            )
+            effects = cell.wait(0)
+            paces += [each.percent for each in effects if isinstance(each, PaceRun)]
+        self.assertEqual(paces, [0, 100])
+
+
+class CancellationTests(unittest.TestCase):
+    def test_a_cancelled_job_stops_and_starts_nothing(self):
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        cell.accept(job(step(width=2)))
+        orders = cell.starts()
+        self.assertEqual(len(stops(cell.handle(JobCancelled(JOB)))), len(orders))
+        cell.report("a", ended=[ended(1, orders[0], EndKind.STOPPED)])
+        self.assertEqual(cell.starts(), [])
+        self.assertIs(cell.scheduler.state_of(JOB), JobState.CANCELLED)
+
+    def test_a_cancellation_may_come_before_its_job(self):
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        cell.handle(JobCancelled(JOB))
+        cell.accept(job(step()))
+        self.assertEqual(cell.starts(), [])
+
+
+class PendingTests(unittest.TestCase):
+    def test_only_jobs_that_have_not_started_are_pending(self):
+        cell = Cell(entry("a", cpu=1_000))
+        cell.hear_all()
+        cell.accept(job(step()))
+        cell.accept(job(step(), job_id="00000000000000ab"))
+        (order,) = cell.starts()
+        cell.started(order)
+        self.assertEqual(cell.scheduler.pending(), {URGENT.name: 1})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/node/cell_fakes.py
@@ -0,0 +1,112 @@
+"""A store in memory that follows the port's rules, and a logger that keeps lines."""
+
+from marigoldpath_node.cell import (
+    HistoryGoneError,
+    Row,
+    RowKey,
+    Rows,
+    StoreConflictError,
+    StoreLostError,
+    StoreRefusedError,
+)
+
+
+class MemoryStore:
+    """Rows with versions; `fates` says what happens to the next writes.
+
+    A fate is `ok`, `refused` (nothing is done), `lost` (done, not answered), `dropped`
+    (not done, not answered) or `late` (not answered, done by `carry_out_late`).
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.version = 0
+        self.fates = []
+        self.is_down = False
+        self.is_history_gone = False
+        self.writes = []
+        self._late = []
+        self._changes = []
+
+    async def commit(self, expected, puts, removals=()):
+        if self.is_down:
+            raise StoreRefusedError("down")
+        fate = self.fates.pop(0) if self.fates else "ok"
+        self.writes.append((fate, dict(puts)))
+        if fate == "refused":
+            raise StoreRefusedError("busy")
+        if fate == "dropped":
+            raise StoreLostError("no answer")
+        if fate == "late":
+            self._late.append((expected, puts, removals))
+            raise StoreLostError("no answer")
+        version = self._apply(expected, puts, removals)
+        if fate == "lost":
+            raise StoreLostError("no answer")
+        return version
+
+    def carry_out_late(self):
+        """Carry out late writes whose condition still holds; return how many."""
+        done = 0
+        for expected, puts, removals in self._late:
+            try:
+                self._apply(expected, puts, removals)
+                done += 1
+            except StoreConflictError:
+                continue
+        self._late.clear()
+        return done
+
+    async def read(self, table, part, first="", last=""):
+        if self.is_down:
+            raise StoreRefusedError("down")
+        rows = [
+            row
+            for key, row in sorted(self.rows.items())
+            if key.table == table
+            and key.part == part
+            and first <= key.key
+            and (not last or key.key < last)
+        ]
+        return Rows(tuple(rows), self.version)
+
+    async def changes(self, table, after, wait_ms):
+        if self.is_down:
+            raise StoreRefusedError("down")
+        if self.is_history_gone:
+            self.is_history_gone = False
+            raise HistoryGoneError("gone")
+        found = [r for r in self._changes if r.version > after and r.key.table == table]
+        return Rows(tuple(found), self.version)
+
+    def _apply(self, expected, puts, removals):
+        parts = {key.part for key in [*expected, *puts, *removals]}
+        assert len(parts) == 1, f"a transaction over several parts: {parts}"
+        current = {key: self._row(key) for key in expected}
+        if any(current[key].version != version for key, version in expected.items()):
+            raise StoreConflictError(tuple(current.values()))
+        self.version += 1
+        for key, value in puts.items():
+            self.rows[key] = Row(key, value, self.version)
+            self._changes.append(self.rows[key])
+        for key in removals:
+            self.rows.pop(key, None)
+        return self.version
+
+    def _row(self, key: RowKey) -> Row:
+        return self.rows.get(key, Row(key, b"", 0))
+
+
+class KeptLog:
+    """Keeps (event, fields) of all lines."""
+
+    def __init__(self):
+        self.lines = []
+
+    def _keep(self, event, **fields):
+        self.lines.append((event, fields))
+
+    debug = info = warning = error = _keep
+
+    def events(self):
+        return [event for event, _ in self.lines]
--- /dev/null
+++ b/tests/node/test_cell.py
@@ -0,0 +1,338 @@
+"""Guards acceptance, election and commits of a cell's entry hosts."""
+
+import unittest
+
+import curio
+
+from marigoldpath_core.fleet import (
+    Commit,
+    FleetScheduler,
+    FleetSettings,
+    WorkersListed,
+)
+from marigoldpath_core.jobs import (
+    AcceptedJob,
+    AdvicePolicy,
+    JobSpec,
+    JobState,
+    Progress,
+    Queue,
+    Resources,
+    StepSpec,
+)
+from marigoldpath_node.cell import (
+    CellSettings,
+    Configuration,
+    EntryHost,
+    Submission,
+    Surroundings,
+    UnavailableError,
+)
+from marigoldpath_node.cell._codec import (
+    LeaderRow,
+    Term,
+    decode_job,
+    decode_leader,
+    decode_progress,
+    encode_job,
+    encode_leader,
+    encode_progress,
+)
+from marigoldpath_node.cell._commits import Committer
+from marigoldpath_node.cell._election import Election
+from marigoldpath_node.cell._peers import LeaderView, PeerError, PeerUnreachableError
+from marigoldpath_node.cell._records import (
+    LEADER_ROW,
+    job_row,
+    progress_row,
+    read_all,
+    read_state,
+)
+from tests.core.fleet_fixture import entry
+from tests.node.cell_fakes import KeptLog, MemoryStore
+
+JOB_ID = "00000000000000aa"
+QUEUE = Queue("queue", "service", 0, 3, 1.5, 300, AdvicePolicy(20.0, 0.5, 2_000.0))
+SPEC = JobSpec(JOB_ID, "payload", (StepSpec(2, Resources(500, 64, 0)),))
+SETTINGS = CellSettings("host", "10.0.0.1:1", "zone", "token")
+FAST = SETTINGS._replace(
+    accept_retry_s=0.01,
+    accept_refused_s=0.05,
+    commit_retry_s=0.01,
+    election_read_s=0.01,
+    refused_s=0.05,
+    silent_s=0.1,
+    watch_s=0.01,
+)
+
+
+class FakePeers:
+    """Answers calls to peers from a table of results by name."""
+
+    def __init__(self, **results):
+        self.results = results
+        self.calls = []
+
+    def __getattr__(self, name):
+        async def call(*arguments):
+            self.calls.append((name, arguments))
+            result = self.results.get(name, PeerUnreachableError(name))
+            if isinstance(result, Exception):
+                raise result
+            return result
+
+        return call
+
+
+def entry_host(store, peers=None, settings=FAST):
+    log = KeptLog()
+    return EntryHost(
+        settings, Surroundings(store, None, None, None, log), peers or FakePeers()
+    )
+
+
+class CodecTests(unittest.TestCase):
+    def test_a_job_survives_storage(self):
+        steps = (
+            StepSpec(3, Resources(500, 64, 1), estimate_ms=900),
+            StepSpec(1, Resources(1, 2, 3), after=(0,), gang=True, target_ms=80),
+        )
+        job = AcceptedJob(JobSpec(JOB_ID, "text", steps, 2, 5, 7), QUEUE, 4, 99)
+        self.assertEqual(decode_job(encode_job(job)), job)
+
+    def test_progress_survives_storage(self):
+        progress = Progress(
+            JobState.RUNNING,
+            {(0, 1): 0b1011},
+            {(0, 1, 2): (1, 10_001)},
+            {(0, 1, 2): "saved"},
+        )
+        self.assertEqual(decode_progress(encode_progress(progress)), progress)
+
+
+class SubmissionTests(unittest.TestCase):
+    def submit(self, store, peers=None, patience_s=0.3):
+        async def run():
+            return await entry_host(store, peers).submit(SPEC, QUEUE, patience_s)
+
+        return curio.run(run)
+
+    def test_a_stored_job_is_accepted(self):
+        store = MemoryStore()
+        self.assertIs(self.submit(store), Submission.ACCEPTED)
+        self.assertIn(job_row(JOB_ID), store.rows)
+
+    def test_a_repeated_job_stays_one_job(self):
+        store = MemoryStore()
+        self.submit(store)
+        version = store.rows[job_row(JOB_ID)].version
+        self.assertIs(self.submit(store), Submission.ACCEPTED)
+        self.assertEqual(store.rows[job_row(JOB_ID)].version, version)
+
+    def test_a_lost_answer_is_settled_by_the_same_write(self):
+        for fate in ("lost", "dropped", "late"):
+            with self.subTest(fate=fate):
+                store = MemoryStore()
+                store.fates = [fate]
+                self.assertIs(self.submit(store), Submission.ACCEPTED)
+                self.assertEqual(store.carry_out_late(), 0)
+
+    def test_refused_writes_are_told_as_not_run(self):
+        store = MemoryStore()
+        store.is_down = True
+        self.assertIs(self.submit(store), Submission.NOT_RUN)
+
+    def test_not_run_is_never_told_after_a_lost_answer(self):
+        """The lost write may be carried out later, and the job would run."""
+        store = MemoryStore()
+        store.fates = ["late"] + ["refused"] * 100
+        self.assertIs(self.submit(store), Submission.UNKNOWN)
+        self.assertEqual(store.carry_out_late(), 1)
+
+
+class StateTests(unittest.TestCase):
+    def test_the_store_tells_the_state_while_no_leader_answers(self):
+        store = MemoryStore()
+
+        async def run():
+            host = entry_host(store)
+            await host.submit(SPEC, QUEUE, 0.3)
+            queued = await host.state(JOB_ID)
+            await store.commit(
+                {}, {progress_row(JOB_ID): encode_progress(Progress(JobState.DONE))}
+            )
+            return queued, await host.state(JOB_ID), await host.state("0" * 16)
+
+        self.assertEqual(curio.run(run), (JobState.QUEUED, JobState.DONE, None))
+
+    def test_an_unreachable_store_is_no_answer(self):
+        store = MemoryStore()
+        store.is_down = True
+        with self.assertRaises(UnavailableError):
+            curio.run(entry_host(store).state, JOB_ID)
+
+    def test_a_cancellation_is_stored_and_told(self):
+        store = MemoryStore()
+
+        async def run():
+            host = entry_host(store)
+            missing = await host.cancel(JOB_ID)
+            await host.submit(SPEC, QUEUE, 0.3)
+            return missing, await host.cancel(JOB_ID), await read_state(store, JOB_ID)
+
+        self.assertEqual(curio.run(run), (False, True, JobState.CANCELLED))
+
+    def test_an_older_configuration_is_not_taken(self):
+        async def run():
+            host = entry_host(MemoryStore())
+            await host.configure(Configuration(5, {"new": QUEUE}))
+            await host.configure(Configuration(4, {}))
+            return host.is_ready, host._configuration.version
+
+        self.assertEqual(curio.run(run), (True, 5))
+
+
+class CommitTests(unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+        self.row = LeaderRow(1, "10.0.0.1:1", "token")
+        self.log = KeptLog()
+
+    async def committer(self):
+        version = await self.store.commit({}, {LEADER_ROW: encode_leader(self.row)})
+        self.scheduler = FleetScheduler(FleetSettings(), 1, {}, 0.0)
+        self.scheduler.handle(WorkersListed((entry("a"),)), 0.0)
+        term = Term(self.row, version)
+        return Committer(FAST, self.store, self.scheduler, term, self.log)
+
+    def commit(self, fates, then=None):
+        async def run():
+            committer = await self.committer()
+            self.store.fates = list(fates)
+            if then is not None:
+                await then(self.store)
+            return await committer._commit(released=False)
+
+        return curio.run(run)
+
+    def test_a_lost_answer_is_settled_by_the_beat(self):
+        for fate in ("lost", "dropped", "late"):
+            with self.subTest(fate=fate):
+                self.setUp()
+                self.assertTrue(self.commit([fate]))
+                stored = decode_leader(self.store.rows[LEADER_ROW].value)
+                self.assertEqual(stored.beat, 1)
+                self.assertEqual(self.store.carry_out_late(), 0)
+
+    def test_a_replaced_row_ends_the_leadership(self):
+        async def replace(store):
+            other = LeaderRow(2, "10.0.0.2:1", "other")
+            await store.commit({}, {LEADER_ROW: encode_leader(other)})
+
+        self.assertFalse(self.commit([], replace))
+        self.assertTrue(self.scheduler.needs_commit)
+
+    def test_a_released_row_says_so(self):
+        async def run():
+            committer = await self.committer()
+            await committer.release()
+
+        curio.run(run)
+        self.assertTrue(decode_leader(self.store.rows[LEADER_ROW].value).released)
+
+    def test_what_could_not_be_stored_is_kept_for_the_next_commit(self):
+        async def run():
+            await self.committer()
+            commit = self.scheduler.take_commit(10)
+            self.scheduler.not_committed(commit)
+            return self.scheduler.take_commit(10)
+
+        self.assertEqual(curio.run(run), Commit({}, {}, {"a": "a:1"}, ()))
+
+
+class ElectionTests(unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+        self.log = KeptLog()
+
+    async def lead(self, **fields):
+        row = LeaderRow(3, "10.0.0.2:1", "other")._replace(**fields)
+        await self.store.commit({}, {LEADER_ROW: encode_leader(row)})
+        return row
+
+    async def win(self, peers):
+        election = Election(FAST, self.store, peers, self.log)
+        return await curio.ignore_after(0.6, election.win)
+
+    def view(self, **fields):
+        return LeaderView(3, "other", 0.0, {})._replace(**fields)
+
+    def run_with(self, peers, **fields):
+        async def run():
+            await self.lead(**fields)
+            return await self.win(peers)
+
+        return curio.run(run)
+
+    def test_the_first_host_leads_with_the_first_epoch(self):
+        term = curio.run(self.win, FakePeers())
+        self.assertEqual(term.row.epoch, 1)
+
+    def test_a_leader_that_answers_is_followed(self):
+        self.assertIsNone(self.run_with(FakePeers(view=self.view())))
+
+    def test_a_lost_leader_is_replaced_with_the_next_epoch(self):
+        for fault in (PeerUnreachableError("refused"), PeerError("silent")):
+            with self.subTest(fault=fault):
+                term = self.run_with(FakePeers(view=fault))
+                self.assertEqual(term.row.epoch, 4)
+
+    def test_a_leader_whose_row_changes_is_not_replaced(self):
+        """It is cut off from this host only, and leads for the others."""
+
+        async def beat(row):
+            for number in range(60):
+                await curio.sleep(0.01)
+                changed = encode_leader(row._replace(beat=number))
+                await self.store.commit({}, {LEADER_ROW: changed})
+
+        async def run():
+            row = await self.lead()
+            await curio.spawn(beat, row, daemon=True)
+            return await self.win(FakePeers(view=PeerUnreachableError("cut")))
+
+        self.assertIsNone(curio.run(run))
+
+    def test_a_leader_without_the_store_is_replaced(self):
+        term = self.run_with(FakePeers(view=self.view(store_age_s=9.0)))
+        self.assertEqual(term.row.epoch, 4)
+
+    def test_a_released_row_is_taken_at_once(self):
+        term = self.run_with(FakePeers(view=self.view()), released=True)
+        self.assertEqual(term.row.epoch, 4)
+
+    def test_an_own_earlier_life_is_replaced_at_once(self):
+        term = self.run_with(FakePeers(), address=FAST.address)
+        self.assertEqual(term.row.epoch, 4)
+
+
+class RecordTests(unittest.TestCase):
+    def test_everything_stored_is_read(self):
+        store = MemoryStore()
+
+        async def run():
+            host = entry_host(store)
+            for number in range(16):
+                spec = SPEC._replace(job_id=f"{number:x}{'0' * 15}")
+                await host.submit(spec, QUEUE, 0.3)
+            await host.cancel("f" + "0" * 15)
+            return await read_all(store)
+
+        stored = curio.run(run)
+        self.assertEqual(len(stored.jobs), 16)
+        cancelled = [key for key, job in stored.jobs.items() if job.is_cancelled]
+        self.assertEqual(cancelled, ["f" + "0" * 15])
+
+
+if __name__ == "__main__":
+    unittest.main()
