--- a/Makefile
+++ b/Makefile
@@ -56,6 +56,7 @@
 	@$(PYTHON) -m marigoldpath_bench.replay $(TRACE)
 
 soak: setup
+	@$(PYTHON) -m marigoldpath_bench.fleet_world --seed $(SEED) --runs $(RUNS)
 	@$(PYTHON) -m marigoldpath_bench.soak --seed $(SEED) --runs $(RUNS)
 
 clean:
--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -183,7 +183,7 @@
     body: bytes,
     headers: dict[str, str] | None,
 ) -> h11.Request:
-    fields = [("host", address), *(headers or {}).items()]
+    fields = [*{"host": address, **(headers or {})}.items()]
     if body:
         fields.append(("content-length", str(len(body))))
     return h11.Request(method=method, target=target, headers=fields)
--- /dev/null
+++ b/tests/platform/test_adapter.py
@@ -0,0 +1,352 @@
+"""Guards the translation between the platform and the product."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+import curio
+
+from marigoldpath_core.fleet import (
+    EndKind,
+    LookOrder,
+    StartResult,
+    StartRun,
+    StopRun,
+)
+from marigoldpath_core.jobs import AdvicePolicy, Resources, TaskKey
+from marigoldpath_node.cell import (
+    FencedError,
+    HistoryGoneError,
+    RowKey,
+    StoreConflictError,
+    StoreLostError,
+    StoreRefusedError,
+)
+from marigoldpath_node.http import HttpClient, HttpClientSettings, HttpRequest
+from marigoldpath_platform._ingress import BadJobError, decode_job_spec, find_route
+from marigoldpath_platform._operator import (
+    PlatformDirectory,
+    Route,
+    decode_configuration,
+    decode_entry,
+)
+from marigoldpath_platform._settings import SettingsError, load_settings
+from marigoldpath_platform._store import PlatformStore
+from marigoldpath_platform._workers import (
+    PlatformAdvice,
+    PlatformWorkers,
+    task_key,
+    task_name,
+)
+from tests.node.cell_fakes import KeptLog
+from tests.platform.stand_ins import (
+    StandInServer,
+    StandInStore,
+    StandInWorker,
+    configuration,
+)
+
+JOB_ID = "5c0e7a21d94b36f8"
+TASK = TaskKey(JOB_ID, 0, 1, 17)
+SETTINGS = {
+    "node": "edge-split-1",
+    "zone": "split",
+    "listen": {
+        "ingress": "10.1.0.13:8161",
+        "readiness": "10.1.0.13:8167",
+        "control": "10.1.0.13:8166",
+    },
+    "platform": {"address": "10.200.1.7:8169"},
+    "advice": None,
+    "bounds": {"hold-max-ms": 6000, "require-fence": True},
+    "a-new-field": {"to": "ignore"},
+}
+
+
+class SettingsTests(unittest.TestCase):
+    def load(self, **changes):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings.json"
+            path.write_text(json.dumps({**SETTINGS, **changes}))
+            return load_settings(str(path))
+
+    def test_unknown_fields_are_ignored(self):
+        settings = self.load()
+        self.assertEqual((settings.store, settings.advice), ("10.200.1.7:8169", ""))
+
+    def test_all_faults_are_told_with_key_and_fix(self):
+        with self.assertRaises(SettingsError) as caught:
+            self.load(node="", platform={"address": "nowhere"})
+        message = str(caught.exception)
+        self.assertIn("node: give a text", message)
+        self.assertIn("platform.address: give IP:PORT, not 'nowhere'", message)
+
+    def test_a_missing_file_is_one_clear_line(self):
+        with self.assertRaisesRegex(SettingsError, "no readable JSON file"):
+            load_settings("/nowhere/settings.json")
+
+
+class JobSpecTests(unittest.TestCase):
+    def decode(self, data, job_id=JOB_ID):
+        return decode_job_spec(job_id, json.dumps(data).encode())
+
+    def test_omitted_fields_are_zero_false_or_empty(self):
+        spec = self.decode({"spec": "text", "steps": [{"count": 4, "cpu": 500}]})
+        (step,) = spec.steps
+        self.assertEqual((step.width, step.need), (4, Resources(500, 0, 0)))
+        self.assertEqual((step.after, step.gang, step.target_ms), ((), False, 0))
+
+    def test_bad_input_names_the_field(self):
+        cases = [
+            ([], "must be an object"),
+            ({}, "steps must be a list"),
+            ({"steps": []}, "steps must be a list"),
+            ({"steps": [{"count": 0}]}, r"steps\[0\].count"),
+            ({"steps": [{"count": 1, "cpu": -1}]}, "cpu must be a number"),
+            ({"steps": [{"count": 1, "after": [0]}]}, r"steps\[0\].after"),
+            ({"spec": 5, "steps": [{"count": 1}]}, "spec must be a text"),
+        ]
+        for data, message in cases:
+            with self.subTest(data=data):
+                self.assertRaisesRegex(BadJobError, message, self.decode, data)
+
+    def test_an_id_has_16_hexadecimal_digits(self):
+        with self.assertRaisesRegex(BadJobError, "16 hexadecimal digits"):
+            self.decode({"steps": [{"count": 1}]}, job_id="short")
+
+
+class RouteTests(unittest.TestCase):
+    ROUTES = (
+        Route("a.example", "/q/", "short"),
+        Route("a.example", "/q/deep/", "long"),
+        Route("b.example", "/q/", "other"),
+    )
+
+    def find(self, host, path):
+        request = HttpRequest("GET", path, {"host": host}, b"")
+        route = find_route(self.ROUTES, request)
+        return route.queue if route else None
+
+    def test_host_and_longest_prefix_select_the_queue(self):
+        self.assertEqual(self.find("a.example", "/q/x"), "short")
+        self.assertEqual(self.find("A.example:8161", "/q/deep/x"), "long")
+        self.assertEqual(self.find("b.example", "/q/deep/x"), "other")
+        self.assertIsNone(self.find("c.example", "/q/x"))
+
+
+class OperatorTests(unittest.TestCase):
+    def test_a_configuration_becomes_queues_and_routes(self):
+        advice = {"decide-ms": 20.5, "period-ms": 0.2, "valid-ms": 2500}
+        value = json.dumps(configuration(7, advice=advice)).encode()
+        version = decode_configuration(value)
+        queue = version.configuration.queues["queue"]
+        self.assertEqual(version.configuration.version, 7)
+        self.assertEqual(queue.advice, AdvicePolicy(20.5, 0.2, 2500))
+        self.assertEqual(version.routes, (Route("site.example", "/q/", "queue"),))
+
+    def test_entries_of_other_writers_name_no_worker(self):
+        good = StandInWorker("w")
+        broken = [
+            b"\xff\x00",
+            b"[]",
+            b"{}",
+            {"state": "asleep"},
+            {"capacity": {"cpu": "many", "mem-mb": 1}},
+            {"address": 5},
+            {"labels": [1]},
+            {"born": "soon"},
+        ]
+
+        async def run():
+            store = StandInStore()
+            await store.start()
+            await good.start()
+            store.put("servers", "good", good.entry())
+            for number, change in enumerate(broken):
+                entry = change
+                if isinstance(change, dict):
+                    entry = {**good.entry(), **change}
+                store.put("servers", f"broken-{number}", entry)
+            client = PlatformStore(HttpClient(HttpClientSettings()), store.address)
+            return await PlatformDirectory(client, KeptLog()).list_workers()
+
+        entries = curio.run(run)
+        self.assertEqual([entry.worker_id for entry in entries], ["good"])
+
+    def test_a_draining_worker_tells_the_time_that_is_left(self):
+        entry = {
+            **{"service": "s", "address": "a:1", "zone": "z", "labels": ["b", "r2"]},
+            **{"capacity": {"cpu": 1, "mem-mb": 2}, "state": "draining"},
+            "remaining-ms": 900,
+        }
+        found = decode_entry("w", json.dumps(entry).encode())
+        self.assertEqual((found.draining, found.remaining_ms), (True, 900))
+        self.assertEqual((found.rack, found.labels), ("r2", ("b", "r2")))
+
+
+class StoreTests(unittest.TestCase):
+    KEY = RowKey("jobs", "3", "key")
+
+    def use(self, action):
+        async def run():
+            server = StandInStore()
+            await server.start()
+            client = HttpClient(HttpClientSettings(connect_s=0.2))
+            return await action(server, PlatformStore(client, server.address))
+
+        return curio.run(run)
+
+    def test_a_row_is_written_once_and_read_back(self):
+        async def action(_server, store):
+            await store.commit({self.KEY: 0}, {self.KEY: b"value"})
+            with self.assertRaises(StoreConflictError) as caught:
+                await store.commit({self.KEY: 0}, {self.KEY: b"other"})
+            return caught.exception.rows, await store.read("jobs", "3")
+
+        conflict, found = self.use(action)
+        self.assertEqual(conflict[0].value, b"value")
+        self.assertEqual([row.key for row in found.rows], [self.KEY])
+
+    def test_a_range_of_many_rows_is_read_in_pages(self):
+        async def action(server, store):
+            for number in range(1_200):
+                server.put("mp-jobs", f"{number:04}", b"x", part="3")
+            return await store.read("jobs", "3", "0010", "1100")
+
+        self.assertEqual(len(self.use(action).rows), 1_090)
+
+    def test_changes_follow_a_version(self):
+        async def action(server, store):
+            server.put("mp-jobs", "a", b"x")
+            first = await store.changes("jobs", 0, 0)
+            server.put("mp-jobs", "b", b"y")
+            second = await store.changes("jobs", first.version, 500)
+            return [row.key.key for row in (*first.rows, *second.rows)]
+
+        self.assertEqual(self.use(action), ["a", "b"])
+
+    def test_lost_history_is_told(self):
+        async def action(server, store):
+            server.put("mp-jobs", "a", b"x")
+            server.forget_history()
+            await store.changes("jobs", 0, 0)
+
+        self.assertRaises(HistoryGoneError, self.use, action)
+
+    def test_refusals_have_done_nothing(self):
+        for status in (429, 503, 403):
+            with self.subTest(status=status):
+
+                async def action(server, store, status=status):
+                    server.statuses = [status]
+                    await store.commit({}, {self.KEY: b"value"})
+
+                self.assertRaises(StoreRefusedError, self.use, action)
+
+    def test_a_call_that_is_not_answered_is_lost(self):
+        class Silent(StandInServer):
+            async def answer(self, request, body):
+                raise ConnectionResetError
+
+        async def run():
+            server = Silent()
+            await server.start()
+            store = PlatformStore(HttpClient(HttpClientSettings()), server.address)
+            await store.commit({}, {self.KEY: b"value"})
+
+        self.assertRaises(StoreLostError, curio.run, run)
+
+    def test_a_call_without_a_connection_has_done_nothing(self):
+        async def run():
+            client = HttpClient(HttpClientSettings(connect_s=0.2))
+            await PlatformStore(client, "127.0.0.1:1").commit({}, {self.KEY: b"v"})
+
+        self.assertRaises(StoreRefusedError, curio.run, run)
+
+
+class WorkerTests(unittest.TestCase):
+    def use(self, action):
+        async def run():
+            worker = StandInWorker("w")
+            await worker.start()
+            client = PlatformWorkers(HttpClient(HttpClientSettings(connect_s=0.2)))
+            return await action(worker, client)
+
+        return curio.run(run)
+
+    def order(self, worker, worker_id="w", until=5_000):
+        return StartRun(worker_id, worker.address, TASK, 1, "payload", "", "", until)
+
+    def test_names_of_tasks_are_translated_both_ways(self):
+        self.assertEqual(task_name(TASK), f"{JOB_ID}.0.1.17")
+        self.assertEqual(task_key(task_name(TASK)), TASK)
+
+    def test_a_started_task_is_listed_and_its_end_told(self):
+        async def action(worker, client):
+            answer = await client.start(self.order(worker), 3)
+            look = LookOrder(worker.address, 9_000, 0, 500)
+            return answer, await client.look("w", 3, look)
+
+        answer, report = self.use(action)
+        self.assertIs(answer.result, StartResult.STARTED)
+        self.assertEqual([end.kind for end in report.ended], [EndKind.DONE])
+        self.assertEqual((report.ended[0].task, report.born), (TASK, 1_000))
+
+    def test_refusals_of_a_start_are_told_apart(self):
+        async def action(worker, client):
+            late = await client.start(self.order(worker, until=0), 3)
+            other = await client.start(self.order(worker, worker_id="x"), 3)
+            fenced = await client.start(self.order(worker), 2)
+            return [late.result, other.result, fenced.result]
+
+        expected = [StartResult.LATE, StartResult.OTHER_LIFE, StartResult.FENCED]
+        self.assertEqual(self.use(action), expected)
+
+    def test_a_fenced_look_and_stop_are_told(self):
+        async def action(worker, client):
+            worker.fence = 9
+            with self.assertRaises(FencedError):
+                await client.look("w", 3, LookOrder(worker.address, None, 0, 0))
+            with self.assertRaises(FencedError):
+                await client.stop(StopRun("w", worker.address, TASK, 1), 3)
+
+        self.use(action)
+
+    def test_a_start_without_a_connection_was_not_sent(self):
+        async def run():
+            client = PlatformWorkers(HttpClient(HttpClientSettings(connect_s=0.2)))
+            order = StartRun("w", "127.0.0.1:1", TASK, 1, "", "", "", 5)
+            return (await client.start(order, 1)).result
+
+        self.assertIs(curio.run(run), StartResult.NOT_SENT)
+
+
+class AdviceTests(unittest.TestCase):
+    def ask(self, status, body):
+        class Service(StandInServer):
+            async def answer(self, request, _body):
+                from marigoldpath_node.http import json_response
+
+                return json_response(status, body)
+
+        async def run():
+            service = Service()
+            await service.start()
+            client = HttpClient(HttpClientSettings())
+            advice = PlatformAdvice(client, service.address, KeptLog())
+            return await advice.ask(TASK, ("w1", "w2"), 20.0), service.told
+
+        return curio.run(run)
+
+    def test_approved_workers_get_tickets(self):
+        tickets, told = self.ask(200, {"approved": [["w1", "ticket"]]})
+        self.assertEqual(tickets, {"w1": "ticket"})
+        self.assertEqual(told[0][2], {"step": f"{JOB_ID}.0.1", "workers": ["w1", "w2"]})
+
+    def test_a_busy_service_gives_no_answer(self):
+        self.assertIsNone(self.ask(429, {})[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,151 @@
+"""Guards the whole path: entry hosts, a store and workers over loopback sockets."""
+
+import socket
+import unittest
+
+import curio
+
+from marigoldpath_node.http import HttpClient, HttpClientSettings
+from marigoldpath_platform._process import Process
+from marigoldpath_platform._settings import PlatformSettings
+from tests.node.cell_fakes import KeptLog
+from tests.platform.stand_ins import StandInStore, StandInWorker, configuration
+
+JOB_ID = "5c0e7a21d94b36f8"
+SITE = {"host": "site.example"}
+BODY = {"spec": "text", "steps": [{"count": 3, "cpu": 500, "mem-mb": 64}]}
+# Bounds the wait for what must happen; the tests need a fraction of it.
+PATIENCE_S = 20.0
+
+
+def free_address():
+    """Return a loopback address that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Fleet:
+    """Two entry hosts, a store and two workers."""
+
+    def __init__(self):
+        self.store = StandInStore()
+        self.workers = [StandInWorker("w1"), StandInWorker("w2")]
+        self.log = KeptLog()
+        self.client = HttpClient(HttpClientSettings(connect_s=0.5))
+        self.hosts = []
+
+    async def start(self):
+        await self.store.start()
+        for worker in self.workers:
+            await worker.start()
+            self.store.put("servers", worker.worker_id, worker.entry())
+        self.store.put("op", "config", configuration())
+        for number in range(2):
+            settings = PlatformSettings(
+                host=f"host-{number}",
+                availability_zone="split",
+                ingress=free_address(),
+                readiness=free_address(),
+                control=free_address(),
+                store=self.store.address,
+                advice="",
+                row_bytes=65_536,
+                bounds={"hold-max-ms": 6_000},
+            )
+            process = Process(settings, self.log)
+            await process.start()
+            self.hosts.append((process, settings))
+        await self.until(lambda: self.ask(1, "GET", "/q/"), 200)
+
+    async def ask(self, host, method, path, value=None):
+        address = self.hosts[host][1].ingress
+        return await self.client.request(
+            method, address, path, value=value, headers=SITE
+        )
+
+    async def until(self, ask, status, state=None):
+        """Repeat a call until it has a status, and its body a state."""
+
+        async def repeat():
+            while True:
+                response = await ask()
+                if response.status == status and (
+                    state is None or response.json()["state"] == state
+                ):
+                    return response
+                await curio.sleep(0.05)
+
+        return await curio.timeout_after(PATIENCE_S, repeat)
+
+
+class WholePathTests(unittest.TestCase):
+    def play(self, action):
+        async def run():
+            fleet = Fleet()
+            await fleet.start()
+            await action(fleet)
+            return fleet
+
+        return curio.run(run)
+
+    def test_a_job_is_accepted_runs_once_and_is_shown_as_done(self):
+        async def action(fleet):
+            path = f"/q/{JOB_ID}"
+            await fleet.until(lambda: fleet.ask(0, "POST", path, BODY), 200)
+            await fleet.ask(1, "POST", path, BODY)
+            for host in (0, 1):
+                await fleet.until(
+                    lambda host=host: fleet.ask(host, "GET", path), 200, "done"
+                )
+
+        fleet = self.play(action)
+        starts = [task for worker in fleet.workers for task, _ in worker.starts]
+        self.assertEqual(len(starts), len(set(starts)))
+        self.assertEqual(len(starts), 3)
+
+    def test_another_host_takes_over_from_a_leader_that_leaves(self):
+        async def action(fleet):
+            await fleet.until(lambda: fleet.ask(0, "POST", f"/q/{JOB_ID}", BODY), 200)
+            leading = [p._host.is_leading for p, _ in fleet.hosts].index(True)
+            await fleet.hosts[leading][0]._host.stop()
+            other = 1 - leading
+            path = "/q/00000000000000aa"
+            await fleet.until(lambda: fleet.ask(other, "POST", path, BODY), 200)
+            await fleet.until(lambda: fleet.ask(other, "GET", path), 200, "done")
+            await fleet.until(
+                lambda: fleet.ask(leading, "GET", f"/q/{JOB_ID}"), 200, "done"
+            )
+
+        fleet = self.play(action)
+        epochs = [worker.fence for worker in fleet.workers]
+        self.assertEqual(epochs, [2, 2])
+
+    def test_unknown_queues_and_jobs_are_told_apart(self):
+        async def action(fleet):
+            self.assertEqual((await fleet.ask(0, "GET", "/other/")).status, 404)
+            self.assertEqual((await fleet.ask(0, "GET", f"/q/{JOB_ID}")).status, 410)
+            deleted = await fleet.ask(0, "DELETE", f"/q/{JOB_ID}")
+            self.assertEqual(deleted.status, 410)
+            bad = await fleet.ask(0, "POST", f"/q/{JOB_ID}", {"steps": []})
+            self.assertEqual(bad.status, 400)
+
+        self.play(action)
+
+    def test_a_newer_configuration_is_in_force_at_every_host(self):
+        async def action(fleet):
+            newer = configuration(4, prefix="/new/")
+            fleet.store.put("op", "config", newer)
+            fleet.store.put("op", "config", configuration(3))
+            for host in (0, 1):
+                await fleet.until(
+                    lambda host=host: fleet.ask(host, "GET", "/new/"), 200
+                )
+                old = await fleet.ask(host, "GET", "/q/")
+                self.assertEqual(old.status, 404)
+
+        self.play(action)
+
+
+if __name__ == "__main__":
+    unittest.main()
