Replace a lost leader sooner, leave the rotation without store and leader, serve metrics

A take-over took 1.8 to 2.7 s, the store's return was noticed up to 2 s late, hosts in a cut zone stayed in the rotation, and after a take-over all steps of older jobs waited for workers that were not heard. A repeat of a job that this host had accepted was answered 503 while the store was away.

Change: patience of 0.7 s (refused) and 1.0 s (silent) and four times the store's read time; a probe of 0.6 s while the store is silent; not ready without store and leader for 0.3 s; a step after one that this leader saw running starts at once, as no earlier leader can have started it; an id that was accepted here stays accepted, and one of unknown fate is never told as not run.

--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -16,7 +16,7 @@
     waiting = [step for step in fleet.open_steps.values() if step.waiting]
     waiting.sort(key=lambda step: _order(fleet, step))
     for step in waiting[: fleet.settings.considered_steps]:
-        if fleet.is_blocked(step.job):
+        if fleet.is_blocked(step):
             continue
         if step.spec.gang:
             _place_gang(fleet, step)
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -106,6 +106,8 @@
         self.dirty.add(job.spec.job_id)
         self.needs_commit = True
 
-    def is_blocked(self, job: Job) -> bool:
-        """Return whether unfound tasks of the job may run on an unheard worker."""
-        return bool(self.unheard) and job.accepted.epoch < self.epoch
+    def is_blocked(self, step: Step) -> bool:
+        """Return whether unfound tasks of the step may run on an unheard worker."""
+        if not self.unheard or step.is_fresh:
+            return False
+        return step.job.accepted.epoch < self.epoch
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -105,6 +105,8 @@
         if occurrence != step.occurrence or not other.left:
             continue
         if step.number in other.spec.after and job.predecessors_done(other):
+            before = [job.steps[occurrence, number] for number in other.spec.after]
+            other.is_fresh = any(each.was_running or each.is_fresh for each in before)
             _open(fleet, other)
     _finish_if_done(fleet, job)
 
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -215,6 +215,7 @@
     task = run.task
     run.seen_clock_ms = clock_ms
     run.is_listed = True
+    task.step.was_running = True
     run.load = row.load
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -125,6 +125,10 @@
         self.left = self.spec.width
         self.tickets: dict[str, Ticket] = {}
         self.denied: set[str] = set()
+        # Whether this leader saw a task of the step running, and whether it saw that
+        # of a step before it, so that no earlier leader can have started this one.
+        self.was_running = False
+        self.is_fresh = False
         self.is_asking = False
         self.asked_ms = -1e12
 
--- a/packages/node/src/marigoldpath_node/cell/_commits.py
+++ b/packages/node/src/marigoldpath_node/cell/_commits.py
@@ -1,7 +1,6 @@
 """Stores what the scheduler decided, one transaction after another."""
 
 import time
-from typing import Any
 
 import curio
 
@@ -10,10 +9,10 @@
 from ._codec import LeaderRow, Term, decode_leader
 from ._ports import (
     Row,
-    Store,
     StoreConflictError,
     StoreLostError,
     StoreRefusedError,
+    Surroundings,
 )
 from ._records import LEADER_ROW, commit_rows
 from ._settings import CellSettings
@@ -29,16 +28,16 @@
     def __init__(
         self,
         settings: CellSettings,
-        store: Store,
+        surroundings: Surroundings,
         scheduler: FleetScheduler,
         term: Term,
-        log: Any,
     ) -> None:
         self._settings = settings
-        self._store = store
+        self._store = surroundings.store
+        self._metrics = surroundings.metrics
         self._scheduler = scheduler
         self._row, self._version = term
-        self._log = log
+        self._log = surroundings.log
         self._kick = curio.Event()
         self._done = curio.Event()
         self._stored_s = time.monotonic()
@@ -93,6 +92,7 @@
             self._scheduler.not_committed(commit)
             return False
         self._row, self._version = row, version
+        self._metrics.observe_call("commit", time.monotonic() - sent_s)
         self._stored_s = sent_s
         await self._note_stored(commit, sent_s)
         return True
--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -1,7 +1,7 @@
 """Finds the leader, watches it and takes over from one that is lost."""
 
 import time
-from typing import Any
+from collections.abc import Callable
 
 import curio
 
@@ -12,7 +12,7 @@
     PeerError,
     PeerUnreachableError,
 )
-from ._ports import Store, StoreConflictError, StoreError
+from ._ports import StoreConflictError, StoreError, Surroundings
 from ._records import LEADER_ROW, read_leader
 from ._settings import CellSettings
 
@@ -21,12 +21,17 @@
     """Watches the leader's row and its process on behalf of one entry host."""
 
     def __init__(
-        self, settings: CellSettings, store: Store, peers: PeerClient, log: Any
+        self,
+        settings: CellSettings,
+        surroundings: Surroundings,
+        peers: PeerClient,
+        note_store: Callable[..., None],
     ) -> None:
         self._settings = settings
-        self._store = store
+        self._store = surroundings.store
+        self._log = surroundings.log
         self._peers = peers
-        self._log = log
+        self._note_store = note_store
         self._leader: LeaderRow | None = None
         self._view: LeaderView | None = None
         self._is_stopped = False
@@ -90,20 +95,26 @@
             if self._is_stopped:
                 await curio.sleep(self._settings.watch_s)
                 continue
+            asked_s = time.monotonic()
             try:
                 row, version = await read_leader(self._store)
             except StoreError as fault:
-                self._log.debug("leader_unreadable", reason=repr(fault))
+                self._note_store(is_working=False, reason=repr(fault))
                 known = -1
                 if self._leader is not None:
                     return None
                 await curio.sleep(self._settings.election_read_s)
                 continue
+            self._note_store(is_working=True)
+            read_s = time.monotonic() - asked_s
             if version != known:
                 known, unchanged_since_s = version, time.monotonic()
             limit_s = await self._patience_s(row)
             if limit_s is None:
                 return None
+            if limit_s:
+                # A leader's commits come more slowly where the store is slow.
+                limit_s += self._settings.slow_store_factor * read_s
             if time.monotonic() - unchanged_since_s >= limit_s:
                 term = await self._replace(row, version)
                 if term is not None:
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -60,18 +60,28 @@
         self._store = surroundings.store
         self._log = surroundings.log
         self._peers = peers
-        self._election = Election(settings, self._store, peers, self._log)
+        self._election = Election(settings, surroundings, peers, self.note_store)
         self._leader: Leader | None = None
         self._helpers: Helpers | None = None
         self._configuration: Configuration | None = None
-        self._is_store_suspect = False
+        self._suspect_since_s: float | None = None
         self._is_stopping = False
+        self._outcomes: dict[str, Submission] = {}
         self._new_jobs: dict[str, list[float]] = {}
 
     @property
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
-        return self._configuration is not None and not self._is_stopping
+        if self._configuration is None or self._is_stopping:
+            return False
+        if self._suspect_since_s is None or self._election.leader is not None:
+            return True
+        return time.monotonic() - self._suspect_since_s < self._settings.unready_s
+
+    @property
+    def is_store_suspect(self) -> bool:
+        """Whether the store did not answer the last call of this host."""
+        return self._suspect_since_s is not None
 
     @property
     def is_leading(self) -> bool:
@@ -82,6 +92,7 @@
         """Take part in elections, and lead when elected, until cancelled."""
         while True:
             term = await self._election.win()
+            self._surroundings.metrics.set_epoch(term.row.epoch)
             self._helpers = Helpers(self._surroundings.advice, self._peers, self._log)
             self._leader = Leader(
                 self._settings, self._surroundings, self._helpers, term
@@ -92,6 +103,7 @@
                 await self._leader.run()
             finally:
                 self._leader = None
+                self._surroundings.metrics.set_epoch(0)
 
     async def stop(self) -> None:
         """Give up leadership and take part in no election again."""
@@ -116,31 +128,39 @@
 
     def note_store(self, *, is_working: bool, reason: str = "") -> None:
         """Note whether the store answers this host."""
-        if is_working == self._is_store_suspect:
-            event = "store_answers" if is_working else "store_silent"
-            self._log.info(event, reason=reason)
-        self._is_store_suspect = not is_working
+        if is_working and self.is_store_suspect:
+            self._log.info("store_answers")
+            self._suspect_since_s = None
+        elif not is_working and not self.is_store_suspect:
+            self._log.info("store_silent", reason=reason)
+            self._suspect_since_s = time.monotonic()
 
     async def submit(
         self, spec: JobSpec, queue: Queue, patience_s: float
     ) -> Submission:
         """Store a job within `patience_s` and return what is known of it."""
+        started_s = time.monotonic()
         job = AcceptedJob(spec, queue, self._election.known_epoch, wall_ms())
-        outcome = Submission.NOT_RUN
-        if not self._is_store_suspect:
-            outcome = await self._store_here(job, patience_s)
+        # An id that was accepted here stays so, and one whose fate was unknown may run.
+        outcome = self._outcomes.get(spec.job_id, Submission.NOT_RUN)
+        if outcome is not Submission.ACCEPTED and not self.is_store_suspect:
+            outcome = await self._store_here(job, patience_s, outcome)
         if outcome is not Submission.ACCEPTED:
             outcome = await self._store_at_leader(job, outcome)
+        self._remember(spec.job_id, outcome)
         if outcome is Submission.ACCEPTED:
             self._new_jobs.setdefault(queue.name, []).append(time.monotonic())
             await curio.spawn(self._tell_job, job, daemon=True)
+        metrics = self._surroundings.metrics
+        metrics.count_submission(outcome.value)
+        metrics.observe_call("submit", time.monotonic() - started_s)
         self._log.info(
             "job_submitted",
             job=spec.job_id,
             queue=queue.name,
             outcome=outcome.value,
             epoch=job.epoch,
-            store_suspect=self._is_store_suspect,
+            store_suspect=self.is_store_suspect,
         )
         return outcome
 
@@ -194,11 +214,18 @@
         ]
         return (view.pending.get(queue, 0) if view is not None else 0) + len(recent)
 
-    async def _store_here(self, job: AcceptedJob, patience_s: float) -> Submission:
+    def _remember(self, job_id: str, outcome: Submission) -> None:
+        if outcome is not Submission.NOT_RUN:
+            self._outcomes[job_id] = outcome
+            if len(self._outcomes) > self._settings.remembered_jobs:
+                del self._outcomes[next(iter(self._outcomes))]
+
+    async def _store_here(
+        self, job: AcceptedJob, patience_s: float, outcome: Submission
+    ) -> Submission:
         """Repeat the write until its outcome is known or the time is over."""
         until_s = time.monotonic() + patience_s
         refused_until_s = time.monotonic() + self._settings.accept_refused_s
-        outcome = Submission.NOT_RUN
         while True:
             try:
                 left_s = max(0.05, until_s - time.monotonic())
@@ -307,7 +334,9 @@
         if self._leader is None:
             return None
         job = job_in(data)
-        outcome = await self._store_here(job, self._settings.peer_reply_s / 2)
+        outcome = await self._store_here(
+            job, self._settings.peer_reply_s / 2, Submission.NOT_RUN
+        )
         if outcome is Submission.ACCEPTED and self._leader is not None:
             await self._leader.accept(job)
         return {"outcome": outcome.value}
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -61,10 +61,12 @@
         term: Term,
     ) -> None:
         self._settings = settings
+        self._surroundings = surroundings
         self._store = surroundings.store
         self._workers = surroundings.workers
         self._directory = surroundings.directory
         self._log = surroundings.log
+        self._metrics = surroundings.metrics
         self._helpers = helpers
         self._term = term
         self._scheduler: FleetScheduler | None = None
@@ -186,7 +188,7 @@
             scheduler.handle(JobAccepted(stored_job.job, progress), now_ms())
         self._scheduler = scheduler
         self._committer = Committer(
-            self._settings, self._store, scheduler, self._term, self._log
+            self._settings, self._surroundings, scheduler, self._term
         )
         self._log.info(
             "leader_loaded",
@@ -321,6 +323,9 @@
 
     @performers.register(Note)
     async def _perform_note(self, note: Note) -> None:
+        self._metrics.count_decision(note.event)
+        if note.event == "run_ended":
+            self._metrics.count_end(str(note.fields["kind"]))
         self._log.info(note.event, **note.fields)
 
     def _gate(self, worker_id: str) -> curio.Semaphore:
@@ -332,7 +337,9 @@
 
     async def _start(self, order: StartRun) -> None:
         async with self._gate(order.worker_id):
+            started_s = time.monotonic()
             answer = await self._workers.start(order, self.epoch)
+        self._metrics.observe_call("start", time.monotonic() - started_s)
         await self.handle(answer)
 
     async def _order(self, worker_id: str, call: Any, order: Any) -> None:
@@ -351,4 +358,5 @@
         asked_ms = now_ms()
         step = TaskKey(question.job_id, question.occurrence, question.step, 0)
         tickets = await self._helpers.ask(step, question.workers, question.cost_ms)
+        self._metrics.observe_call("advice", (now_ms() - asked_ms) / 1000)
         await self.handle(AdviceAnswered(*question[:4], tickets, asked_ms))
--- a/packages/node/src/marigoldpath_node/cell/_ports.py
+++ b/packages/node/src/marigoldpath_node/cell/_ports.py
@@ -13,6 +13,7 @@
     WorkerReport,
 )
 from marigoldpath_core.jobs import Queue, TaskKey
+from marigoldpath_node.exposition import CellMetrics
 
 
 class StoreError(Exception):
@@ -155,3 +156,4 @@
     directory: Directory
     advice: AdviceClient
     log: Any
+    metrics: CellMetrics
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -10,7 +10,9 @@
 
     `host` names the process, `address` is where peers call it. `beat_s` is the longest
     time between commits of a leader; a candidate replaces a leader whose row did not
-    change for `silent_s`, or for `refused_s` when its address refuses connections.
+    change for `silent_s`, or for `refused_s` when its address refuses connections, and
+    `slow_store_factor` times the time that the store takes for a read in addition.
+    A host that has reached neither the store nor a leader for `unready_s` is not ready.
     """
 
     host: str
@@ -19,10 +21,12 @@
     token: str
     fleet: FleetSettings = FleetSettings()
     beat_s: float = 0.5
-    refused_s: float = 0.9
-    silent_s: float = 1.5
-    watch_s: float = 0.4
-    peer_reply_s: float = 0.8
+    refused_s: float = 0.7
+    silent_s: float = 1.0
+    slow_store_factor: float = 4.0
+    watch_s: float = 0.3
+    peer_reply_s: float = 0.6
+    unready_s: float = 0.3
     store_trouble_s: float = 1.2
     commit_gap_s: float = 0.06
     commit_retry_s: float = 0.15
@@ -39,3 +43,4 @@
     orders_per_worker: int = 3
     accept_retry_s: float = 0.1
     accept_refused_s: float = 0.35
+    remembered_jobs: int = 2_000
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/exposition/_metrics.py
@@ -0,0 +1,72 @@
+"""Counters and latency histograms as text, for programs that fetch them."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+# Seconds; an urgent start has 0.3 s, a lease some seconds.
+BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+PREFIX = "marigoldpath"
+
+
+class CellMetrics:
+    """The metrics of one entry host; docs/reference/metrics.md lists them."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._jobs = self._counter(
+            "jobs_submitted", "Jobs that callers handed in, by outcome", "outcome"
+        )
+        self._decisions = self._counter(
+            "decisions", "Decisions of the leader, by the event that is logged", "event"
+        )
+        self._ends = self._counter("runs_ended", "Ends that workers told", "kind")
+        self._calls = Histogram(
+            f"{PREFIX}_call_seconds",
+            "Seconds until a call was settled",
+            ["call"],
+            buckets=BUCKETS_S,
+            registry=self._registry,
+        )
+        self._epoch = Gauge(
+            f"{PREFIX}_leading_epoch",
+            "The epoch under which this host leads, 0 while it does not",
+            registry=self._registry,
+        )
+        self._dropped = Gauge(
+            f"{PREFIX}_log_lines_dropped",
+            "Log lines that were not written since the start",
+            registry=self._registry,
+        )
+
+    @property
+    def content_type(self) -> str:
+        """The media type of the text."""
+        return CONTENT_TYPE_LATEST
+
+    def count_submission(self, outcome: str) -> None:
+        """Count a job that a caller handed in."""
+        self._jobs.labels(outcome).inc()
+
+    def count_decision(self, event: str) -> None:
+        """Count a decision of the leader."""
+        self._decisions.labels(event).inc()
+
+    def count_end(self, kind: str) -> None:
+        """Count the end of a run."""
+        self._ends.labels(kind).inc()
+
+    def observe_call(self, call: str, seconds: float) -> None:
+        """Note how long a call took."""
+        self._calls.labels(call).observe(seconds)
+
+    def set_epoch(self, epoch: int) -> None:
+        """Note the epoch of this host's term, 0 for none."""
+        self._epoch.set(epoch)
+
+    def render(self, dropped_lines: int) -> bytes:
+        """Return all metrics as text."""
+        self._dropped.set(dropped_lines)
+        return generate_latest(self._registry)
+
+    def _counter(self, name: str, text: str, label: str) -> Counter:
+        return Counter(f"{PREFIX}_{name}", text, [label], registry=self._registry)
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -305,6 +305,20 @@
         cell.report("a")
         self.assertEqual(len(cell.starts()), 1)
 
+    def test_a_step_after_one_that_was_seen_running_starts_at_once(self):
+        """No earlier leader can have started it, so no worker is waited for."""
+        cell = Cell(entry("a"), entry("b"), epoch=2)
+        cell.accept(job(step(), step(after=(0,))))
+        cell.report("a", running=[RunningTask(task(), 1, "", 30, 0)])
+        cell.report("a", ended=[EndedRun(1, task(), 1, EndKind.DONE, "")])
+        self.assertEqual([o.task for o in cell.starts()], [task(step_number=1)])
+
+    def test_a_step_after_an_end_that_is_only_told_may_run_elsewhere(self):
+        cell = Cell(entry("a"), entry("b"), epoch=2)
+        cell.accept(job(step(), step(after=(0,))))
+        cell.report("a", ended=[EndedRun(1, task(), 1, EndKind.DONE, "")])
+        self.assertEqual(cell.starts(), [])
+
     def test_a_job_of_a_later_epoch_ends_the_leadership(self):
         cell = Cell(entry("a"))
         cell.accept(job(step(), epoch=2))
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -12,13 +12,23 @@
 
 from marigoldpath_cli import main
 from marigoldpath_node.api._registry import ROUTES
+from marigoldpath_node.exposition import CellMetrics
 
 ROOT = Path(__file__).resolve().parents[2]
 PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
-SOURCES = [
-    *sorted((ROOT / "packages" / "core").rglob("*.py")),
-    *sorted((ROOT / "packages" / "node").rglob("*.py")),
+CELL_FOLDERS = ("/fleet/", "/cell/", "/marigoldpath_platform/")
+ALL_SOURCES = [
+    path
+    for folder in ("packages/core", "packages/node", "platform")
+    for path in sorted((ROOT / folder).rglob("*.py"))
 ]
+# The cell's events have a page of their own.
+CELL_SOURCES = [
+    path
+    for path in ALL_SOURCES
+    if any(name in path.as_posix() for name in CELL_FOLDERS)
+]
+SOURCES = [path for path in ALL_SOURCES if path not in CELL_SOURCES]
 LINK = re.compile(r"\[[^\]]*\]\(([^)\s]+)\)")
 HEADING = re.compile(r"^#+ +(.+)$", re.MULTILINE)
 FENCE = re.compile(r"^ *```.*?^ *```", re.MULTILINE | re.DOTALL)
@@ -122,10 +132,14 @@
         return output.getvalue() if code == 0 else ""
 
 
-def emitted(is_emitter: "type[Emitters]", passed_on: frozenset[str]) -> set[str]:
+def emitted(
+    is_emitter: "type[Emitters]",
+    passed_on: frozenset[str],
+    sources: list[Path] = SOURCES,
+) -> set[str]:
     """Return the first arguments of the calls in the sources, `*` for a variable."""
     names = set()
-    for path in SOURCES:
+    for path in sources:
         for node in ast.walk(ast.parse(path.read_text())):
             if not isinstance(node, ast.Call) or not node.args:
                 continue
@@ -167,6 +181,17 @@
         return by_level or (function.attr == "log" and owner == "zone")
 
 
+class CellLogCalls(Emitters):
+    @staticmethod
+    def matches(function: ast.expr) -> bool:
+        if not isinstance(function, ast.Attribute):
+            return False
+        owner = ast.unparse(function.value).split(".")[-1]
+        if owner in ("log", "_log"):
+            return function.attr in LEVELS
+        return function.attr == "note" and owner in ("fleet", "self")
+
+
 class MetricCalls(Emitters):
     @staticmethod
     def matches(function: ast.expr) -> bool:
@@ -201,6 +226,23 @@
         found.add("log_line_too_long")
         self.assertEqual(self.named(page("reference/log-events.md")), found)
 
+    def test_log_events_of_the_cell(self) -> None:
+        text = section(page("OPERATIONS.md"), "Logs")
+        found = emitted(CellLogCalls, frozenset({"note.event"}), CELL_SOURCES)
+        self.assertEqual(self.named(text), found)
+
+    def test_metrics_of_the_cell(self) -> None:
+        text = section(page("OPERATIONS.md"), "Metrics")
+        metrics = CellMetrics()
+        metrics.count_submission("accepted")
+        metrics.count_decision("run_ended")
+        metrics.count_end("done")
+        metrics.observe_call("commit", 0.1)
+        served = re.findall(r"^# TYPE (\S+)", metrics.render(0).decode(), re.MULTILINE)
+        named = {name.partition("{")[0] for name in self.named(text)}
+        made = {name for name in served if not name.endswith("_created")}
+        self.assertEqual(named, made)
+
     def test_metrics(self) -> None:
         text = section(page("reference/metrics.md"), "Metrics")
         self.assertEqual(self.named(text), emitted(MetricCalls, frozenset()))
--- a/tests/node/test_cell.py
+++ b/tests/node/test_cell.py
@@ -48,6 +48,7 @@
     read_all,
     read_state,
 )
+from marigoldpath_node.exposition import CellMetrics
 from tests.core.fleet_fixture import entry
 from tests.node.cell_fakes import KeptLog, MemoryStore
 
@@ -87,7 +88,9 @@
 def entry_host(store, peers=None, settings=FAST):
     log = KeptLog()
     return EntryHost(
-        settings, Surroundings(store, None, None, None, log), peers or FakePeers()
+        settings,
+        Surroundings(store, None, None, None, log, CellMetrics()),
+        peers or FakePeers(),
     )
 
 
@@ -150,6 +153,32 @@
         self.assertEqual(store.carry_out_late(), 1)
 
 
+class RepeatedSubmissionTests(unittest.TestCase):
+    """A caller may hand the same job in again after any answer."""
+
+    def submit_twice(self, store, between):
+        async def run():
+            host = entry_host(store)
+            first = await host.submit(SPEC, QUEUE, 0.3)
+            between(store)
+            return first, await host.submit(SPEC, QUEUE, 0.3)
+
+        return curio.run(run)
+
+    def test_a_job_accepted_here_stays_accepted_while_the_store_is_down(self):
+        def stop(store):
+            store.is_down = True
+
+        found = self.submit_twice(MemoryStore(), stop)
+        self.assertEqual(found, (Submission.ACCEPTED, Submission.ACCEPTED))
+
+    def test_an_unknown_fate_never_becomes_not_run(self):
+        store = MemoryStore()
+        store.fates = ["late"] + ["refused"] * 100
+        found = self.submit_twice(store, lambda _: None)
+        self.assertEqual(found, (Submission.UNKNOWN, Submission.UNKNOWN))
+
+
 class StateTests(unittest.TestCase):
     def test_the_store_tells_the_state_while_no_leader_answers(self):
         store = MemoryStore()
@@ -192,6 +221,28 @@
         self.assertEqual(curio.run(run), (True, 5))
 
 
+class ReadinessTests(unittest.TestCase):
+    """Connections must go to hosts that can accept; a cut host cannot."""
+
+    def ready(self, settings, **note):
+        async def run():
+            host = entry_host(MemoryStore(), settings=settings)
+            before = host.is_ready
+            await host.configure(Configuration(1, {}))
+            host.note_store(**note)
+            return before, host.is_ready
+
+        return curio.run(run)
+
+    def test_a_host_without_a_configuration_is_not_ready(self):
+        self.assertEqual(self.ready(FAST, is_working=True), (False, True))
+
+    def test_a_host_without_store_and_leader_is_not_ready_after_a_while(self):
+        late = FAST._replace(unready_s=0.0)
+        self.assertEqual(self.ready(late, is_working=False), (False, False))
+        self.assertEqual(self.ready(FAST, is_working=False), (False, True))
+
+
 class CommitTests(unittest.TestCase):
     def setUp(self):
         self.store = MemoryStore()
@@ -203,7 +254,10 @@
         self.scheduler = FleetScheduler(FleetSettings(), 1, {}, 0.0)
         self.scheduler.handle(WorkersListed((entry("a"),)), 0.0)
         term = Term(self.row, version)
-        return Committer(FAST, self.store, self.scheduler, term, self.log)
+        surroundings = Surroundings(
+            self.store, None, None, None, self.log, CellMetrics()
+        )
+        return Committer(FAST, surroundings, self.scheduler, term)
 
     def commit(self, fates, then=None):
         async def run():
@@ -261,7 +315,10 @@
         return row
 
     async def win(self, peers):
-        election = Election(FAST, self.store, peers, self.log)
+        surroundings = Surroundings(
+            self.store, None, None, None, self.log, CellMetrics()
+        )
+        election = Election(FAST, surroundings, peers, lambda **_: None)
         return await curio.ignore_after(0.6, election.win)
 
     def view(self, **fields):
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -52,6 +52,7 @@
 SETTINGS = {
     "node": "edge-split-1",
     "zone": "split",
+    "ip": "10.1.0.13",
     "listen": {
         "ingress": "10.1.0.13:8161",
         "readiness": "10.1.0.13:8167",
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -6,6 +6,7 @@
 import curio
 
 from marigoldpath_node.http import HttpClient, HttpClientSettings
+from marigoldpath_node.observability import LineWriter
 from marigoldpath_platform._process import Process
 from marigoldpath_platform._settings import PlatformSettings
 from tests.node.cell_fakes import KeptLog
@@ -48,12 +49,13 @@
                 ingress=free_address(),
                 readiness=free_address(),
                 control=free_address(),
+                metrics=free_address(),
                 store=self.store.address,
                 advice="",
                 row_bytes=65_536,
                 bounds={"hold-max-ms": 6_000},
             )
-            process = Process(settings, self.log)
+            process = Process(settings, self.log, LineWriter(2))
             await process.start()
             self.hosts.append((process, settings))
         await self.until(lambda: self.ask(1, "GET", "/q/"), 200)
@@ -121,6 +123,22 @@
         epochs = [worker.fence for worker in fleet.workers]
         self.assertEqual(epochs, [2, 2])
 
+    def test_metrics_are_served_as_text(self):
+        async def action(fleet):
+            path = f"/q/{JOB_ID}"
+            await fleet.until(lambda: fleet.ask(0, "POST", path, BODY), 200)
+            await fleet.until(lambda: fleet.ask(0, "GET", path), 200, "done")
+            texts = []
+            for _, settings in fleet.hosts:
+                response = await fleet.client.request(
+                    "GET", settings.metrics, "/metrics"
+                )
+                texts.append(response.body.decode())
+            self.assertIn('jobs_submitted_total{outcome="accepted"} 1.0', texts[0])
+            self.assertIn('runs_ended_total{kind="done"} 3.0', "".join(texts))
+
+        self.play(action)
+
     def test_unknown_queues_and_jobs_are_told_apart(self):
         async def action(fleet):
             self.assertEqual((await fleet.ask(0, "GET", "/other/")).status, 404)
