Keep a host in the elections after a failed load of the stored state

A new leader's reads of the store ran in a task group; one refused connection cancelled the others, the cancellation escaped as an unforeseen error and ended the host's part in elections for good. The store's listener drops connections when ten are opened at once by several hosts.

Ruled out: the shorter patience; the row was not replaced while its leader lived.

--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -91,19 +91,25 @@
     async def run(self) -> None:
         """Take part in elections, and lead when elected, until cancelled."""
         while True:
-            term = await self._election.win()
-            self._surroundings.metrics.set_epoch(term.row.epoch)
-            self._helpers = Helpers(self._surroundings.advice, self._peers, self._log)
-            self._leader = Leader(
-                self._settings, self._surroundings, self._helpers, term
-            )
-            if self._configuration is not None:
-                await self._leader.change_queues(self._configuration.queues)
             try:
-                await self._leader.run()
-            finally:
-                self._leader = None
-                self._surroundings.metrics.set_epoch(0)
+                await self._run_term()
+            except Exception:
+                # A host that stopped taking part would go unnoticed.
+                self._log.exception("term_failed")
+                await curio.sleep(self._settings.watch_s)
+
+    async def _run_term(self) -> None:
+        term = await self._election.win()
+        self._surroundings.metrics.set_epoch(term.row.epoch)
+        self._helpers = Helpers(self._surroundings.advice, self._peers, self._log)
+        self._leader = Leader(self._settings, self._surroundings, self._helpers, term)
+        if self._configuration is not None:
+            await self._leader.change_queues(self._configuration.queues)
+        try:
+            await self._leader.run()
+        finally:
+            self._leader = None
+            self._surroundings.metrics.set_epoch(0)
 
     async def stop(self) -> None:
         """Give up leadership and take part in no election again."""
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -172,7 +172,7 @@
                 stored = await read_all(self._store)
                 entries = await self._directory.list_workers()
                 break
-            except (StoreError, curio.TaskGroupError) as fault:
+            except StoreError as fault:
                 self._log.warning("leader_load_failed", reason=repr(fault))
                 await curio.sleep(self._settings.commit_retry_s)
         scheduler = FleetScheduler(
@@ -236,7 +236,7 @@
     async def _sweep_all(self) -> None:
         try:
             stored = await read_all(self._store)
-        except (StoreError, curio.TaskGroupError) as fault:
+        except StoreError as fault:
             self._log.warning("sweep_failed", reason=repr(fault))
             return
         for job_id, stored_job in stored.jobs.items():
@@ -303,7 +303,17 @@
 
     async def _spawn(self, function: Any, *arguments: Any) -> None:
         self._tasks = [task for task in self._tasks if not task.terminated]
-        self._tasks.append(await curio.spawn(function, *arguments, daemon=True))
+        self._tasks.append(
+            await curio.spawn(self._guard, function, *arguments, daemon=True)
+        )
+
+    async def _guard(self, function: Any, *arguments: Any) -> None:
+        """End the term on an unforeseen fault; a successor starts from the store."""
+        try:
+            await function(*arguments)
+        except Exception as fault:
+            self._log.exception("leader_task_failed", task=function.__name__)
+            await self._end(f"{function.__name__} failed: {fault!r}")
 
     @performers.register(StartRun)
     async def _perform_start(self, order: StartRun) -> None:
--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -18,7 +18,7 @@
     encode_progress,
     to_json,
 )
-from ._ports import Row, RowKey, Store, StoreConflictError
+from ._ports import Row, RowKey, Rows, Store, StoreConflictError, StoreError
 
 JOBS_TABLE = "jobs"
 LEAD_TABLE = "lead"
@@ -30,6 +30,8 @@
 # A part takes its transactions one after another; acceptance uses several.
 JOB_PARTS = 8
 CANCEL_SUFFIX = ".cancel"
+# Many connections opened at once overflow the queue of the store's listener.
+READS_AT_ONCE = 4
 
 
 class StoredJob(NamedTuple):
@@ -105,29 +107,43 @@
 
 
 async def read_all(store: Store) -> StoredState:
-    """Return all jobs, their progress and the roster."""
+    """Return all jobs, their progress and the roster; raises StoreError."""
+    ranges = [(JOBS_TABLE, str(part)) for part in range(JOB_PARTS)]
+    ranges.append((PROGRESS_TABLE, LEAD_PART))
+    ranges.append((LEAD_TABLE, LEAD_PART))
+    gate = curio.Semaphore(READS_AT_ONCE)
     async with curio.TaskGroup(wait=all) as group:
-        parts = [
-            await group.spawn(store.read, JOBS_TABLE, str(part))
-            for part in range(JOB_PARTS)
-        ]
-        progress_task = await group.spawn(store.read, PROGRESS_TABLE, LEAD_PART)
-        roster_task = await group.spawn(
-            store.read, LEAD_TABLE, LEAD_PART, ROSTER_ROW.key, ROSTER_ROW.key + "~"
-        )
+        reads = [await group.spawn(_attempt, gate, store, *each) for each in ranges]
+    *parts, progress_rows, lead_rows = [_checked(read.result) for read in reads]
     job_rows: list[Row] = []
     for part in parts:
-        job_rows.extend(part.result.rows)
-    progress = {
-        row.key.key: decode_progress(row.value) for row in progress_task.result.rows
-    }
+        job_rows.extend(part.rows)
+    progress = {row.key.key: decode_progress(row.value) for row in progress_rows.rows}
     roster: dict[str, str] = {}
-    for row in roster_task.result.rows:
-        roster = json.loads(row.value)
-    version = min(part.result.version for part in parts)
+    for row in lead_rows.rows:
+        if row.key == ROSTER_ROW:
+            roster = json.loads(row.value)
+    version = min(part.version for part in parts)
     return StoredState(sort_job_rows(job_rows), progress, roster, version)
 
 
+async def _attempt(
+    gate: curio.Semaphore, store: Store, table: str, part: str
+) -> Rows | StoreError:
+    # A task group cancels its other tasks when one raises.
+    async with gate:
+        try:
+            return await store.read(table, part)
+        except StoreError as fault:
+            return fault
+
+
+def _checked(result: Rows | StoreError) -> Rows:
+    if isinstance(result, StoreError):
+        raise result
+    return result
+
+
 def sort_job_rows(rows: tuple[Row, ...] | list[Row]) -> dict[str, StoredJob]:
     """Return the jobs among rows of the job table, with their cancellations."""
     jobs: dict[str, StoredJob] = {}
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -34,7 +34,7 @@
 FENCE = re.compile(r"^ *```.*?^ *```", re.MULTILINE | re.DOTALL)
 CODE = re.compile(r"`([^`\n]+)`")
 FIRST_CELL = re.compile(r"^\| `([^`]+)` \|", re.MULTILINE)
-LEVELS = frozenset({"debug", "info", "warning", "error", "critical"})
+LEVELS = frozenset({"debug", "info", "warning", "error", "critical", "exception"})
 # Functions that pass on an event named by their caller.
 PASSING_ON = frozenset({"event", "effect.event", "record.getMessage()"})
 MACHINE_PATH = re.compile(r"(?<![\w.$}])/(?:home|root|work|Users|workspace)/\w")
--- a/tests/node/cell_fakes.py
+++ b/tests/node/cell_fakes.py
@@ -1,5 +1,7 @@
 """A store in memory that follows the port's rules, and a logger that keeps lines."""
 
+import curio
+
 from marigoldpath_node.cell import (
     HistoryGoneError,
     Row,
@@ -24,6 +26,7 @@
         self.fates = []
         self.is_down = False
         self.is_history_gone = False
+        self.failing_reads = []
         self.writes = []
         self._late = []
         self._changes = []
@@ -60,6 +63,10 @@
     async def read(self, table, part, first="", last=""):
         if self.is_down:
             raise StoreRefusedError("down")
+        if (table, part) in self.failing_reads:
+            self.failing_reads.remove((table, part))
+            raise StoreRefusedError("no connection")
+        await curio.sleep(0)
         rows = [
             row
             for key, row in sorted(self.rows.items())
@@ -106,7 +113,7 @@
     def _keep(self, event, **fields):
         self.lines.append((event, fields))
 
-    debug = info = warning = error = _keep
+    debug = info = warning = error = exception = _keep
 
     def events(self):
         return [event for event, _ in self.lines]
--- a/tests/node/test_cell.py
+++ b/tests/node/test_cell.py
@@ -373,6 +373,46 @@
         self.assertEqual(term.row.epoch, 4)
 
 
+class FakeDirectory:
+    def __init__(self, fault=None):
+        self.fault = fault
+
+    async def list_workers(self):
+        if self.fault is not None:
+            raise self.fault
+        return ()
+
+
+class TermTests(unittest.TestCase):
+    """A fault must end a term at most, never the process's part in elections."""
+
+    def play(self, store, directory):
+        async def run():
+            log = KeptLog()
+            surroundings = Surroundings(
+                store, None, directory, None, log, CellMetrics()
+            )
+            host = EntryHost(FAST, surroundings, FakePeers())
+            await curio.spawn(host.run, daemon=True)
+            await curio.sleep(0.4)
+            return host.is_leading, log
+
+        return curio.run(run)
+
+    def test_a_leader_reads_again_what_it_could_not_read(self):
+        store = MemoryStore()
+        store.failing_reads = [("jobs", "0"), ("jobs", "3"), ("progress", "leader")]
+        is_leading, log = self.play(store, FakeDirectory())
+        self.assertTrue(is_leading)
+        self.assertIn("leader_load_failed", log.events())
+        self.assertIn("leader_loaded", log.events())
+
+    def test_a_host_takes_part_again_after_an_unforeseen_fault(self):
+        _, log = self.play(MemoryStore(), FakeDirectory(ValueError("fault")))
+        self.assertIn("term_failed", log.events())
+        self.assertGreater(log.events().count("leadership_won"), 1)
+
+
 class RecordTests(unittest.TestCase):
     def test_everything_stored_is_read(self):
         store = MemoryStore()
