Store with a silent worker which jobs may run there, so that a successor waits for no others

Change: a roster entry is open while the worker may be sent anything, else it holds the jobs that may run there, and goes when there are none. A start needs an open entry that is stored. After a take-over only the jobs that an unheard worker may run wait for it.

--- a/packages/bench/src/marigoldpath_bench/fleet_world/_store.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_store.py
@@ -1,6 +1,6 @@
 """What a cell keeps in the platform's store, with the condition on the leader's row."""
 
-from marigoldpath_core.fleet import Commit
+from marigoldpath_core.fleet import Commit, RosterEntry
 from marigoldpath_core.jobs import AcceptedJob, Progress
 
 
@@ -11,7 +11,7 @@
         self.jobs: dict[str, AcceptedJob] = {}
         self.cancelled: set[str] = set()
         self.progress: dict[str, Progress] = {}
-        self.roster: dict[str, str] = {}
+        self.roster: dict[str, RosterEntry] = {}
         self.leader = (0, 0)
 
     def take_over(self) -> int:
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -3,7 +3,7 @@
 from marigoldpath_core.jobs import JobState, Queue, TaskKey
 from marigoldpath_core.registry import Registry
 
-from ._messages import Effect, Note, StopRun
+from ._messages import Effect, Note, RosterEntry, StopRun
 from ._settings import FleetSettings
 from ._work import Job, Run, RunState, Step, Task
 from ._worker import Worker
@@ -18,7 +18,11 @@
     """Jobs, workers and queues as one leader knows them; `now_ms` is monotonic."""
 
     def __init__(
-        self, settings: FleetSettings, epoch: int, roster: dict[str, str], now_ms: float
+        self,
+        settings: FleetSettings,
+        epoch: int,
+        roster: dict[str, RosterEntry],
+        now_ms: float,
     ) -> None:
         self.settings = settings
         self.epoch = epoch
@@ -35,9 +39,9 @@
         self.dirty: set[str] = set()
         self.roster = dict(roster)
         self.roster_dirty = False
-        self.stored_roster = set(roster)
+        self.stored_roster = dict(roster)
         # Workers of earlier epochs that may run tasks unknown to this leader.
-        self.unheard = set(roster)
+        self.unheard = dict(roster)
         self.unheard_until_ms = (
             now_ms
             + settings.order_limit_ms
@@ -110,4 +114,17 @@
         """Return whether unfound tasks of the step may run on an unheard worker."""
         if not self.unheard or step.is_fresh:
             return False
-        return step.job.accepted.epoch < self.epoch
+        if step.job.accepted.epoch >= self.epoch:
+            return False
+        job_id = step.job.spec.job_id
+        return any(
+            entry.jobs is None or job_id in entry.jobs
+            for entry in self.unheard.values()
+        )
+
+    def is_open(self, worker_id: str) -> bool:
+        """Return whether a successor would know that the worker may run anything."""
+        return all(
+            worker_id in roster and roster[worker_id].jobs is None
+            for roster in (self.roster, self.stored_roster)
+        )
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -214,6 +214,13 @@
 Effect = StartRun | StopRun | PaceRun | AskAdvice | Note
 
 
+class RosterEntry(NamedTuple):
+    """A worker that may run tasks; `jobs` is None while it may be sent any."""
+
+    address: str
+    jobs: tuple[str, ...] | None
+
+
 class Commit(NamedTuple):
     """What the next transaction stores.
 
@@ -222,5 +229,5 @@
 
     progress: dict[str, Progress]
     ends: dict[str, tuple[int, int]]
-    roster: dict[str, str] | None
+    roster: dict[str, RosterEntry] | None
     final: tuple[str, ...]
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -47,7 +47,7 @@
     return (
         worker.is_usable(fleet.now_ms)
         and entry.service == step.job.queue.service
-        and worker.worker_id in fleet.stored_roster
+        and fleet.is_open(worker.worker_id)
         and (not spec.required_label or spec.required_label in entry.labels)
     )
 
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -11,6 +11,7 @@
     WorkerSilent,
     WorkersListed,
 )
+from ._roster import drop_from_roster
 from ._work import Run, RunState
 from ._worker import Worker
 
@@ -36,9 +37,6 @@
             worker.drain_read_ms = fleet.now_ms
         if worker.born and entry.born > worker.born:
             _begin_life(fleet, worker, entry.born)
-        if fleet.roster.get(entry.worker_id) != entry.address:
-            fleet.roster[entry.worker_id] = entry.address
-            fleet.roster_dirty = fleet.needs_commit = True
     for worker in list(fleet.workers.values()):
         if worker.worker_id not in listed:
             worker.is_listed = False
@@ -57,7 +55,7 @@
         fleet.needs_dispatch = True
     worker.heard_ms = fleet.now_ms
     worker.is_silent = False
-    fleet.unheard.discard(event.worker_id)
+    fleet.unheard.pop(event.worker_id, None)
     is_newest = event.clock_ms >= worker.clock_ms
     if is_newest:
         worker.clock_ms, worker.clock_read_ms = event.clock_ms, fleet.now_ms
@@ -86,6 +84,8 @@
             _forget_if_gone(fleet, worker)
     if fleet.unheard and fleet.now_ms > fleet.unheard_until_ms:
         fleet.note("unheard_workers_given_up", workers=sorted(fleet.unheard))
+        for worker_id in fleet.unheard:
+            drop_from_roster(fleet, worker_id)
         fleet.unheard.clear()
         fleet.needs_dispatch = True
 
@@ -255,6 +255,5 @@
     if worker.runs or not worker.is_silent or fleet.now_ms < worker.lease_end_ms:
         return
     del fleet.workers[worker.worker_id]
-    if fleet.roster.pop(worker.worker_id, None) is not None:
-        fleet.roster_dirty = fleet.needs_commit = True
+    drop_from_roster(fleet, worker.worker_id)
     fleet.note("worker_gone", worker=worker.worker_id)
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -7,7 +7,8 @@
 from . import _advice, _ends, _evacuation, _health, _jobs, _pacing, _reports, _starts
 from ._dispatch import dispatch
 from ._fleet import Fleet, handlers
-from ._messages import Commit, Effect, Event, Tick
+from ._messages import Commit, Effect, Event, RosterEntry, Tick
+from ._roster import update_roster
 from ._settings import FleetSettings
 
 _MODULES_WITH_HANDLERS = (_advice, _ends, _jobs, _reports, _starts)
@@ -29,7 +30,7 @@
         self,
         settings: FleetSettings,
         epoch: int,
-        roster: dict[str, str],
+        roster: dict[str, RosterEntry],
         now_ms: float,
     ) -> None:
         self._settings = settings
@@ -138,7 +139,7 @@
             if worker is not None and worker.born == born:
                 worker.stored_end = max(worker.stored_end, number)
         if commit.roster is not None:
-            fleet.stored_roster = set(commit.roster)
+            fleet.stored_roster = dict(commit.roster)
             fleet.needs_dispatch = True
         for job_id in commit.final:
             job = fleet.jobs.pop(job_id, None)
@@ -183,6 +184,7 @@
     _jobs.begin_due_occurrences(fleet)
     _reports.expire_leases(fleet)
     _reports.retry_stops(fleet)
+    update_roster(fleet)
     _health.stop_stalled_runs(fleet)
     _evacuation.evacuate(fleet)
     _pacing.pace_fillers(fleet)
--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -3,6 +3,7 @@
 import json
 from typing import Any, NamedTuple, TypedDict
 
+from marigoldpath_core.fleet import RosterEntry
 from marigoldpath_core.jobs import (
     AcceptedJob,
     AdvicePolicy,
@@ -127,6 +128,20 @@
     return LeaderRow(**json.loads(value))
 
 
+def encode_roster(roster: dict[str, RosterEntry]) -> bytes:
+    """Return the stored form of a roster."""
+    return to_json(roster)
+
+
+def decode_roster(value: bytes) -> dict[str, RosterEntry]:
+    """Return a stored roster."""
+    data: dict[str, list[Any]] = json.loads(value)
+    return {
+        worker_id: RosterEntry(address, None if jobs is None else tuple(jobs))
+        for worker_id, (address, jobs) in data.items()
+    }
+
+
 def to_json(value: Any) -> bytes:
     """Return compact JSON."""
     return json.dumps(value, separators=(",", ":")).encode()
--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -1,11 +1,10 @@
 """Where a cell keeps its rows, and the reads and writes of them."""
 
-import json
 from typing import NamedTuple
 
 import curio
 
-from marigoldpath_core.fleet import Commit
+from marigoldpath_core.fleet import Commit, RosterEntry
 from marigoldpath_core.jobs import AcceptedJob, JobState, Progress
 
 from ._codec import (
@@ -13,10 +12,11 @@
     decode_job,
     decode_leader,
     decode_progress,
+    decode_roster,
     encode_job,
     encode_leader,
     encode_progress,
-    to_json,
+    encode_roster,
 )
 from ._ports import Row, RowKey, Rows, Store, StoreConflictError, StoreError
 
@@ -46,7 +46,7 @@
 
     jobs: dict[str, StoredJob]
     progress: dict[str, Progress]
-    roster: dict[str, str]
+    roster: dict[str, RosterEntry]
     version: int
 
 
@@ -119,10 +119,10 @@
     for part in parts:
         job_rows.extend(part.rows)
     progress = {row.key.key: decode_progress(row.value) for row in progress_rows.rows}
-    roster: dict[str, str] = {}
+    roster: dict[str, RosterEntry] = {}
     for row in lead_rows.rows:
         if row.key == ROSTER_ROW:
-            roster = json.loads(row.value)
+            roster = decode_roster(row.value)
     version = min(part.version for part in parts)
     return StoredState(sort_job_rows(job_rows), progress, roster, version)
 
@@ -170,5 +170,5 @@
     for job_id, progress in commit.progress.items():
         rows[progress_row(job_id)] = encode_progress(progress)
     if commit.roster is not None:
-        rows[ROSTER_ROW] = to_json(commit.roster)
+        rows[ROSTER_ROW] = encode_roster(commit.roster)
     return rows
