--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -105,6 +105,16 @@
             run.task.run = None
         self.needs_dispatch = True
 
+    def abandon(self, run: Run) -> None:
+        """Free a run that did not start; the rest of its gang would only wait."""
+        step = run.task.step
+        self.release(run)
+        if not step.spec.gang:
+            return
+        for member in step.tasks:
+            if member.run is not None and member.run.number == run.number:
+                self.stop(member.run, "a member of the gang did not start")
+
     def mark_dirty(self, job: Job) -> None:
         """Store the job's progress with the next commit."""
         self.dirty.add(job.spec.job_id)
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -168,7 +168,7 @@
                 run=run.number,
                 worker=worker.worker_id,
             )
-            fleet.release(run)
+            fleet.abandon(run)
 
 
 def _is_absent(run: Run, clock_ms: int) -> bool:
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -15,12 +15,12 @@
     lease_ms: int = 4_500
     clock_slack: float = 0.03
     lease_margin_ms: int = 150
-    start_window_ms: int = 1_200
+    start_window_ms: int = 700
     longest_lease_ms: int = 6_000
     late_order_ms: int = 12_000
     order_limit_ms: int = 3_000
     majority_ms: int = 2_000
-    look_wait_ms: int = 1_000
+    look_wait_ms: int = 500
     urgent_reserve: float = 0.15
     lasting_start_ms: int = 3_500
     retry_stop_ms: int = 1_300
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -108,13 +108,13 @@
 @results.register(StartResult.LATE)
 @results.register(StartResult.NO_ROOM)
 def _nothing_done(fleet: Fleet, _worker: Worker, run: Run, _event: object) -> None:
-    _abandon(fleet, run)
+    fleet.abandon(run)
 
 
 @results.register(StartResult.BAD_TICKET)
 def _bad_ticket(fleet: Fleet, worker: Worker, run: Run, _event: object) -> None:
     run.task.step.tickets.pop(worker.worker_id, None)
-    _abandon(fleet, run)
+    fleet.abandon(run)
 
 
 @results.register(StartResult.REFUSED)
@@ -122,22 +122,11 @@
     run.task.avoided.add(worker.worker_id)
     pause_until_ms = fleet.now_ms + REFUSED_PAUSE_MS
     worker.quarantined_until_ms = max(worker.quarantined_until_ms, pause_until_ms)
-    _abandon(fleet, run)
+    fleet.abandon(run)
 
 
 @results.register(StartResult.NOT_SENT)
 @results.register(StartResult.OTHER_LIFE)
 def _unreachable(fleet: Fleet, worker: Worker, run: Run, _event: object) -> None:
     worker.is_silent = True
-    _abandon(fleet, run)
-
-
-def _abandon(fleet: Fleet, run: Run) -> None:
-    step = run.task.step
-    fleet.release(run)
-    if not step.spec.gang:
-        return
-    # The other members would only wait for this one.
-    for member in step.tasks:
-        if member.run is not None and member.run.number == run.number:
-            fleet.stop(member.run, "a member of the gang did not start")
+    fleet.abandon(run)
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -286,11 +286,12 @@
                 await self._end(f"worker {worker_id} has seen a later epoch")
                 break
             except WorkerFailedError as fault:
-                failures += 1
                 self._log.debug("look_failed", worker=worker_id, reason=repr(fault))
                 await self.handle(WorkerSilent(worker_id))
                 settings = self._settings
+                # One lost answer says little, so the first repeat is immediate.
                 pause_s = min(settings.look_backoff_s, settings.look_retry_s * failures)
+                failures += 1
                 await curio.sleep(pause_s)
                 continue
             failures = 0
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -128,6 +128,17 @@
         (stop,) = stops(cell.answer(second, StartResult.NO_ROOM))
         self.assertEqual(stop.task, first.task)
 
+    def test_a_member_that_turns_out_not_to_run_stops_the_others(self):
+        cell = Cell(entry("a"), entry("b"))
+        cell.hear_all()
+        cell.accept(job(step(width=2, gang=True, max_per_worker=1)))
+        first, second = cell.starts()
+        cell.started(first)
+        cell.answer(second, StartResult.UNKNOWN)
+        cell.now_ms += 2_000
+        (stop,) = stops(cell.report(second.worker_id))
+        self.assertEqual(stop.task, first.task)
+
     def test_one_end_stands_for_all(self):
         cell = Cell(entry("a"))
         cell.hear_all()
