--- a/packages/bench/src/marigoldpath_bench/fleet_world/_store.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_store.py
@@ -25,6 +25,8 @@
             return False
         self.leader = (expected[0], expected[1] + 1)
         self.progress.update(commit.progress)
+        for job_id in commit.forgotten:
+            self.progress.pop(job_id, None)
         if commit.roster is not None:
             self.roster = dict(commit.roster)
         return True
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -30,6 +30,9 @@
         self.wall_ms = 0
         self.jobs: dict[str, Job] = {}
         self.final: dict[str, JobState] = {}
+        # When each job became final, oldest first.
+        self.final_ms: dict[str, float] = {}
+        self.forgotten: set[str] = set()
         self.cancelled: set[str] = set()
         self.workers: dict[str, Worker] = {}
         self.queues: dict[str, Queue] = {}
@@ -115,6 +118,11 @@
             if member.run is not None and member.run.number == run.number:
                 self.stop(member.run, "a member of the gang did not start")
 
+    def close(self, job_id: str, state: JobState) -> None:
+        """Keep only the state of a job whose end is stored."""
+        self.final[job_id] = state
+        self.final_ms[job_id] = self.now_ms
+
     def mark_dirty(self, job: Job) -> None:
         """Store the job's progress with the next commit."""
         self.dirty.add(job.spec.job_id)
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -19,7 +19,7 @@
         fleet.deposed = True
         return
     if progress is not None and progress.state.is_final:
-        fleet.final[job_id] = progress.state
+        fleet.close(job_id, progress.state)
         return
     queue = fleet.queues.get(accepted.queue.name, accepted.queue)
     job = Job(accepted._replace(queue=queue), progress)
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -225,9 +225,11 @@
     """What the next transaction stores.
 
     `ends` maps a worker to its life and the number of the last end that is covered.
+    The progress of `forgotten` jobs is removed.
     """
 
     progress: dict[str, Progress]
     ends: dict[str, tuple[int, int]]
     roster: dict[str, RosterEntry] | None
     final: tuple[str, ...]
+    forgotten: tuple[str, ...] = ()
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -127,7 +127,32 @@
         }
         final = tuple(job_id for job_id, job in jobs.items() if job.state.is_final)
         progress = {job_id: job.progress() for job_id, job in jobs.items()}
-        return Commit(progress, ends, roster, final)
+        forgotten = tuple(sorted(fleet.forgotten)[: max(0, most - len(progress))])
+        fleet.forgotten.difference_update(forgotten)
+        return Commit(progress, ends, roster, final, forgotten)
+
+    def expired(self, now_ms: float, most: int) -> tuple[str, ...]:
+        """Return ended jobs whose state has been kept for long enough."""
+        oldest_ms = now_ms - self._settings.keep_final_ms
+        found: list[str] = []
+        for job_id, final_ms in self._fleet.final_ms.items():
+            if final_ms > oldest_ms or len(found) == most:
+                break
+            found.append(job_id)
+        return tuple(found)
+
+    def forget(self, job_ids: tuple[str, ...]) -> None:
+        """Forget jobs whose rows are removed; their progress goes with a commit.
+
+        The job's row must be gone first: without its progress it would run again.
+        """
+        fleet = self._fleet
+        for job_id in job_ids:
+            fleet.final.pop(job_id, None)
+            fleet.final_ms.pop(job_id, None)
+            fleet.cancelled.discard(job_id)
+        fleet.forgotten.update(job_ids)
+        fleet.needs_commit = True
 
     def committed(self, commit: Commit, sent_ms: float, now_ms: float) -> None:
         """Note that a commit is stored; it was sent at `sent_ms`."""
@@ -144,12 +169,13 @@
         for job_id in commit.final:
             job = fleet.jobs.pop(job_id, None)
             if job is not None:
-                fleet.final[job_id] = job.state
+                fleet.close(job_id, job.state)
 
     def not_committed(self, commit: Commit) -> None:
         """Take back a commit that was not stored."""
         fleet = self._fleet
         fleet.dirty |= {job_id for job_id in commit.progress if job_id in fleet.jobs}
+        fleet.forgotten.update(commit.forgotten)
         fleet.roster_dirty |= commit.roster is not None
         fleet.needs_commit = True
 
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -9,7 +9,8 @@
     `lease_ms` is asked for at each look at a worker. `clock_slack` is the rate by which
     a worker's clock may be slow. `start_window_ms` bounds how late an order to start
     may be carried out by a life whose clock is known, `late_order_ms` by any other.
-    `longest_lease_ms` is the most that a worker grants.
+    `longest_lease_ms` is the most that a worker grants. `keep_final_ms` is how long the
+    state of an ended job can be asked for.
     """
 
     lease_ms: int = 4_500
@@ -41,3 +42,4 @@
     pace_restore_ms: int = 3_000
     pace_restore_share: float = 0.6
     considered_steps: int = 60
+    keep_final_ms: int = 150_000
--- a/packages/node/src/marigoldpath_node/cell/_commits.py
+++ b/packages/node/src/marigoldpath_node/cell/_commits.py
@@ -9,12 +9,13 @@
 from ._codec import LeaderRow, Term, decode_leader
 from ._ports import (
     Row,
+    RowKey,
     StoreConflictError,
     StoreLostError,
     StoreRefusedError,
     Surroundings,
 )
-from ._records import LEADER_ROW, commit_rows
+from ._records import LEADER_ROW, commit_rows, progress_row
 from ._settings import CellSettings
 
 
@@ -82,10 +83,11 @@
             beat=self._row.beat + 1, released=released, successor=successor
         )
         rows = commit_rows(row, commit)
+        removals = tuple(progress_row(job_id) for job_id in commit.forgotten)
         try:
             while True:
                 sent_s = time.monotonic()
-                version = await self._try(row, rows)
+                version = await self._try(row, rows, removals)
                 if version is not None:
                     break
                 await curio.sleep(self._settings.commit_retry_s)
@@ -99,10 +101,13 @@
         await self._note_stored(commit, sent_s)
         return True
 
-    async def _try(self, row: LeaderRow, rows: dict) -> int | None:
+    async def _try(
+        self, row: LeaderRow, rows: dict[RowKey, bytes], removals: tuple[RowKey, ...]
+    ) -> int | None:
         """Return the new version of the row, or None when it must be tried again."""
         try:
-            return await self._store.commit({LEADER_ROW: self._version}, rows)
+            expected = {LEADER_ROW: self._version}
+            return await self._store.commit(expected, rows, removals)
         except StoreConflictError as fault:
             stored = _leader_in(fault.rows)
             if stored is None:
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -34,7 +34,13 @@
     Surroundings,
     WorkerFailedError,
 )
-from ._records import JOBS_TABLE, cancelled_jobs, read_all, sort_job_rows
+from ._records import (
+    JOBS_TABLE,
+    cancelled_jobs,
+    read_all,
+    remove_jobs,
+    sort_job_rows,
+)
 from ._settings import CellSettings
 
 performers: Registry = Registry("fleet effect")
@@ -112,6 +118,7 @@
                 self._sweep_loop,
                 self._tick_loop,
                 self._dispatch_loop,
+                self._retention_loop,
             )
             for loop in loops:
                 await self._spawn(loop)
@@ -181,6 +188,8 @@
         self._swept_version = stored.version
         scheduler.handle(QueuesChanged(self._queues), now_ms())
         scheduler.handle(Tick(wall_ms()), now_ms())
+        # A predecessor may have removed the job's row and not yet its progress.
+        scheduler.forget(tuple(set(stored.progress) - set(stored.jobs)))
         for job_id, stored_job in stored.jobs.items():
             if stored_job.is_cancelled:
                 scheduler.handle(JobCancelled(job_id), now_ms())
@@ -251,6 +260,22 @@
         for stored_job in sort_job_rows(rows).values():
             await self.handle(JobAccepted(stored_job.job))
 
+    async def _retention_loop(self) -> None:
+        """Remove the rows of jobs that ended long ago."""
+        assert self._scheduler is not None and self._committer is not None
+        while True:
+            await curio.sleep(self._settings.retention_s)
+            expired = self._scheduler.expired(now_ms(), self._settings.commit_jobs // 2)
+            if not expired:
+                continue
+            try:
+                await remove_jobs(self._store, expired)
+            except StoreError as fault:
+                self._log.info("jobs_not_removed", reason=repr(fault))
+                continue
+            self._scheduler.forget(expired)
+            await self._committer.kick()
+
     async def _tick_loop(self) -> None:
         while True:
             await curio.sleep(self._settings.tick_s)
--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -75,6 +75,16 @@
         return
 
 
+async def remove_jobs(store: Store, job_ids: tuple[str, ...]) -> None:
+    """Remove jobs and their cancellations; raises StoreError."""
+    parts: dict[str, list[RowKey]] = {}
+    for job_id in job_ids:
+        rows = parts.setdefault(job_row(job_id).part, [])
+        rows.extend((job_row(job_id), cancel_row(job_id)))
+    for rows in parts.values():
+        await store.commit({}, {}, tuple(rows))
+
+
 async def read_leader(store: Store) -> tuple[LeaderRow | None, int]:
     """Return the leader's row and its version, 0 when there is none."""
     found = await store.read(
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -41,6 +41,7 @@
     stored_ends_wait_s: float = 0.4
     directory_s: float = 1.0
     sweep_s: float = 1.5
+    retention_s: float = 5.0
     election_read_s: float = 0.25
     orders_per_worker: int = 3
     accept_retry_s: float = 0.1
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -6,6 +6,7 @@
     AskAdvice,
     EndedRun,
     EndKind,
+    FleetSettings,
     JobCancelled,
     PaceRun,
     RosterEntry,
@@ -623,6 +624,31 @@
         self.assertEqual(cell.starts(), [])
 
 
+class RetentionTests(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(entry("a"))
+        self.cell.hear_all()
+        self.cell.accept(job(step()))
+        (order,) = self.cell.starts()
+        self.cell.report("a", ended=[ended(1, order)])
+        self.cell.commit()
+
+    def test_the_state_of_an_ended_job_is_kept_for_a_time(self):
+        scheduler = self.cell.scheduler
+        kept_ms = FleetSettings().keep_final_ms
+        self.assertEqual(scheduler.expired(self.cell.now_ms + kept_ms - 1, 9), ())
+        self.assertEqual(scheduler.expired(self.cell.now_ms + kept_ms, 9), (JOB,))
+
+    def test_the_progress_of_a_forgotten_job_goes_with_a_commit(self):
+        scheduler = self.cell.scheduler
+        scheduler.forget((JOB,))
+        self.assertIsNone(scheduler.state_of(JOB))
+        commit = scheduler.take_commit(9)
+        self.assertEqual(commit.forgotten, (JOB,))
+        scheduler.not_committed(commit)
+        self.assertEqual(scheduler.take_commit(9).forgotten, (JOB,))
+
+
 class PendingTests(unittest.TestCase):
     def test_only_jobs_that_have_not_started_are_pending(self):
         cell = Cell(entry("a", cpu=1_000))
--- a/tests/node/test_cell.py
+++ b/tests/node/test_cell.py
@@ -53,6 +53,7 @@
     progress_row,
     read_all,
     read_state,
+    remove_jobs,
 )
 from marigoldpath_node.exposition import CellMetrics
 from tests.core.fleet_fixture import entry
@@ -441,6 +442,37 @@
         self.assertGreater(log.events().count("leadership_won"), 1)
 
 
+class RetentionTests(unittest.TestCase):
+    def test_rows_of_removed_jobs_are_gone(self):
+        store = MemoryStore()
+
+        async def run():
+            host = entry_host(store)
+            await host.submit(SPEC, QUEUE, 0.3)
+            await host.cancel(JOB_ID)
+            await remove_jobs(store, (JOB_ID, "f" * 16))
+            return await read_all(store)
+
+        self.assertEqual(curio.run(run).jobs, {})
+
+    def test_progress_without_its_job_is_removed_by_the_next_leader(self):
+        """The last leader removed the job's row and was lost then."""
+        store = MemoryStore()
+
+        async def run():
+            key = progress_row(JOB_ID)
+            await store.commit({}, {key: encode_progress(Progress(JobState.DONE))})
+            surroundings = Surroundings(
+                store, None, FakeDirectory(), None, KeptLog(), CellMetrics()
+            )
+            host = EntryHost(FAST, surroundings, FakePeers())
+            await curio.spawn(host.run, daemon=True)
+            await curio.sleep(0.3)
+            return key in store.rows
+
+        self.assertFalse(curio.run(run))
+
+
 class HelperTests(unittest.TestCase):
     def test_the_host_that_started_last_is_named_as_successor(self):
         helpers = Helpers(None, FakePeers(), KeptLog())
