Rely on a stored roster only once its outcome is known, and bound leases by the successor's majority

Reading the bound again showed a second fault: unheard workers were given up although most workers had not answered the successor, so a predecessor could still renew.

A leader's trouble with the store is logged once.

--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -75,7 +75,8 @@
         return False
     if not _is_slow(fleet, step):
         return True
-    return len(fleet.slow_questions) < fleet.settings.most_slow_questions
+    # The service takes one question of each host at a time.
+    return len(fleet.slow_questions) < fleet.helpers
 
 
 def _ask(fleet: Fleet, step: Step, workers: list[Worker]) -> None:
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -1,5 +1,7 @@
 """The state that the parts of the scheduler share."""
 
+import math
+
 from marigoldpath_core.jobs import JobState, Queue, TaskKey
 from marigoldpath_core.registry import Registry
 
@@ -45,13 +47,12 @@
         self.stored_roster = dict(roster)
         # Workers of earlier epochs that may run tasks unknown to this leader.
         self.unheard = dict(roster)
-        self.unheard_until_ms = (
-            now_ms
-            + settings.order_limit_ms
-            + settings.lease_ms * (1 + settings.clock_slack)
-            + 300
-        )
+        # An earlier leader orders nothing after this time, unless most workers answer
+        # it; None until most workers have answered this leader.
+        self.begun_ms = now_ms
+        self.majority_heard_ms: float | None = None
         self.deposed = False
+        self.helpers = 1
         self.slow_questions: set[tuple[str, int, int]] = set()
         self.needs_dispatch = True
         self.needs_commit = False
@@ -128,6 +129,19 @@
         self.dirty.add(job.spec.job_id)
         self.needs_commit = True
 
+    @property
+    def unheard_until_ms(self) -> float:
+        """When no lease that an earlier leader granted can be left on any worker."""
+        if self.majority_heard_ms is None:
+            return math.inf
+        settings = self.settings
+        ordered_until_ms = max(
+            self.begun_ms + settings.order_limit_ms,
+            self.majority_heard_ms + settings.majority_ms,
+        )
+        lease_ms = settings.lease_ms * (1 + settings.clock_slack)
+        return ordered_until_ms + lease_ms + settings.lease_margin_ms
+
     def is_blocked(self, step: Step) -> bool:
         """Return whether unfound tasks of the step may run on an unheard worker."""
         if not self.unheard or step.is_fresh:
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -143,9 +143,13 @@
 
 
 class Tick(NamedTuple):
-    """Time has passed; `wall_ms` is milliseconds since the epoch of Unix."""
+    """Time has passed; `wall_ms` is milliseconds since the epoch of Unix.
+
+    `helpers` is the number of hosts that ask the advice service.
+    """
 
     wall_ms: int
+    helpers: int = 1
 
 
 Event = (
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -28,7 +28,6 @@
         worker = fleet.workers.get(entry.worker_id)
         if worker is None:
             worker = fleet.workers[entry.worker_id] = Worker(entry)
-            worker.lease_end_ms = fleet.unheard_until_ms
             fleet.note("worker_listed", worker=entry.worker_id, zone=entry.zone)
         elif entry.draining and not worker.entry.draining:
             fleet.note("worker_draining", worker=entry.worker_id)
@@ -56,6 +55,7 @@
     worker.heard_ms = fleet.now_ms
     worker.is_silent = False
     fleet.unheard.pop(event.worker_id, None)
+    _note_majority(fleet)
     is_newest = event.clock_ms >= worker.clock_ms
     if is_newest:
         worker.clock_ms, worker.clock_read_ms = event.clock_ms, fleet.now_ms
@@ -110,6 +110,16 @@
         fleet.release(run)
 
 
+def _note_majority(fleet: Fleet) -> None:
+    """Note when most of the workers that may run anything have answered."""
+    if fleet.majority_heard_ms is not None:
+        return
+    listed = [each for each in fleet.workers.values() if each.is_listed]
+    heard = sum(1 for each in listed if each.heard_ms is not None)
+    if heard * 2 > len(listed):
+        fleet.majority_heard_ms = fleet.now_ms
+
+
 def _begin_life(fleet: Fleet, worker: Worker, born: int) -> None:
     """Give up what an earlier life of a worker ran.
 
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -119,6 +119,9 @@
         jobs = {job_id: fleet.jobs[job_id] for job_id in taken}
         roster = dict(fleet.roster) if fleet.roster_dirty else None
         fleet.roster_dirty = False
+        if roster is not None:
+            # Until the outcome is known, only what both versions say is stored.
+            fleet.stored_roster = dict(fleet.stored_roster.items() & roster.items())
         ends = {
             worker.worker_id: (worker.born, worker.seen_end)
             for worker in fleet.workers.values()
@@ -207,6 +210,7 @@
 @handlers.register(Tick)
 def _tick(fleet: Fleet, event: Tick) -> None:
     fleet.wall_ms = event.wall_ms
+    fleet.helpers = event.helpers
     _jobs.begin_due_occurrences(fleet)
     _reports.expire_leases(fleet)
     _reports.retry_stops(fleet)
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -19,8 +19,8 @@
     start_window_ms: int = 700
     longest_lease_ms: int = 6_000
     late_order_ms: int = 12_000
-    order_limit_ms: int = 3_000
-    majority_ms: int = 2_000
+    order_limit_ms: int = 2_000
+    majority_ms: int = 1_500
     look_wait_ms: int = 500
     urgent_reserve: float = 0.15
     lasting_start_ms: int = 3_500
@@ -37,7 +37,6 @@
     failure_window_ms: int = 6_000
     ticket_margin_ms: int = 250
     slow_advice_ms: float = 100.0
-    most_slow_questions: int = 5
     pace_settle_ms: int = 700
     pace_restore_ms: int = 3_000
     pace_restore_share: float = 0.6
--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -37,6 +37,7 @@
         self._is_stopped = False
         self._started_s = time.monotonic()
         self._known_epoch = 0
+        self._is_trouble_told = False
 
     @property
     def leader(self) -> LeaderRow | None:
@@ -82,9 +83,13 @@
                 self._lose("it does not lead any more")
                 return
             self._take_view(view)
-            if view.store_age_s > self._settings.store_trouble_s:
+            if view.store_age_s <= self._settings.store_trouble_s:
+                self._is_trouble_told = False
+                continue
+            if not self._is_trouble_told:
                 self._log.info("leader_without_store", age_s=view.store_age_s)
-                return
+            self._is_trouble_told = True
+            return
 
     async def _find(self) -> Term | None:
         """Return a term of this host, or None once a leader answers."""
--- a/packages/node/src/marigoldpath_node/cell/_helpers.py
+++ b/packages/node/src/marigoldpath_node/cell/_helpers.py
@@ -25,6 +25,11 @@
         self._started_s: dict[str, float] = {}
         self._waiting_ms: dict[str, float] = {"": 0.0}
 
+    @property
+    def count(self) -> int:
+        """The hosts besides this one that can be asked now."""
+        return len(self._recent())
+
     def note_helper(self, address: str, started_s: float) -> None:
         """Note that an entry host called that started `started_s` ago."""
         self._heard_s[address] = time.monotonic()
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -279,7 +279,7 @@
     async def _tick_loop(self) -> None:
         while True:
             await curio.sleep(self._settings.tick_s)
-            await self.handle(Tick(wall_ms()))
+            await self.handle(Tick(wall_ms(), max(1, self._helpers.count)))
 
     async def _dispatch_loop(self) -> None:
         assert self._scheduler is not None
--- a/tests/bench/test_fleet_world.py
+++ b/tests/bench/test_fleet_world.py
@@ -25,20 +25,20 @@
                 self.assertEqual(FleetSearch(seed).run(STEPS), [])
 
     def test_seeds_that_once_failed(self):
+        # Seed 24 does not meet its case since the timing of stored rosters changed.
+        # The case is open: docs/platform.md, "What is left".
         causes = {
             6: "an order under way met the next life of a worker",
             11: "a gang could never leave the urgent share free",
             14: "a list was compared with an answer of another life",
             16: "what a stray run held was not counted",
+            24: "a replaced leader met the next life of a worker",
+            384: "a start relied on a roster that a lost commit had closed",
         }
         for seed, cause in causes.items():
             with self.subTest(seed=seed, cause=cause):
                 self.assertEqual(FleetSearch(seed).run(STEPS), [])
 
-    def test_a_replaced_leader_and_a_restarted_worker(self):
-        """The new life of a worker has seen no epoch and obeys the old leader."""
-        self.assertEqual(FleetSearch(24).run(STEPS), [])
-
 
 class OracleTests(unittest.TestCase):
     """The oracle must find what it is there to find."""
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -13,10 +13,11 @@
     RunningTask,
     StartResult,
     StopAnswered,
+    Tick,
     WorkerSilent,
     WorkersListed,
 )
-from marigoldpath_core.jobs import JobState, Progress
+from marigoldpath_core.jobs import AdvicePolicy, JobState, Progress
 from tests.core.fleet_fixture import (
     ADVISED,
     BACKGROUND,
@@ -301,18 +302,30 @@
         self.assertEqual(len(cell.starts()), 1)
 
     def test_an_old_job_starts_once_the_leases_are_surely_over(self):
-        cell = Cell(entry("a"), entry("b"), epoch=2)
+        cell = Cell(entry("a"), entry("b"), entry("c"), epoch=2)
         cell.accept(job(step()))
-        for _ in range(7):
+        for _ in range(6):
+            cell.report("a")
+            cell.report("b")
             cell.wait(1_000)
             cell.commit()
-            cell.report("a")
         self.assertEqual(cell.starts(), [])
-        cell.wait(1_500)
-        cell.commit()
+        cell.wait(1_000)
         cell.report("a")
+        cell.report("b")
+        cell.wait(0)
         self.assertEqual(len(cell.starts()), 1)
 
+    def test_leases_may_be_renewed_while_most_workers_were_not_heard(self):
+        """They may still answer the predecessor, which goes on while they do."""
+        cell = Cell(entry("a"), entry("b"), entry("c"), epoch=2)
+        cell.accept(job(step()))
+        for _ in range(20):
+            cell.wait(1_000)
+            cell.commit()
+            cell.report("a")
+        self.assertEqual(cell.starts(), [])
+
     def test_a_job_of_the_new_epoch_starts_at_once(self):
         cell = Cell(entry("a"), entry("b"), epoch=2)
         cell.accept(job(step(), epoch=2))
@@ -394,6 +407,19 @@
         self.cell.commit()
         self.assertEqual(len(self.cell.starts()), 1)
 
+    def test_nothing_starts_while_it_is_unknown_which_roster_is_stored(self):
+        """The commit that closed the entry may be stored though not confirmed."""
+        self.cell.handle(WorkerSilent("a"))
+        self.cell.handle(WorkerSilent("b"))
+        self.cell.wait(10)
+        self.cell.scheduler.take_commit(100)
+        self.cell.hear_all()
+        self.cell.wait(10)
+        self.cell.accept(job(step()))
+        self.assertEqual(self.cell.starts(), [])
+        self.cell.commit()
+        self.assertEqual(len(self.cell.starts()), 1)
+
     def test_only_the_jobs_of_an_unheard_silent_worker_wait(self):
         other = "00000000000000ab"
         roster = {
@@ -581,6 +607,18 @@
         self.assertEqual(self.cell.starts(), [])
 
 
+class SlowAdviceTests(unittest.TestCase):
+    def test_as_many_slow_questions_are_asked_as_there_are_hosts_to_ask_them(self):
+        slow = BACKGROUND._replace(advice=AdvicePolicy(400.0, 5.0, 2_000.0))
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        for number in range(5):
+            cell.accept(job(step(), queue=slow, job_id=f"{number:016x}"))
+        cell.handle(Tick(0, 3))
+        asked = [each for each in cell.dispatch() if isinstance(each, AskAdvice)]
+        self.assertEqual(len(asked), 3)
+
+
 class PacingTests(unittest.TestCase):
     def test_fillers_rest_while_a_task_beside_them_is_over_its_target(self):
         cell = Cell(entry("a"))
