--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -118,6 +118,11 @@
     heard = sum(1 for each in listed if each.heard_ms is not None)
     if heard * 2 > len(listed):
         fleet.majority_heard_ms = fleet.now_ms
+        fleet.note(
+            "unheard_workers",
+            workers=sorted(fleet.unheard),
+            wait_ms=round(fleet.unheard_until_ms - fleet.now_ms),
+        )
 
 
 def _begin_life(fleet: Fleet, worker: Worker, born: int) -> None:
