Split acceptance and orders off the cell's large modules; one program for both searches

Cause: _leader.py had 398 lines and _host.py 368, each with two concerns; the searches had the same command line twice; the times of accepted jobs were kept for good.

Accepted jobs are counted for 10 s.

--- a/Makefile
+++ b/Makefile
@@ -56,8 +56,8 @@
 	@$(PYTHON) -m marigoldpath_bench.replay $(TRACE)
 
 soak: setup
-	@$(PYTHON) -m marigoldpath_bench.fleet_world --seed $(SEED) --runs $(RUNS)
-	@$(PYTHON) -m marigoldpath_bench.soak --seed $(SEED) --runs $(RUNS)
+	@$(PYTHON) -m marigoldpath_bench.soak --search fleet --seed $(SEED) --runs $(RUNS)
+	@$(PYTHON) -m marigoldpath_bench.soak --search zone --seed $(SEED) --runs $(RUNS)
 
 clean:
 	rm -rf build run
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -1,47 +1,35 @@
 """One entry host of a cell: accepts jobs, and leads when it is elected."""
 
 import time
-from enum import Enum
 
 import curio
 
 from marigoldpath_core.jobs import AcceptedJob, JobSpec, JobState, Queue, TaskKey
 
+from ._acceptance import Acceptance, Submission
 from ._election import Election
 from ._helpers import Helpers
 from ._leader import Leader, wall_ms
 from ._peers import (
     LeaderView,
-    NotLeadingError,
     PeerClient,
     PeerError,
-    PeerUnreachableError,
     job_in,
     peer_routes,
 )
 from ._ports import (
     Configuration,
     StoreError,
-    StoreLostError,
     Surroundings,
 )
 from ._records import (
     cancel_row,
     read_job,
     read_state,
-    write_job,
 )
 from ._settings import CellSettings
 
 
-class Submission(Enum):
-    """What is known of a job after an attempt to store it."""
-
-    ACCEPTED = "accepted"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-
-
 class UnavailableError(Exception):
     """What was asked for cannot be told or done now; it may be asked again."""
 
@@ -60,28 +48,29 @@
         self._store = surroundings.store
         self._log = surroundings.log
         self._peers = peers
-        self._election = Election(settings, surroundings, peers, self.note_store)
+        self._acceptance = Acceptance(settings, surroundings, peers)
+        self._election = Election(
+            settings, surroundings, peers, self._acceptance.note_store
+        )
+        self._acceptance.follow(self._election)
         self._leader: Leader | None = None
         self._helpers: Helpers | None = None
         self._configuration: Configuration | None = None
-        self._suspect_since_s: float | None = None
         self._is_stopping = False
-        self._outcomes: dict[str, Submission] = {}
-        self._new_jobs: dict[str, list[float]] = {}
 
     @property
     def is_ready(self) -> bool:
         """Whether new connections should come here."""
         if self._configuration is None or self._is_stopping:
             return False
-        if self._suspect_since_s is None or self._election.leader is not None:
+        if self._election.leader is not None:
             return True
-        return time.monotonic() - self._suspect_since_s < self._settings.unready_s
+        return self._acceptance.suspect_s < self._settings.unready_s
 
     @property
-    def is_store_suspect(self) -> bool:
-        """Whether the store did not answer the last call of this host."""
-        return self._suspect_since_s is not None
+    def acceptance(self) -> Acceptance:
+        """How this host stores jobs, and what it knows of the store."""
+        return self._acceptance
 
     @property
     def is_leading(self) -> bool:
@@ -132,30 +121,14 @@
         if self._leader is not None:
             await self._leader.change_queues(configuration.queues)
 
-    def note_store(self, *, is_working: bool, reason: str = "") -> None:
-        """Note whether the store answers this host."""
-        if is_working and self.is_store_suspect:
-            self._log.info("store_answers")
-            self._suspect_since_s = None
-        elif not is_working and not self.is_store_suspect:
-            self._log.info("store_silent", reason=reason)
-            self._suspect_since_s = time.monotonic()
-
     async def submit(
         self, spec: JobSpec, queue: Queue, patience_s: float
     ) -> Submission:
         """Store a job within `patience_s` and return what is known of it."""
         started_s = time.monotonic()
         job = AcceptedJob(spec, queue, self._election.known_epoch, wall_ms())
-        # An id that was accepted here stays so, and one whose fate was unknown may run.
-        outcome = self._outcomes.get(spec.job_id, Submission.NOT_RUN)
-        if outcome is not Submission.ACCEPTED and not self.is_store_suspect:
-            outcome = await self._store_here(job, patience_s, outcome)
-        if outcome is not Submission.ACCEPTED:
-            outcome = await self._store_at_leader(job, outcome)
-        self._remember(spec.job_id, outcome)
+        outcome = await self._acceptance.submit(job, patience_s)
         if outcome is Submission.ACCEPTED:
-            self._new_jobs.setdefault(queue.name, []).append(time.monotonic())
             await curio.spawn(self._tell_job, job, daemon=True)
         metrics = self._surroundings.metrics
         metrics.count_submission(outcome.value)
@@ -166,7 +139,7 @@
             queue=queue.name,
             outcome=outcome.value,
             epoch=job.epoch,
-            store_suspect=self.is_store_suspect,
+            store_suspect=self._acceptance.is_store_suspect,
         )
         return outcome
 
@@ -213,65 +186,8 @@
     def _remembered_pending(self, queue: str) -> int:
         """Return the last count of the leader and the jobs accepted here since."""
         view = self._election.view
-        recent = [
-            accepted_s
-            for accepted_s in self._new_jobs.get(queue, [])
-            if accepted_s > time.monotonic() - 10
-        ]
-        return (view.pending.get(queue, 0) if view is not None else 0) + len(recent)
-
-    def _remember(self, job_id: str, outcome: Submission) -> None:
-        if outcome is not Submission.NOT_RUN:
-            self._outcomes[job_id] = outcome
-            if len(self._outcomes) > self._settings.remembered_jobs:
-                del self._outcomes[next(iter(self._outcomes))]
-
-    async def _store_here(
-        self, job: AcceptedJob, patience_s: float, outcome: Submission
-    ) -> Submission:
-        """Repeat the write until its outcome is known or the time is over."""
-        until_s = time.monotonic() + patience_s
-        refused_until_s = time.monotonic() + self._settings.accept_refused_s
-        while True:
-            try:
-                left_s = max(0.05, until_s - time.monotonic())
-                await curio.timeout_after(left_s, write_job, self._store, job)
-                self.note_store(is_working=True)
-                return Submission.ACCEPTED
-            except (StoreLostError, curio.TaskTimeout) as fault:
-                outcome = Submission.UNKNOWN
-                limit_s = until_s
-                self.note_store(is_working=False, reason=repr(fault))
-            except StoreError as fault:
-                limit_s = min(until_s, refused_until_s)
-                if outcome is Submission.UNKNOWN:
-                    limit_s = until_s
-                self.note_store(is_working=False, reason=repr(fault))
-            if time.monotonic() + self._settings.accept_retry_s >= limit_s:
-                return outcome
-            await curio.sleep(self._settings.accept_retry_s)
-
-    async def _store_at_leader(
-        self, job: AcceptedJob, outcome: Submission
-    ) -> Submission:
-        """Let the leader store a job that this host could not store."""
-        leader = self._election.leader
-        view = self._election.view
-        if leader is None or view is None:
-            return outcome
-        if view.store_age_s > self._settings.store_trouble_s:
-            return outcome
-        try:
-            told = Submission(await self._peers.store_job(leader.address, job))
-        except (PeerUnreachableError, NotLeadingError) as fault:
-            self._log.info("job_not_stored_by_leader", reason=repr(fault))
-            return outcome
-        except PeerError as fault:
-            self._log.info("job_not_stored_by_leader", reason=repr(fault))
-            return Submission.UNKNOWN
-        if told is Submission.NOT_RUN:
-            return outcome
-        return told
+        told = view.pending.get(queue, 0) if view is not None else 0
+        return told + self._acceptance.recent(queue)
 
     async def _state_at_leader(self, job_id: str) -> JobState | None:
         if self._leader is not None:
@@ -340,7 +256,7 @@
         if self._leader is None:
             return None
         job = job_in(data)
-        outcome = await self._store_here(
+        outcome = await self._acceptance.store(
             job, self._settings.peer_reply_s / 2, Submission.NOT_RUN
         )
         if outcome is Submission.ACCEPTED and self._leader is not None:
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -6,27 +6,21 @@
 import curio
 
 from marigoldpath_core.fleet import (
-    AdviceAnswered,
-    AskAdvice,
     Event,
     FleetScheduler,
     JobAccepted,
     JobCancelled,
-    Note,
-    PaceRun,
     QueuesChanged,
-    StartRun,
-    StopRun,
     Tick,
     WorkerSilent,
     WorkersListed,
 )
-from marigoldpath_core.jobs import AcceptedJob, JobState, Queue, TaskKey
-from marigoldpath_core.registry import Registry
+from marigoldpath_core.jobs import AcceptedJob, JobState, Queue
 
 from ._codec import Term
 from ._commits import Committer
 from ._helpers import Helpers
+from ._orders import Orders
 from ._ports import (
     FencedError,
     HistoryGoneError,
@@ -43,8 +37,6 @@
 )
 from ._settings import CellSettings
 
-performers: Registry = Registry("fleet effect")
-
 
 def now_ms() -> float:
     """Return milliseconds of the monotonic clock."""
@@ -72,7 +64,6 @@
         self._workers = surroundings.workers
         self._directory = surroundings.directory
         self._log = surroundings.log
-        self._metrics = surroundings.metrics
         self._helpers = helpers
         self._term = term
         self._scheduler: FleetScheduler | None = None
@@ -80,7 +71,7 @@
         self._queues: dict[str, Queue] = {}
         self._swept_version = 0
         self._looking: set[str] = set()
-        self._gates: dict[str, curio.Semaphore] = {}
+        self._orders = Orders(settings, surroundings, helpers, self)
         self._kick = curio.Event()
         self._ended = curio.Event()
         self._tasks: list[curio.Task] = []
@@ -121,7 +112,7 @@
                 self._retention_loop,
             )
             for loop in loops:
-                await self._spawn(loop)
+                await self.spawn(loop)
             await self._ended.wait()
         finally:
             for task in list(self._tasks):
@@ -159,15 +150,16 @@
         scheduler = self._scheduler
         assert scheduler is not None
         for effect in scheduler.take_effects():
-            await performers.get(type(effect))(self, effect)
+            await self._orders.perform(effect)
         if scheduler.is_deposed:
-            await self._end("a later epoch was noticed")
+            await self.end("a later epoch was noticed")
         if scheduler.needs_dispatch:
             await self._kick.set()
         if scheduler.needs_commit and self._committer is not None:
             await self._committer.kick()
 
-    async def _end(self, reason: str) -> None:
+    async def end(self, reason: str) -> None:
+        """End the term because of a successor or a fault."""
         if not self._ended.is_set():
             self._log.info("leadership_lost", epoch=self.epoch, reason=reason)
             await self._ended.set()
@@ -213,7 +205,7 @@
     async def _commit_loop(self) -> None:
         assert self._committer is not None
         await self._committer.run()
-        await self._end("the leader's row was replaced")
+        await self.end("the leader's row was replaced")
 
     async def _directory_loop(self) -> None:
         while True:
@@ -295,7 +287,7 @@
         for worker_id in self._scheduler.workers:
             if worker_id not in self._looking:
                 self._looking.add(worker_id)
-                await self._spawn(self._look_loop, worker_id)
+                await self.spawn(self._look_loop, worker_id)
 
     async def _look_loop(self, worker_id: str) -> None:
         """Look at one worker again and again; each look renews its lease."""
@@ -308,7 +300,7 @@
             try:
                 report = await self._workers.look(worker_id, self.epoch, order)
             except FencedError:
-                await self._end(f"worker {worker_id} has seen a later epoch")
+                await self.end(f"worker {worker_id} has seen a later epoch")
                 break
             except WorkerFailedError as fault:
                 self._log.debug("look_failed", worker=worker_id, reason=repr(fault))
@@ -327,72 +319,17 @@
                 await curio.sleep(self._settings.look_gap_s)
         self._looking.discard(worker_id)
 
-    async def _spawn(self, function: Any, *arguments: Any) -> None:
+    async def spawn(self, function: Any, *arguments: Any) -> None:
+        """Run a function beside the loops; an unforeseen fault ends the term."""
         self._tasks = [task for task in self._tasks if not task.terminated]
         self._tasks.append(
             await curio.spawn(self._guard, function, *arguments, daemon=True)
         )
 
     async def _guard(self, function: Any, *arguments: Any) -> None:
-        """End the term on an unforeseen fault; a successor starts from the store."""
+        # A successor starts from what is stored, without the state that led here.
         try:
             await function(*arguments)
         except Exception as fault:
             self._log.exception("leader_task_failed", task=function.__name__)
-            await self._end(f"{function.__name__} failed: {fault!r}")
-
-    @performers.register(StartRun)
-    async def _perform_start(self, order: StartRun) -> None:
-        await self._spawn(self._start, order)
-
-    @performers.register(StopRun)
-    async def _perform_stop(self, order: StopRun) -> None:
-        await self._spawn(self._order, order.worker_id, self._workers.stop, order)
-
-    @performers.register(PaceRun)
-    async def _perform_pace(self, order: PaceRun) -> None:
-        await self._spawn(self._order, order.worker_id, self._workers.pace, order)
-
-    @performers.register(AskAdvice)
-    async def _perform_question(self, question: AskAdvice) -> None:
-        await self._spawn(self._ask, question)
-
-    @performers.register(Note)
-    async def _perform_note(self, note: Note) -> None:
-        self._metrics.count_decision(note.event)
-        if note.event == "run_ended":
-            self._metrics.count_end(str(note.fields["kind"]))
-        self._log.info(note.event, **note.fields)
-
-    def _gate(self, worker_id: str) -> curio.Semaphore:
-        gate = self._gates.get(worker_id)
-        if gate is None:
-            gate = curio.Semaphore(self._settings.orders_per_worker)
-            self._gates[worker_id] = gate
-        return gate
-
-    async def _start(self, order: StartRun) -> None:
-        async with self._gate(order.worker_id):
-            started_s = time.monotonic()
-            answer = await self._workers.start(order, self.epoch)
-        self._metrics.observe_call("start", time.monotonic() - started_s)
-        await self.handle(answer)
-
-    async def _order(self, worker_id: str, call: Any, order: Any) -> None:
-        try:
-            async with self._gate(worker_id):
-                answer = await call(order, self.epoch)
-            if answer is not None:
-                await self.handle(answer)
-        except FencedError:
-            await self._end(f"worker {worker_id} has seen a later epoch")
-        except WorkerFailedError as fault:
-            # The next list shows whether the order was carried out.
-            self._log.info("order_failed", worker=worker_id, reason=repr(fault))
-
-    async def _ask(self, question: AskAdvice) -> None:
-        asked_ms = now_ms()
-        step = TaskKey(question.job_id, question.occurrence, question.step, 0)
-        tickets = await self._helpers.ask(step, question.workers, question.cost_ms)
-        self._metrics.observe_call("advice", (now_ms() - asked_ms) / 1000)
-        await self.handle(AdviceAnswered(*question[:4], tickets, asked_ms))
+            await self.end(f"{function.__name__} failed: {fault!r}")
--- a/tests/node/test_cell.py
+++ b/tests/node/test_cell.py
@@ -236,7 +236,7 @@
             host = entry_host(MemoryStore(), settings=settings)
             before = host.is_ready
             await host.configure(Configuration(1, {}))
-            host.note_store(**note)
+            host.acceptance.note_store(**note)
             return before, host.is_ready
 
         return curio.run(run)
