Keep adopted runs until the predecessor's lease is over, and ends of a restarted worker

Change: the first list extends the lease bound by the length of a lease; a silent worker is looked at with last end 0; the simulated look fails when its connection's life has ended; tests/adapter is the new name.

--- a/packages/bench/src/marigoldpath_bench/fleet_world/_world.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_world.py
@@ -214,8 +214,10 @@
         if worker_id in leader.cut or self._is_lost():
             self._later(700, lambda: self._fail_look(leader, worker_id))
             return
+        life = self.workers[worker_id].lives
         self._later(
-            self._delay_ms(), lambda: self._carry_out_look(leader, worker_id, order)
+            self._delay_ms(),
+            lambda: self._carry_out_look(leader, worker_id, order, life),
         )
 
     def _fail_look(self, leader: SimulatedLeader, worker_id: str) -> None:
@@ -223,8 +225,12 @@
         self._later(200, lambda: self._look(leader, worker_id))
 
     def _carry_out_look(
-        self, leader: SimulatedLeader, worker_id: str, order: LookOrder
+        self, leader: SimulatedLeader, worker_id: str, order: LookOrder, life: int
     ) -> None:
+        if self.workers[worker_id].lives != life:
+            # The kept connection ended with the worker's life.
+            self._later(50, lambda: self._fail_look(leader, worker_id))
+            return
         report = self.workers[worker_id].look(leader.epoch, order, self.now_ms)
         if report is None:
             leader.is_alive = False
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -52,6 +52,9 @@
         _begin_life(fleet, worker, event.born)
     if worker.is_silent or worker.heard_ms is None:
         fleet.needs_dispatch = True
+    if worker.heard_ms is None:
+        # A predecessor may have renewed the lease until this look fenced it off.
+        worker.extend_lease(fleet.settings, fleet.settings.lease_ms, fleet.now_ms)
     worker.heard_ms = fleet.now_ms
     worker.is_silent = False
     fleet.unheard.pop(event.worker_id, None)
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -99,7 +99,11 @@
         if worker is None:
             return None
         address = worker.entry.address
-        if worker.is_silent or worker.heard_ms is None or not self.may_order(now_ms):
+        if worker.is_silent or worker.heard_ms is None:
+            # It may have restarted; its new life would forget ends up to a number of
+            # the old one.
+            return LookOrder(address, None, 0, 0)
+        if not self.may_order(now_ms):
             return LookOrder(address, None, worker.stored_end, 0)
         worker.extend_lease(self._settings, self._settings.lease_ms, now_ms)
         until = worker.estimated_clock_ms(now_ms) + self._settings.lease_ms
--- a/tests/platform/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -39,13 +39,13 @@
     task_key,
     task_name,
 )
-from tests.node.cell_fakes import KeptLog
-from tests.platform.stand_ins import (
+from tests.adapter.stand_ins import (
     StandInServer,
     StandInStore,
     StandInWorker,
     configuration,
 )
+from tests.node.cell_fakes import KeptLog
 
 JOB_ID = "5c0e7a21d94b36f8"
 TASK = TaskKey(JOB_ID, 0, 1, 17)
--- a/tests/platform/test_process.py
+++ b/tests/adapter/test_process.py
@@ -9,8 +9,8 @@
 from marigoldpath_node.observability import LineWriter
 from marigoldpath_platform._process import Process
 from marigoldpath_platform._settings import PlatformSettings
+from tests.adapter.stand_ins import StandInStore, StandInWorker, configuration
 from tests.node.cell_fakes import KeptLog
-from tests.platform.stand_ins import StandInStore, StandInWorker, configuration
 
 JOB_ID = "5c0e7a21d94b36f8"
 SITE = {"host": "site.example"}
--- a/tests/bench/test_fleet_world.py
+++ b/tests/bench/test_fleet_world.py
@@ -33,6 +33,8 @@
             14: "a list was compared with an answer of another life",
             16: "what a stray run held was not counted",
             24: "a replaced leader met the next life of a worker",
+            808: "the next life of a worker forgot ends by a number of the last one",
+            700: "a run was given up on a worker that was silent after its first list",
             384: "a start relied on a roster that a lost commit had closed",
         }
         for seed, cause in causes.items():
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -293,6 +293,17 @@
         self.assertEqual(cell.starts(), [])
         self.assertIs(cell.scheduler.state_of(JOB), JobState.RUNNING)
 
+    def test_a_worker_that_is_silent_after_its_first_list_keeps_its_runs(self):
+        """The predecessor's lease goes on, though this leader granted none."""
+        cell = Cell(entry("a"), entry("b"), epoch=2)
+        cell.accept(job(step()))
+        cell.report("a", running=[RunningTask(task(), 1, "", 30, 0)])
+        cell.report("b")
+        cell.handle(WorkerSilent("a"))
+        cell.wait(1_000)
+        cell.report("b")
+        self.assertEqual(cell.starts(), [])
+
     def test_an_old_job_waits_for_workers_that_were_not_heard(self):
         cell = Cell(entry("a"), entry("b"), epoch=2)
         cell.accept(job(step()))
@@ -462,6 +473,15 @@
         look = self.cell.scheduler.look_order("a", self.cell.now_ms)
         self.assertIsNone(look.until_clock_ms)
 
+    def test_a_silent_worker_is_not_told_to_forget_ends(self):
+        """It may have restarted, and its numbers of ends begin anew."""
+        worker_id = self.order.worker_id
+        self.cell.report(worker_id, ended=[ended(1, self.order)])
+        self.cell.commit()
+        self.cell.handle(WorkerSilent(worker_id))
+        look = self.cell.scheduler.look_order(worker_id, self.cell.now_ms)
+        self.assertEqual(look.last_seen, 0)
+
     def test_a_leader_without_proof_neither_renews_nor_starts(self):
         self.cell.now_ms += 3_500
         look = self.cell.scheduler.look_order(self.other, self.cell.now_ms)
