Remove state that nothing reads, and share one bound of slow questions

Cause: read-through of the change: Run.started_ms and Job.is_final_stored were written only, and the time from which a question is slow stood twice.

Measured: tests.node.test_cell, tests.core.test_fleet and tests.adapter.test_process pass.

--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -39,7 +39,6 @@
         "percent",
         "progressed_ms",
         "seen_clock_ms",
-        "started_ms",
         "state",
         "still_reports",
         "stop_sent_ms",
@@ -56,7 +55,6 @@
         self.worker_id = worker_id
         self.need = need
         self.state = RunState.SENT
-        self.started_ms = now_ms
         self.until_clock_ms: int | None = 0
         self.is_listed = False
         self.seen_clock_ms: int | None = None
@@ -165,7 +163,6 @@
         self.stored = progress
         self.begun_occurrences = 0
         self.due_ms = 0.0
-        self.is_final_stored = False
         self.has_started = False
 
     @property
--- a/packages/node/src/marigoldpath_node/cell/_helpers.py
+++ b/packages/node/src/marigoldpath_node/cell/_helpers.py
@@ -1,15 +1,13 @@
 """Spreads questions to the advice service over the entry hosts."""
 
 import time
-from typing import Any
 
 from marigoldpath_core.jobs import TaskKey
 
 from ._peers import PeerClient, PeerError
-from ._ports import AdviceClient
+from ._ports import Surroundings
+from ._settings import CellSettings
 
-# A question that takes this long must not stand before a quick one.
-SLOW_MS = 100.0
 # A helper that was not heard for this long gets no questions.
 HELPER_AGE_S = 1.5
 
@@ -17,10 +15,13 @@
 class Helpers:
     """The entry hosts that call this leader, and the questions that each is asking."""
 
-    def __init__(self, advice: AdviceClient, peers: PeerClient, log: Any) -> None:
-        self._advice = advice
+    def __init__(
+        self, settings: CellSettings, surroundings: Surroundings, peers: PeerClient
+    ) -> None:
+        self._settings = settings
+        self._advice = surroundings.advice
+        self._log = surroundings.log
         self._peers = peers
-        self._log = log
         self._heard_s: dict[str, float] = {}
         self._started_s: dict[str, float] = {}
         self._waiting_ms: dict[str, float] = {"": 0.0}
@@ -65,7 +66,8 @@
     def _choose(self, cost_ms: float) -> str:
         """Return the least busy helper, empty for this process itself."""
         helpers = self._recent()
-        if cost_ms < SLOW_MS or not helpers:
+        # A slow question must not stand before the quick ones of this process.
+        if cost_ms < self._settings.fleet.slow_advice_ms or not helpers:
             helpers.append("")
         return min(helpers, key=lambda each: self._waiting_ms[each] + 10 * bool(each))
 
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -90,7 +90,7 @@
     async def _run_term(self) -> None:
         term = await self._election.win()
         self._surroundings.metrics.set_epoch(term.row.epoch)
-        self._helpers = Helpers(self._surroundings.advice, self._peers, self._log)
+        self._helpers = Helpers(self._settings, self._surroundings, self._peers)
         self._leader = Leader(self._settings, self._surroundings, self._helpers, term)
         if self._configuration is not None:
             await self._leader.change_queues(self._configuration.queues)
--- a/tests/node/test_cell.py
+++ b/tests/node/test_cell.py
@@ -475,7 +475,8 @@
 
 class HelperTests(unittest.TestCase):
     def test_the_host_that_started_last_is_named_as_successor(self):
-        helpers = Helpers(None, FakePeers(), KeptLog())
+        surroundings = Surroundings(None, None, None, None, KeptLog(), None)
+        helpers = Helpers(FAST, surroundings, FakePeers())
         self.assertEqual(helpers.youngest(), "")
         helpers.note_helper("10.0.0.2:1", 50.0)
         helpers.note_helper("10.0.0.3:1", 2.0)
@@ -483,7 +484,8 @@
         self.assertEqual(helpers.youngest(), "10.0.0.3:1")
 
     def test_slow_questions_go_to_other_hosts_and_quick_ones_stay(self):
-        helpers = Helpers(None, FakePeers(), KeptLog())
+        surroundings = Surroundings(None, None, None, None, KeptLog(), None)
+        helpers = Helpers(FAST, surroundings, FakePeers())
         helpers.note_helper("10.0.0.2:1", 50.0)
         self.assertEqual(helpers._choose(400.0), "10.0.0.2:1")
         self.assertEqual(helpers._choose(20.0), "")
