Call what a task resumes from a checkpoint everywhere inside

Cause: the wire's name for a checkpoint had found its way into the core's types and the stored rows.

Change: a rename; only the adapter knows the platform's name.

--- a/packages/core/src/marigoldpath_core/fleet/_ends.py
+++ b/packages/core/src/marigoldpath_core/fleet/_ends.py
@@ -32,8 +32,8 @@
     if task is None or task.step.job.state.is_final:
         return
     task.number = max(task.number, ended.run)
-    if ended.saved and not task.done:
-        _keep_saved(task, ended.saved)
+    if ended.checkpoint and not task.done:
+        _keep_checkpoint(task, ended.checkpoint)
     ends.get(ended.kind)(fleet, worker, task, ended)
 
 
@@ -70,11 +70,11 @@
 @ends.register(EndKind.BROKEN)
 @ends.register(EndKind.ALONE)
 def _interrupted(fleet: Fleet, _worker: Worker, task: Task, _ended: EndedRun) -> None:
-    if task.saved:
+    if task.checkpoint:
         fleet.mark_dirty(task.step.job)
 
 
-def _keep_saved(task: Task, saved: str) -> None:
+def _keep_checkpoint(task: Task, checkpoint: str) -> None:
     # All tasks of a gang must resume from the same checkpoint.
     for member in task.step.tasks if task.step.spec.gang else [task]:
-        member.saved = saved
+        member.checkpoint = checkpoint
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -95,7 +95,7 @@
     step = task.step
     job = step.job
     task.done = True
-    task.saved = ""
+    task.checkpoint = ""
     step.left -= 1
     fleet.mark_dirty(job)
     if step.left:
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -56,7 +56,7 @@
 
     task: TaskKey
     run: int
-    saved: str
+    checkpoint: str
     percent: int
     load: int
 
@@ -68,7 +68,7 @@
     task: TaskKey
     run: int
     kind: EndKind
-    saved: str
+    checkpoint: str
 
 
 class JobAccepted(NamedTuple):
@@ -174,7 +174,7 @@
     task: TaskKey
     run: int
     payload: str
-    saved: str
+    checkpoint: str
     ticket: str
     until_clock_ms: int
 
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -245,8 +245,8 @@
         if row.percent < run.percent:
             run.progressed_ms = fleet.now_ms
     run.percent = row.percent
-    if row.saved:
-        task.saved = row.saved
+    if row.checkpoint:
+        task.checkpoint = row.checkpoint
     mark_started(task.step.job)
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -34,7 +34,7 @@
             task.key,
             number,
             step.job.spec.payload,
-            task.saved,
+            task.checkpoint,
             ticket.text if ticket else "",
             run.until_clock_ms,
         )
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -71,12 +71,12 @@
 
     __slots__ = (
         "avoided",
+        "checkpoint",
         "done",
         "failed_runs",
         "key",
         "number",
         "run",
-        "saved",
         "step",
     )
 
@@ -88,7 +88,7 @@
         self.number = 0
         # Ends of several workers come in any order, and again to a new leader.
         self.failed_runs: set[int] = set()
-        self.saved = ""
+        self.checkpoint = ""
         self.avoided: set[str] = set()
 
     @property
@@ -210,7 +210,7 @@
         """Return what is to be stored."""
         done: dict[tuple[int, int], int] = {}
         failures: dict[tuple[int, int, int], tuple[int, ...]] = {}
-        saved: dict[tuple[int, int, int], str] = {}
+        checkpoints: dict[tuple[int, int, int], str] = {}
         if self.state.is_final:
             return Progress(self.state)
         for (occurrence, number), step in self.steps.items():
@@ -223,11 +223,11 @@
                 if task.failed_runs:
                     failed = tuple(sorted(task.failed_runs))
                     failures[occurrence, number, place] = failed
-                if task.saved and task.run is None:
-                    saved[occurrence, number, place] = task.saved
+                if task.checkpoint and task.run is None:
+                    checkpoints[occurrence, number, place] = task.checkpoint
             if mask:
                 done[occurrence, number] = mask
-        return Progress(self.state, done, failures, saved)
+        return Progress(self.state, done, failures, checkpoints)
 
 
 def _restore(step: Step, stored: Progress) -> None:
@@ -238,4 +238,4 @@
             task.done = True
             step.left -= 1
         task.failed_runs = set(stored.failures.get(place, ()))
-        task.saved = stored.saved.get(place, "")
+        task.checkpoint = stored.checkpoints.get(place, "")
--- a/packages/core/src/marigoldpath_core/jobs/_model.py
+++ b/packages/core/src/marigoldpath_core/jobs/_model.py
@@ -119,10 +119,10 @@
     """What is stored of a job that has begun.
 
     `done` maps (occurrence, step) to a bit mask of done tasks, `failures` a task to the
-    numbers of its failed runs, and `saved` a task to its newest checkpoint.
+    numbers of its failed runs, and `checkpoints` a task to its newest one.
     """
 
     state: JobState
     done: dict[tuple[int, int], int] = {}  # noqa: RUF012
     failures: dict[tuple[int, int, int], tuple[int, ...]] = {}  # noqa: RUF012
-    saved: dict[tuple[int, int, int], str] = {}  # noqa: RUF012
+    checkpoints: dict[tuple[int, int, int], str] = {}  # noqa: RUF012
--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -34,7 +34,7 @@
     state: str
     done: dict[str, str]
     failures: dict[str, list[int]]
-    saved: dict[str, str]
+    checkpoints: dict[str, str]
 
 
 class LeaderRow(NamedTuple):
@@ -102,8 +102,10 @@
         data["failures"] = {
             _join(key): [*runs] for key, runs in progress.failures.items()
         }
-    if progress.saved:
-        data["saved"] = {_join(key): text for key, text in progress.saved.items()}
+    if progress.checkpoints:
+        data["checkpoints"] = {
+            _join(key): text for key, text in progress.checkpoints.items()
+        }
     return to_json(data)
 
 
@@ -114,7 +116,7 @@
         JobState(data["state"]),
         {_pair(key): int(mask, 16) for key, mask in data.get("done", {}).items()},
         {_triple(key): tuple(runs) for key, runs in data.get("failures", {}).items()},
-        {_triple(key): text for key, text in data.get("saved", {}).items()},
+        {_triple(key): text for key, text in data.get("checkpoints", {}).items()},
     )
 
 
--- a/tests/core/fleet_fixture.py
+++ b/tests/core/fleet_fixture.py
@@ -134,14 +134,14 @@
         return self.scheduler.take_effects()
 
 
-def running(order, percent=10, saved="", load=0):
+def running(order, percent=10, checkpoint="", load=0):
     """Return the row of a started run."""
-    return RunningTask(order.task, order.run, saved, percent, load)
+    return RunningTask(order.task, order.run, checkpoint, percent, load)
 
 
-def ended(number, order, kind=EndKind.DONE, saved=""):
+def ended(number, order, kind=EndKind.DONE, checkpoint=""):
     """Return the end of a started run."""
-    return EndedRun(number, order.task, order.run, kind, saved)
+    return EndedRun(number, order.task, order.run, kind, checkpoint)
 
 
 def stops(effects):
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -212,10 +212,10 @@
     def test_a_stopped_run_resumes_from_its_checkpoint(self):
         self.cell.accept(job(step(checkpointable=True)))
         (first,) = self.cell.starts()
-        end = ended(1, first, EndKind.STOPPED, saved="point")
+        end = ended(1, first, EndKind.STOPPED, checkpoint="point")
         self.cell.report(first.worker_id, ended=[end])
         (second,) = self.cell.starts()
-        self.assertEqual(second.saved, "point")
+        self.assertEqual(second.checkpoint, "point")
 
     def test_a_lasting_task_starts_again_however_it_ended(self):
         for number, kind in enumerate((EndKind.DONE, EndKind.FAILED, EndKind.LAPSED)):
--- a/tests/node/test_cell.py
+++ b/tests/node/test_cell.py
@@ -115,7 +115,7 @@
             JobState.RUNNING,
             {(0, 1): 0b1011},
             {(0, 1, 2): (1, 10_001)},
-            {(0, 1, 2): "saved"},
+            {(0, 1, 2): "checkpoint"},
         )
         self.assertEqual(decode_progress(encode_progress(progress)), progress)
 
