Take the ends that follow one of an unknown job

Reading showed one way to it: an end of a job that the new leader did not know yet held back all that followed in that worker's list, while the worker counted as heard.

Change: the ends that follow are taken; none is acknowledged before the unknown one.

Measured: the new test fails without the change.

--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -150,16 +150,28 @@
 
 
 def _take_ends(fleet: Fleet, worker: Worker, event: WorkerReport) -> bool:
+    """Take the ends that are new; return whether none had to be left for later.
+
+    An end of a job that is not known yet stays unacknowledged, and with it all that
+    follow; but those that can be taken are, as their tasks must not start again.
+    """
+    is_complete = True
     for ended in sorted(event.ended):
         if ended.number <= worker.seen_end:
             continue
-        if not _is_known(fleet, ended.task) and _may_become_known(fleet, worker):
-            return False
-        take_end(fleet, worker, ended)
-        worker.seen_end = ended.number
-        fleet.needs_commit = True
-    worker.unknown_since_ms = None
-    return True
+        if ended.number not in worker.taken_ends:
+            if not _is_known(fleet, ended.task) and _may_become_known(fleet, worker):
+                is_complete = False
+                continue
+            take_end(fleet, worker, ended)
+            worker.taken_ends.add(ended.number)
+        if is_complete:
+            worker.taken_ends.discard(ended.number)
+            worker.seen_end = ended.number
+            fleet.needs_commit = True
+    if is_complete:
+        worker.unknown_since_ms = None
+    return is_complete
 
 
 def _take_running(
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -26,6 +26,8 @@
         self.lease_end_ms = 0.0
         self.seen_end = 0
         self.stored_end = 0
+        # Ends above `seen_end` that are taken while an earlier one is left for later.
+        self.taken_ends: set[int] = set()
         self.unknown_since_ms: float | None = None
         self.drain_read_ms: float | None = None
         self.is_on_probation = False
@@ -101,6 +103,7 @@
         self.clock_ms = 0
         self.seen_end = 0
         self.stored_end = 0
+        self.taken_ends.clear()
         self.unknown_since_ms = None
         self.is_on_probation = False
         self.strays.clear()
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -374,6 +374,23 @@
         cell.report("a")
         self.assertEqual(len(cell.starts()), 1)
 
+    def test_an_end_behind_one_of_an_unknown_job_is_taken(self):
+        """Its task would start again, as the worker counts as heard."""
+        cell = Cell(entry("a"), epoch=2)
+        cell.accept(job(step()))
+        unknown = task(job_id="00000000000000ab")
+        ends = [
+            EndedRun(1, unknown, 1, EndKind.DONE, ""),
+            EndedRun(2, task(), 1, EndKind.DONE, ""),
+        ]
+        cell.report("a", ended=ends)
+        self.assertEqual(cell.starts(), [])
+        self.assertFalse(cell.scheduler.has_unstored_ends("a"))
+        cell.accept(job(step(), job_id="00000000000000ab"))
+        cell.report("a", ended=ends)
+        self.assertEqual(cell.starts(), [])
+        self.assertEqual(cell.commit().ends, {"a": (1_000, 2)})
+
     def test_an_end_of_an_unknown_job_is_not_acknowledged_at_first(self):
         cell = Cell(entry("a"), epoch=2)
         cell.report("a", ended=[EndedRun(1, task(), 1, EndKind.DONE, "")])
