Share the check of a step's workers and the cost of a question

Cause: read-through of the change. The check of service, label and use of a worker stood in placement and in advice; advice built all candidates of a step only to count its runs; the cost of a question was worked out in two places.

Change: may_run, count_placed and AdvicePolicy.cost_ms serve both. Behaviour stays as it is.

--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -2,7 +2,7 @@
 
 from ._fleet import Fleet, handlers
 from ._messages import AdviceAnswered, AskAdvice
-from ._placement import candidates, has_room
+from ._placement import count_placed, has_room, may_run
 from ._work import Step, Ticket
 from ._worker import Worker
 
@@ -32,7 +32,7 @@
             if advice is None or follower.tickets or follower.denied:
                 continue
             unknown = _unknown_workers(fleet, follower)
-            lead_ms = advice.call_ms + advice.worker_ms * len(unknown) + 100
+            lead_ms = advice.cost_ms(len(unknown)) + 100
             if unknown and _left_ms(step) <= lead_ms and _may_ask(fleet, follower):
                 _ask(fleet, follower, unknown)
 
@@ -87,8 +87,7 @@
     step.asked_ms = fleet.now_ms
     if _is_slow(fleet, step):
         fleet.slow_questions.add(step.key)
-    cost_ms = advice.call_ms + advice.worker_ms * len(named)
-    fleet.emit(AskAdvice(*step.key, named, cost_ms))
+    fleet.emit(AskAdvice(*step.key, named, advice.cost_ms(len(named))))
 
 
 def _is_slow(fleet: Fleet, step: Step) -> bool:
@@ -97,15 +96,12 @@
 
 
 def _unknown_workers(fleet: Fleet, step: Step) -> list[Worker]:
-    label = step.spec.required_label
     return [
         worker
         for worker in fleet.workers.values()
-        if worker.is_usable(fleet.now_ms)
-        and worker.entry.service == step.job.queue.service
-        and worker.worker_id not in step.tickets
+        if worker.worker_id not in step.tickets
         and worker.worker_id not in step.denied
-        and (not label or label in worker.entry.labels)
+        and may_run(fleet, step, worker)
     ]
 
 
@@ -115,7 +111,7 @@
     assert advice is not None
     lead_ms = advice.call_ms
     limit = step.spec.max_per_worker
-    placed = candidates(fleet, step).placed
+    placed = count_placed(step)
     renewed = []
     for worker_id, ticket in step.tickets.items():
         worker = fleet.workers.get(worker_id)
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -28,27 +28,32 @@
     workers = [
         worker
         for worker in fleet.workers.values()
-        if _is_allowed(fleet, step, worker) and has_ticket(fleet, step, worker)
+        if may_run(fleet, step, worker)
+        and fleet.is_open(worker.worker_id)
+        and has_ticket(fleet, step, worker)
     ]
-    placed: Counter[str] = Counter()
+    placed = count_placed(step)
     racks: Counter[str] = Counter()
-    for task in step.tasks:
-        if task.run is not None:
-            placed[task.run.worker_id] += 1
-            worker = fleet.workers.get(task.run.worker_id)
-            if worker is not None:
-                racks[worker.entry.rack] += 1
+    for worker_id, count in placed.items():
+        placed_on = fleet.workers.get(worker_id)
+        if placed_on is not None:
+            racks[placed_on.entry.rack] += count
     return Candidates(workers, placed, racks)
 
 
-def _is_allowed(fleet: Fleet, step: Step, worker: Worker) -> bool:
+def count_placed(step: Step) -> Counter[str]:
+    """Return the number of the step's runs on each worker."""
+    return Counter(task.run.worker_id for task in step.tasks if task.run is not None)
+
+
+def may_run(fleet: Fleet, step: Step, worker: Worker) -> bool:
+    """Return whether a usable worker is of the step's service and has its label."""
     entry = worker.entry
-    spec = step.spec
+    label = step.spec.required_label
     return (
         worker.is_usable(fleet.now_ms)
         and entry.service == step.job.queue.service
-        and fleet.is_open(worker.worker_id)
-        and (not spec.required_label or spec.required_label in entry.labels)
+        and (not label or label in entry.labels)
     )
 
 
--- a/packages/core/src/marigoldpath_core/jobs/_model.py
+++ b/packages/core/src/marigoldpath_core/jobs/_model.py
@@ -22,6 +22,10 @@
     worker_ms: float
     valid_ms: float
 
+    def cost_ms(self, workers: int) -> float:
+        """Return the expected time of a question that names so many workers."""
+        return self.call_ms + self.worker_ms * workers
+
 
 class Queue(NamedTuple):
     """The policy of a queue.
