Tell the leader a repeated job as it was stored first; count suspended time

The monotonic clock stands still while a host is suspended, so a leader that woke up took its last commit for recent and went on ordering.

Ruled out: late writes of the leader's row (their condition fails), ends acknowledged before they are stored (the commit covers them).

Change: write_job returns the row that is stored, and that one is told; a job that is known as accepted here is not told again. The cell's clock is CLOCK_BOOTTIME.

--- a/packages/node/src/marigoldpath_node/cell/_acceptance.py
+++ b/packages/node/src/marigoldpath_node/cell/_acceptance.py
@@ -1,13 +1,14 @@
 """Stores jobs for callers and says truly what became of them."""
 
-import time
 from collections import deque
 from enum import Enum
+from typing import NamedTuple
 
 import curio
 
 from marigoldpath_core.jobs import AcceptedJob
 
+from ._clock import now_s
 from ._election import Election
 from ._peers import NotLeadingError, PeerClient, PeerError, PeerUnreachableError
 from ._ports import StoreError, StoreLostError, Surroundings
@@ -26,6 +27,17 @@
     UNKNOWN = "unknown"
 
 
+class Receipt(NamedTuple):
+    """An outcome, and the job as stored where this host has just learned it.
+
+    A repeat may differ from the job stored first, above all in its epoch, which tells
+    the leader whether an earlier one may have started it.
+    """
+
+    outcome: Submission
+    job: AcceptedJob | None = None
+
+
 class Acceptance:
     """Writes jobs to the store, here or through the leader."""
 
@@ -51,7 +63,7 @@
         """Seconds since the store was lost, 0 while it answers."""
         if self._suspect_since_s is None:
             return 0.0
-        return time.monotonic() - self._suspect_since_s
+        return now_s() - self._suspect_since_s
 
     def follow(self, election: Election) -> None:
         """Use the leader that an election knows."""
@@ -69,21 +81,22 @@
             self._suspect_since_s = None
         elif not is_working and not self.is_store_suspect:
             self._log.info("store_silent", reason=reason)
-            self._suspect_since_s = time.monotonic()
+            self._suspect_since_s = now_s()
 
-    async def submit(self, job: AcceptedJob, patience_s: float) -> Submission:
+    async def submit(self, job: AcceptedJob, patience_s: float) -> Receipt:
         """Store a job within `patience_s` and return what is known of it."""
         # An id that was accepted here stays so, and one whose fate was unknown may run.
-        outcome = self._outcomes.get(job.spec.job_id, Submission.NOT_RUN)
-        if outcome is not Submission.ACCEPTED and not self.is_store_suspect:
-            outcome = await self.store(job, patience_s, outcome)
-        if outcome is not Submission.ACCEPTED:
-            outcome = await self._store_at_leader(job, outcome)
-        self._remember(job.spec.job_id, outcome)
-        if outcome is Submission.ACCEPTED:
-            self._accepted.append((time.monotonic(), job.queue.name))
+        known = self._outcomes.get(job.spec.job_id, Submission.NOT_RUN)
+        receipt = Receipt(known)
+        if known is not Submission.ACCEPTED and not self.is_store_suspect:
+            receipt = await self.store(job, patience_s, known)
+        if receipt.outcome is not Submission.ACCEPTED:
+            receipt = Receipt(await self._store_at_leader(job, receipt.outcome))
+        self._remember(job.spec.job_id, receipt.outcome)
+        if receipt.outcome is Submission.ACCEPTED and known is not Submission.ACCEPTED:
+            self._accepted.append((now_s(), job.queue.name))
             self._forget_old()
-        return outcome
+        return receipt
 
     def _remember(self, job_id: str, outcome: Submission) -> None:
         if outcome is not Submission.NOT_RUN:
@@ -93,19 +106,19 @@
 
     async def store(
         self, job: AcceptedJob, patience_s: float, outcome: Submission
-    ) -> Submission:
+    ) -> Receipt:
         """Repeat the write until its outcome is known or the time is over.
 
         `outcome` is what is known so far.
         """
-        until_s = time.monotonic() + patience_s
-        refused_until_s = time.monotonic() + self._settings.accept_refused_s
+        until_s = now_s() + patience_s
+        refused_until_s = now_s() + self._settings.accept_refused_s
         while True:
             try:
-                left_s = max(0.05, until_s - time.monotonic())
-                await curio.timeout_after(left_s, write_job, self._store, job)
+                left_s = max(0.05, until_s - now_s())
+                stored = await curio.timeout_after(left_s, write_job, self._store, job)
                 self.note_store(is_working=True)
-                return Submission.ACCEPTED
+                return Receipt(Submission.ACCEPTED, stored)
             except (StoreLostError, curio.TaskTimeout) as fault:
                 outcome = Submission.UNKNOWN
                 limit_s = until_s
@@ -115,8 +128,8 @@
                 if outcome is Submission.UNKNOWN:
                     limit_s = until_s
                 self.note_store(is_working=False, reason=repr(fault))
-            if time.monotonic() + self._settings.accept_retry_s >= limit_s:
-                return outcome
+            if now_s() + self._settings.accept_retry_s >= limit_s:
+                return Receipt(outcome)
             await curio.sleep(self._settings.accept_retry_s)
 
     async def _store_at_leader(
@@ -142,6 +155,6 @@
         return told
 
     def _forget_old(self) -> None:
-        oldest_s = time.monotonic() - RECENT_S
+        oldest_s = now_s() - RECENT_S
         while self._accepted and self._accepted[0][0] < oldest_s:
             self._accepted.popleft()
--- a/packages/node/src/marigoldpath_node/cell/_commits.py
+++ b/packages/node/src/marigoldpath_node/cell/_commits.py
@@ -1,11 +1,10 @@
 """Stores what the scheduler decided, one transaction after another."""
 
-import time
-
 import curio
 
 from marigoldpath_core.fleet import Commit, FleetScheduler
 
+from ._clock import now_ms, now_s
 from ._codec import LeaderRow, Term, decode_leader
 from ._ports import (
     Row,
@@ -41,14 +40,14 @@
         self._log = surroundings.log
         self._kick = curio.Event()
         self._done = curio.Event()
-        self._stored_s = time.monotonic()
+        self._stored_s = now_s()
         self._is_failing = False
         self._lock = curio.Lock()
 
     @property
     def age_s(self) -> float:
         """Seconds since the last commit was stored."""
-        return time.monotonic() - self._stored_s
+        return now_s() - self._stored_s
 
     async def kick(self) -> None:
         """Let the next commit begin soon."""
@@ -86,7 +85,7 @@
         removals = tuple(progress_row(job_id) for job_id in commit.forgotten)
         try:
             while True:
-                sent_s = time.monotonic()
+                sent_s = now_s()
                 version = await self._try(row, rows, removals)
                 if version is not None:
                     break
@@ -96,7 +95,7 @@
             self._scheduler.not_committed(commit)
             return False
         self._row, self._version = row, version
-        self._metrics.observe_call("commit", time.monotonic() - sent_s)
+        self._metrics.observe_call("commit", now_s() - sent_s)
         self._stored_s = sent_s
         await self._note_stored(commit, sent_s)
         return True
@@ -126,7 +125,7 @@
         if self._is_failing:
             self._log.info("store_regained", epoch=self._row.epoch)
         self._is_failing = False
-        self._scheduler.committed(commit, sent_s * 1000, time.monotonic() * 1000)
+        self._scheduler.committed(commit, sent_s * 1000, now_ms())
         done, self._done = self._done, curio.Event()
         await done.set()
         if self._scheduler.needs_commit:
--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -1,10 +1,10 @@
 """Finds the leader, watches it and takes over from one that is lost."""
 
-import time
 from collections.abc import Callable
 
 import curio
 
+from ._clock import now_s
 from ._codec import LeaderRow, Term, decode_leader, encode_leader
 from ._peers import (
     LeaderView,
@@ -35,7 +35,7 @@
         self._leader: LeaderRow | None = None
         self._view: LeaderView | None = None
         self._is_stopped = False
-        self._started_s = time.monotonic()
+        self._started_s = now_s()
         self._known_epoch = 0
         self._is_trouble_told = False
 
@@ -93,13 +93,13 @@
 
     async def _find(self) -> Term | None:
         """Return a term of this host, or None once a leader answers."""
-        unchanged_since_s = time.monotonic()
+        unchanged_since_s = now_s()
         known = -1
         while True:
             if self._is_stopped:
                 await curio.sleep(self._settings.watch_s)
                 continue
-            asked_s = time.monotonic()
+            asked_s = now_s()
             try:
                 row, version = await read_leader(self._store)
             except StoreError as fault:
@@ -110,16 +110,16 @@
                 await curio.sleep(self._settings.election_read_s)
                 continue
             self._note_store(is_working=True)
-            read_s = time.monotonic() - asked_s
+            read_s = now_s() - asked_s
             if version != known:
-                known, unchanged_since_s = version, time.monotonic()
+                known, unchanged_since_s = version, now_s()
             limit_s = await self._patience_s(row)
             if limit_s is None:
                 return None
             if limit_s:
                 # A leader's commits come more slowly where the store is slow.
                 limit_s += self._settings.slow_store_factor * read_s
-            if time.monotonic() - unchanged_since_s >= limit_s:
+            if now_s() - unchanged_since_s >= limit_s:
                 term = await self._replace(row, version)
                 if term is not None:
                     return term
@@ -155,7 +155,7 @@
         return None
 
     async def _ask(self, address: str) -> LeaderView:
-        started_s = time.monotonic() - self._started_s
+        started_s = now_s() - self._started_s
         return await self._peers.view(address, self._settings.address, started_s)
 
     def _take_view(self, view: LeaderView) -> None:
--- a/packages/node/src/marigoldpath_node/cell/_helpers.py
+++ b/packages/node/src/marigoldpath_node/cell/_helpers.py
@@ -1,9 +1,8 @@
 """Spreads questions to the advice service over the entry hosts."""
 
-import time
-
 from marigoldpath_core.jobs import TaskKey
 
+from ._clock import now_s
 from ._peers import PeerClient, PeerError
 from ._ports import Surroundings
 from ._settings import CellSettings
@@ -33,8 +32,8 @@
 
     def note_helper(self, address: str, started_s: float) -> None:
         """Note that an entry host called that started `started_s` ago."""
-        self._heard_s[address] = time.monotonic()
-        self._started_s[address] = time.monotonic() - started_s
+        self._heard_s[address] = now_s()
+        self._started_s[address] = now_s() - started_s
         self._waiting_ms.setdefault(address, 0.0)
 
     def youngest(self) -> str:
@@ -72,7 +71,7 @@
         return min(helpers, key=lambda each: self._waiting_ms[each] + 10 * bool(each))
 
     def _recent(self) -> list[str]:
-        oldest_s = time.monotonic() - HELPER_AGE_S
+        oldest_s = now_s() - HELPER_AGE_S
         return [
             address for address, heard_s in self._heard_s.items() if heard_s > oldest_s
         ]
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -1,15 +1,14 @@
 """One entry host of a cell: accepts jobs, and leads when it is elected."""
 
-import time
-
 import curio
 
 from marigoldpath_core.jobs import AcceptedJob, JobSpec, JobState, Queue, TaskKey
 
 from ._acceptance import Acceptance, Submission
+from ._clock import now_s, wall_ms
 from ._election import Election
 from ._helpers import Helpers
-from ._leader import Leader, wall_ms
+from ._leader import Leader
 from ._peers import (
     LeaderView,
     PeerClient,
@@ -125,14 +124,14 @@
         self, spec: JobSpec, queue: Queue, patience_s: float
     ) -> Submission:
         """Store a job within `patience_s` and return what is known of it."""
-        started_s = time.monotonic()
+        started_s = now_s()
         job = AcceptedJob(spec, queue, self._election.known_epoch, wall_ms())
-        outcome = await self._acceptance.submit(job, patience_s)
-        if outcome is Submission.ACCEPTED:
-            await curio.spawn(self._tell_job, job, daemon=True)
+        outcome, stored = await self._acceptance.submit(job, patience_s)
+        if stored is not None:
+            await curio.spawn(self._tell_job, stored, daemon=True)
         metrics = self._surroundings.metrics
         metrics.count_submission(outcome.value)
-        metrics.observe_call("submit", time.monotonic() - started_s)
+        metrics.observe_call("submit", now_s() - started_s)
         self._log.info(
             "job_submitted",
             job=spec.job_id,
@@ -255,12 +254,11 @@
     async def _serve_store_job(self, data: dict) -> dict | None:
         if self._leader is None:
             return None
-        job = job_in(data)
-        outcome = await self._acceptance.store(
-            job, self._settings.peer_reply_s / 2, Submission.NOT_RUN
+        outcome, stored = await self._acceptance.store(
+            job_in(data), self._settings.peer_reply_s / 2, Submission.NOT_RUN
         )
-        if outcome is Submission.ACCEPTED and self._leader is not None:
-            await self._leader.accept(job)
+        if stored is not None and self._leader is not None:
+            await self._leader.accept(stored)
         return {"outcome": outcome.value}
 
     @peer_routes.register("state")
--- a/packages/node/src/marigoldpath_node/cell/_orders.py
+++ b/packages/node/src/marigoldpath_node/cell/_orders.py
@@ -1,6 +1,5 @@
 """Performs what the scheduler asks for: orders to workers, questions, log lines."""
 
-import time
 from typing import Any, Protocol
 
 import curio
@@ -18,6 +17,7 @@
 from marigoldpath_core.jobs import TaskKey
 from marigoldpath_core.registry import Registry
 
+from ._clock import now_s
 from ._helpers import Helpers
 from ._ports import FencedError, Surroundings, WorkerFailedError
 from ._settings import CellSettings
@@ -100,9 +100,9 @@
 
     async def _start(self, order: StartRun) -> None:
         async with self._gate(order.worker_id):
-            started_s = time.monotonic()
+            started_s = now_s()
             answer = await self._workers.start(order, self._term.epoch)
-        self._metrics.observe_call("start", time.monotonic() - started_s)
+        self._metrics.observe_call("start", now_s() - started_s)
         await self._term.handle(answer)
 
     async def _order(self, worker_id: str, call: Any, order: Any) -> None:
@@ -118,9 +118,9 @@
             self._log.info("order_failed", worker=worker_id, reason=repr(fault))
 
     async def _ask(self, question: AskAdvice) -> None:
-        asked_s = time.monotonic()
+        asked_s = now_s()
         step = TaskKey(question.job_id, question.occurrence, question.step, 0)
         tickets = await self._helpers.ask(step, question.workers, question.cost_ms)
-        self._metrics.observe_call("advice", time.monotonic() - asked_s)
+        self._metrics.observe_call("advice", now_s() - asked_s)
         answer = AdviceAnswered(*question[:4], tickets, asked_s * 1000)
         await self._term.handle(answer)
--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -66,13 +66,17 @@
     return RowKey(PROGRESS_TABLE, LEAD_PART, job_id)
 
 
-async def write_job(store: Store, job: AcceptedJob) -> None:
-    """Store a job once; a repeat of the same id changes nothing."""
+async def write_job(store: Store, job: AcceptedJob) -> AcceptedJob:
+    """Store a job once and return it as stored; a repeat of its id changes nothing."""
     row = job_row(job.spec.job_id)
     try:
         await store.commit({row: 0}, {row: encode_job(job)})
-    except StoreConflictError:
-        return
+    except StoreConflictError as fault:
+        for found in fault.rows:
+            if found.key == row and found.value:
+                return decode_job(found.value)
+        raise
+    return job
 
 
 async def remove_jobs(store: Store, job_ids: tuple[str, ...]) -> None:
--- a/tests/node/test_cell.py
+++ b/tests/node/test_cell.py
@@ -1,6 +1,8 @@
 """Guards acceptance, election and commits of a cell's entry hosts."""
 
+import time
 import unittest
+from unittest import mock
 
 import curio
 
@@ -31,6 +33,7 @@
     Surroundings,
     UnavailableError,
 )
+from marigoldpath_node.cell._clock import now_ms, now_s
 from marigoldpath_node.cell._codec import (
     LeaderRow,
     Term,
@@ -120,6 +123,14 @@
         self.assertEqual(decode_progress(encode_progress(progress)), progress)
 
 
+class ClockTests(unittest.TestCase):
+    def test_time_in_which_the_host_was_suspended_counts(self):
+        """A leader that slept would take its last commit for recent."""
+        with mock.patch("time.clock_gettime", return_value=12.5) as read:
+            self.assertEqual((now_s(), now_ms()), (12.5, 12_500.0))
+        read.assert_called_with(time.CLOCK_BOOTTIME)
+
+
 class SubmissionTests(unittest.TestCase):
     def submit(self, store, peers=None, patience_s=0.3):
         async def run():
@@ -185,6 +196,28 @@
         found = self.submit_twice(store, lambda _: None)
         self.assertEqual(found, (Submission.UNKNOWN, Submission.UNKNOWN))
 
+    def test_the_leader_is_told_the_job_as_it_was_stored_first(self):
+        """With a later epoch it would start beside a run of an earlier leader."""
+        store = MemoryStore()
+        first = AcceptedJob(SPEC, QUEUE, 4, 1)
+        second = AcceptedJob(SPEC._replace(payload="other"), QUEUE, 5, 2)
+
+        async def run():
+            await store.commit({}, {job_row(JOB_ID): encode_job(first)})
+            host = entry_host(store)
+            return await host.acceptance.submit(second, 0.3)
+
+        self.assertEqual(curio.run(run), (Submission.ACCEPTED, first))
+
+    def test_a_job_that_is_known_as_accepted_is_not_told_again(self):
+        async def run():
+            host = entry_host(MemoryStore())
+            job = AcceptedJob(SPEC, QUEUE, 4, 1)
+            await host.acceptance.submit(job, 0.3)
+            return await host.acceptance.submit(job._replace(epoch=5), 0.3)
+
+        self.assertEqual(curio.run(run), (Submission.ACCEPTED, None))
+
 
 class StateTests(unittest.TestCase):
     def test_the_store_tells_the_state_while_no_leader_answers(self):
