Wait for the next list of workers that named a job before it was known

Cause, found by reading: a new leader drops the rows of a worker's list whose job it does not know yet. When the job was then read from the store, its tasks were started at once, beside runs or after ends that the dropped rows had told. And an end or a run of a job that stayed unknown for 4 s was given up by time alone, also by a leader that could not read the store.

Change: a job that a worker named first waits for that worker's next list, the end of its life or of its lease. Ends are acknowledged and runs stopped as of no job only after a whole reading of the stored jobs that began 4 s after they were first named (JobsRead). The simulated cell accepts a fifth of its jobs at hosts that have not heard of the newest leader, and reads no jobs while the store is down.

--- a/packages/bench/src/marigoldpath_bench/fleet_world/_search.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_search.py
@@ -11,6 +11,8 @@
 faults: Registry = Registry("fault of the simulated cell")
 # Faults end some time before the checks, so that everything can be repaired.
 REPAIR_MS = 60_000
+# Share of jobs that are accepted by a host which has not heard of the newest leader.
+UNAWARE = 0.2
 URGENT = Queue("urgent", "service", 0, 3, 1.5, 300)
 BACKGROUND = Queue("background", "service", 2, 3, 2.2, 1_200)
 
@@ -23,9 +25,10 @@
         lost = self._random.choice([0.0, 0.02, 0.1])
         late = self._random.choice([0.0, 0.05, 0.2])
         delay_ms = self._random.choice([5.0, 40.0, 400.0])
-        self._world = FleetWorld(
-            seed, WorldSettings(lost=lost, late=late, delay_ms=delay_ms)
+        settings = WorldSettings(
+            lost=lost, late=late, delay_ms=delay_ms, unaware=UNAWARE
         )
+        self._world = FleetWorld(seed, settings)
         self._jobs = 0
 
     @property
--- a/packages/bench/src/marigoldpath_bench/fleet_world/_world.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_world.py
@@ -11,6 +11,7 @@
     FleetSettings,
     JobAccepted,
     JobCancelled,
+    JobsRead,
     LookOrder,
     StartAnswered,
     StartResult,
@@ -32,7 +33,11 @@
 
 
 class WorldSettings(NamedTuple):
-    """The size of a cell, the longest delay of a message and the share of lost ones."""
+    """The size of a cell, the longest delay of a message and the share of lost ones.
+
+    `unaware` is the share of jobs whose accepting host has not heard of the newest
+    leader.
+    """
 
     workers: int = 6
     cpu_millis: int = 16_000
@@ -40,6 +45,7 @@
     delay_ms: float = 10.0
     lost: float = 0.0
     late: float = 0.0
+    unaware: float = 0.0
     fleet: FleetSettings = FleetSettings()
 
 
@@ -106,10 +112,13 @@
     def submit(self, job: AcceptedJob) -> None:
         """Store a job and tell the leader, unless the message is lost."""
         known = self.store.leader[0]
+        known -= known > 1 and self.random.random() < self.settings.unaware
         job = job._replace(epoch=known)
         self.store.jobs[job.spec.job_id] = job
         self.oracle.note_job(job)
         for leader in self.leaders:
+            if leader.epoch > known:
+                continue
             if leader.is_alive and not self._is_lost():
                 self._tell(leader, JobAccepted(job))
 
@@ -180,10 +189,13 @@
         self._later(1_000, lambda: self._list_workers(leader))
 
     def _sweep(self, leader: SimulatedLeader) -> None:
+        if not self.is_store_up:
+            return
         for job in list(self.store.jobs.values()):
             self._handle(leader, JobAccepted(job))
         for job_id in list(self.store.cancelled):
             self._handle(leader, JobCancelled(job_id))
+        self._handle(leader, JobsRead(self.now_ms))
 
     def _commit(self, leader: SimulatedLeader) -> None:
         if not leader.is_alive:
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -36,6 +36,11 @@
         self.final_ms: dict[str, float] = {}
         self.forgotten: set[str] = set()
         self.cancelled: set[str] = set()
+        # When the last whole reading of the stored jobs began.
+        self.jobs_read_ms = -math.inf
+        # Workers that named a job before it was known; their next list settles what
+        # runs or ran there.
+        self.named_by: dict[str, set[str]] = {}
         self.workers: dict[str, Worker] = {}
         self.queues: dict[str, Queue] = {}
         self.open_steps: dict[tuple[str, int, int], Step] = {}
@@ -143,17 +148,44 @@
         return ordered_until_ms + lease_ms + settings.lease_margin_ms
 
     def is_blocked(self, step: Step) -> bool:
-        """Return whether unfound tasks of the step may run on an unheard worker."""
+        """Return whether tasks of the step may run or have ended unnoticed.
+
+        Either a worker named the job before it was known, or one that may run it was
+        not heard.
+        """
+        job_id = step.job.spec.job_id
+        if job_id in self.named_by:
+            return True
         if not self.unheard or step.is_fresh:
             return False
         if step.job.accepted.epoch >= self.epoch:
             return False
-        job_id = step.job.spec.job_id
         return any(
             entry.jobs is None or job_id in entry.jobs
             for entry in self.unheard.values()
         )
 
+    def note_unknown_jobs(self, worker: Worker, named: set[str]) -> None:
+        """Keep which jobs of a worker's newest list are not known."""
+        unknown = {
+            job_id: worker.unknown_jobs.get(job_id, self.now_ms)
+            for job_id in named
+            if not self.is_known(job_id)
+        }
+        for job_id in worker.unknown_jobs.keys() - unknown.keys():
+            workers = self.named_by.get(job_id, set())
+            workers.discard(worker.worker_id)
+            if not workers:
+                self.named_by.pop(job_id, None)
+                self.needs_dispatch = True
+        for job_id in unknown:
+            self.named_by.setdefault(job_id, set()).add(worker.worker_id)
+        worker.unknown_jobs = unknown
+
+    def is_known(self, job_id: str) -> bool:
+        """Return whether the job was told, whether it has ended or not."""
+        return job_id in self.jobs or job_id in self.final
+
     def is_open(self, worker_id: str) -> bool:
         """Return whether a successor would know that the worker may run anything."""
         return all(
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -3,7 +3,7 @@
 from marigoldpath_core.jobs import JobState
 
 from ._fleet import Fleet, handlers
-from ._messages import JobAccepted, JobCancelled, QueuesChanged
+from ._messages import JobAccepted, JobCancelled, JobsRead, QueuesChanged
 from ._work import Job, Step, Task
 
 
@@ -55,6 +55,12 @@
         finish(fleet, job, JobState.CANCELLED, "cancelled by the caller")
 
 
+@handlers.register(JobsRead)
+def note_jobs_read(fleet: Fleet, event: JobsRead) -> None:
+    """Note that a job which is not known now was not stored at `began_ms`."""
+    fleet.jobs_read_ms = max(fleet.jobs_read_ms, event.began_ms)
+
+
 @handlers.register(QueuesChanged)
 def change_queues(fleet: Fleet, event: QueuesChanged) -> None:
     """Apply the policies of a new configuration to open jobs too."""
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -84,6 +84,12 @@
     job_id: str
 
 
+class JobsRead(NamedTuple):
+    """All stored jobs were told by reads that began at `began_ms` (monotonic)."""
+
+    began_ms: float
+
+
 class QueuesChanged(NamedTuple):
     """A configuration is in force."""
 
@@ -155,6 +161,7 @@
 Event = (
     JobAccepted
     | JobCancelled
+    | JobsRead
     | QueuesChanged
     | WorkersListed
     | WorkerReport
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -62,6 +62,7 @@
     is_newest = event.clock_ms >= worker.clock_ms
     if is_newest:
         worker.clock_ms, worker.clock_read_ms = event.clock_ms, fleet.now_ms
+        fleet.note_unknown_jobs(worker, _named_jobs(worker, event))
     are_ends_taken = _take_ends(fleet, worker, event)
     if is_newest:
         _take_running(fleet, worker, event, are_ends_taken)
@@ -81,7 +82,7 @@
 def expire_leases(fleet: Fleet) -> None:
     """Give up the runs of workers whose lease is over on any clock."""
     for worker in list(fleet.workers.values()):
-        if worker.is_silent and fleet.now_ms > worker.lease_end_ms and worker.runs:
+        if worker.is_silent and fleet.now_ms > worker.lease_end_ms:
             lose_runs(fleet, worker, "the worker's lease is over")
         if not worker.is_listed:
             _forget_if_gone(fleet, worker)
@@ -111,6 +112,7 @@
         )
     for run in list(worker.runs.values()):
         fleet.release(run)
+    fleet.note_unknown_jobs(worker, set())
 
 
 def _note_majority(fleet: Fleet) -> None:
@@ -137,6 +139,7 @@
     settings = fleet.settings
     under_way = [] if not worker.born else list(worker.runs.values())
     worker.begin_life(born)
+    fleet.note_unknown_jobs(worker, set())
     for run in under_way:
         if run.is_listed:
             fleet.release(run)
@@ -160,7 +163,7 @@
         if ended.number <= worker.seen_end:
             continue
         if ended.number not in worker.taken_ends:
-            if not _is_known(fleet, ended.task) and _may_become_known(fleet, worker):
+            if _may_become_known(fleet, worker, ended.task.job_id):
                 is_complete = False
                 continue
             take_end(fleet, worker, ended)
@@ -169,8 +172,6 @@
             worker.taken_ends.discard(ended.number)
             worker.seen_end = ended.number
             fleet.needs_commit = True
-    if is_complete:
-        worker.unknown_since_ms = None
     return is_complete
 
 
@@ -178,7 +179,7 @@
     fleet: Fleet, worker: Worker, event: WorkerReport, are_ends_taken: bool
 ) -> None:
     listed = set()
-    strays: dict[tuple[TaskKey, int], float] = {}
+    strays: set[tuple[TaskKey, int]] = set()
     for row in event.running:
         run = worker.runs.get(row.task)
         if run is None or run.number != row.run:
@@ -213,7 +214,7 @@
     fleet: Fleet,
     worker: Worker,
     row: RunningTask,
-    strays: dict[tuple[TaskKey, int], float],
+    strays: set[tuple[TaskKey, int]],
 ) -> Run | None:
     """Return the run of a listed task, or stop it when it must not run here."""
     task = fleet.task(row.task)
@@ -225,17 +226,16 @@
         task.number = max(task.number, row.run)
         worker.add(run)
         return run
-    key = (row.task, row.run)
-    strays[key] = first_ms = worker.strays.get(key, fleet.now_ms)
-    grace_ms = 0 if _is_known(fleet, row.task) else fleet.settings.stray_grace_ms
-    if fleet.now_ms - first_ms >= grace_ms:
+    strays.add((row.task, row.run))
+    job_id = row.task.job_id
+    if not _may_become_known(fleet, worker, job_id):
         fleet.note(
             "stray_run_stopping",
-            job=row.task.job_id,
+            job=job_id,
             task=tuple(row.task[1:]),
             run=row.run,
             worker=worker.worker_id,
-            job_known=grace_ms == 0,
+            job_known=fleet.is_known(job_id),
         )
         fleet.emit(StopRun(worker.worker_id, worker.entry.address, row.task, row.run))
     return None
@@ -269,21 +269,27 @@
         job.state = JobState.RUNNING
 
 
-def _is_known(fleet: Fleet, key: TaskKey) -> bool:
-    return key.job_id in fleet.jobs or key.job_id in fleet.final
+def _named_jobs(worker: Worker, event: WorkerReport) -> set[str]:
+    """Return the jobs of listed runs and of ends that are new."""
+    named = {row.task.job_id for row in event.running}
+    named.update(
+        ended.task.job_id for ended in event.ended if ended.number > worker.seen_end
+    )
+    return named
 
 
-def _may_become_known(fleet: Fleet, worker: Worker) -> bool:
+def _may_become_known(fleet: Fleet, worker: Worker, job_id: str) -> bool:
     """Return whether a job that a worker names may still be read from the store."""
-    if worker.unknown_since_ms is None:
-        worker.unknown_since_ms = fleet.now_ms
-    age_ms = fleet.now_ms - worker.unknown_since_ms
-    return age_ms < fleet.settings.stray_grace_ms
+    if fleet.is_known(job_id):
+        return False
+    since_ms = worker.unknown_jobs.get(job_id, fleet.now_ms)
+    return fleet.jobs_read_ms < since_ms + fleet.settings.stray_grace_ms
 
 
 def _forget_if_gone(fleet: Fleet, worker: Worker) -> None:
     if worker.runs or not worker.is_silent or fleet.now_ms < worker.lease_end_ms:
         return
+    fleet.note_unknown_jobs(worker, set())
     del fleet.workers[worker.worker_id]
     drop_from_roster(fleet, worker.worker_id)
     fleet.note("worker_gone", worker=worker.worker_id)
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -28,10 +28,12 @@
         self.stored_end = 0
         # Ends above `seen_end` that are taken while an earlier one is left for later.
         self.taken_ends: set[int] = set()
-        self.unknown_since_ms: float | None = None
+        # Jobs that the last list named and that were not known, with the time since.
+        self.unknown_jobs: dict[str, float] = {}
         self.drain_read_ms: float | None = None
         self.is_on_probation = False
-        self.strays: dict[tuple[TaskKey, int], float] = {}
+        # Listed runs that must not be here, or whose job is not known.
+        self.strays: set[tuple[TaskKey, int]] = set()
         self.failures: list[tuple[float, str]] = []
         self.quarantined_until_ms = 0.0
         self.stalls = 0
@@ -104,7 +106,6 @@
         self.seen_end = 0
         self.stored_end = 0
         self.taken_ends.clear()
-        self.unknown_since_ms = None
         self.is_on_probation = False
         self.strays.clear()
         self.failures.clear()
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -1,6 +1,5 @@
 """Runs the fleet's scheduler while this process leads."""
 
-import time
 from typing import Any
 
 import curio
@@ -10,6 +9,7 @@
     FleetScheduler,
     JobAccepted,
     JobCancelled,
+    JobsRead,
     QueuesChanged,
     Tick,
     WorkerSilent,
@@ -17,6 +17,7 @@
 )
 from marigoldpath_core.jobs import AcceptedJob, JobState, Queue
 
+from ._clock import now_ms, wall_ms
 from ._codec import Term
 from ._commits import Committer
 from ._helpers import Helpers
@@ -38,16 +39,6 @@
 from ._settings import CellSettings
 
 
-def now_ms() -> float:
-    """Return milliseconds of the monotonic clock."""
-    return time.monotonic() * 1000
-
-
-def wall_ms() -> int:
-    """Return milliseconds since the epoch of Unix."""
-    return time.time_ns() // 1_000_000
-
-
 class Leader:
     """One term of leadership; `run` ends when a successor is noticed or on `stop`."""
 
@@ -222,6 +213,7 @@
         """Find the jobs and cancellations of which no message came."""
         while True:
             await curio.sleep(self._settings.sweep_s)
+            began_ms = now_ms()
             try:
                 changed = await self._store.changes(JOBS_TABLE, self._swept_version, 0)
             except HistoryGoneError:
@@ -233,8 +225,10 @@
                 continue
             await self._take_rows(changed.rows)
             self._swept_version = max(self._swept_version, changed.version)
+            await self.handle(JobsRead(began_ms))
 
     async def _sweep_all(self) -> None:
+        began_ms = now_ms()
         try:
             stored = await read_all(self._store)
         except StoreError as fault:
@@ -245,6 +239,7 @@
                 await self.handle(JobCancelled(job_id))
             await self.handle(JobAccepted(stored_job.job, stored.progress.get(job_id)))
         self._swept_version = stored.version
+        await self.handle(JobsRead(began_ms))
 
     async def _take_rows(self, rows: tuple) -> None:
         for job_id in cancelled_jobs(rows):
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -8,6 +8,7 @@
     EndKind,
     FleetSettings,
     JobCancelled,
+    JobsRead,
     PaceRun,
     RosterEntry,
     RunningTask,
@@ -391,6 +392,52 @@
         self.assertEqual(cell.starts(), [])
         self.assertEqual(cell.commit().ends, {"a": (1_000, 2)})
 
+    def test_a_job_that_a_worker_named_first_waits_for_its_next_list(self):
+        """The list that named it was not kept, so its tasks would start twice."""
+        named = {
+            "running": {"running": [RunningTask(task(), 1, "", 30, 0)]},
+            "ended": {"ended": [EndedRun(1, task(), 1, EndKind.DONE, "")]},
+        }
+        for name, lists in named.items():
+            with self.subTest(name):
+                cell = Cell(entry("a"), entry("b"), epoch=2)
+                cell.report("a", **lists)
+                cell.report("b")
+                cell.accept(job(step()))
+                self.assertEqual(cell.starts(), [])
+                cell.now_ms += 100
+                cell.report("a", **lists)
+                self.assertEqual(cell.starts(), [])
+
+    def test_a_job_named_by_a_life_that_is_over_starts(self):
+        cell = Cell(entry("a"), entry("b"), epoch=2)
+        cell.report("a", running=[RunningTask(task(), 1, "", 30, 0)])
+        cell.report("b")
+        cell.accept(job(step()))
+        cell.report("a", born=2_000)
+        self.assertEqual(len(cell.starts()), 1)
+
+    def test_an_end_of_an_unknown_job_is_kept_until_the_jobs_were_read(self):
+        """Without the store a leader cannot know that there is no such job."""
+        cell = Cell(entry("a"), epoch=2)
+        ends = [EndedRun(1, task(), 1, EndKind.DONE, "")]
+        for _ in range(20):
+            cell.report("a", ended=ends)
+            cell.wait(1_000)
+        self.assertFalse(cell.scheduler.has_unstored_ends("a"))
+        cell.handle(JobsRead(cell.now_ms))
+        cell.report("a", ended=ends)
+        self.assertTrue(cell.scheduler.has_unstored_ends("a"))
+
+    def test_a_run_of_an_unknown_job_goes_on_until_the_jobs_were_read(self):
+        cell = Cell(entry("a"), epoch=2)
+        row = RunningTask(task(), 1, "", 30, 0)
+        for _ in range(20):
+            self.assertEqual(stops(cell.report("a", running=[row])), [])
+            cell.wait(1_000)
+        cell.handle(JobsRead(cell.now_ms))
+        self.assertEqual(len(stops(cell.report("a", running=[row]))), 1)
+
     def test_an_end_of_an_unknown_job_is_not_acknowledged_at_first(self):
         cell = Cell(entry("a"), epoch=2)
         cell.report("a", ended=[EndedRun(1, task(), 1, EndKind.DONE, "")])
