Prefer larger hosts as leaders

Cause: the coming deployments have hosts of 0.5 and of 2.15 cores, and the first host to write the row leads, whichever it is. With 176 workers a leader uses about one core.

A leader hands over to a host with 1.5 times its processor once one calls; a candidate with as much less than the lost leader leaves 0.5 s to larger ones; a leader that stops names the largest host, and of these the youngest.

Where all hosts are alike nothing changes. Tests: tests.node.test_cell.

--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -40,6 +40,7 @@
 class LeaderRow(NamedTuple):
     """Who leads: `token` names one life of a process, `beat` rises with each commit.
 
+    `cores` is the processor of the leader's host, 0 where it is not known.
     A leader that gives up sets `released` and names the host that should succeed it.
     """
 
@@ -49,6 +50,7 @@
     beat: int = 0
     released: bool = False
     successor: str = ""
+    cores: float = 0.0
 
 
 class Term(NamedTuple):
--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -7,6 +7,7 @@
 from ._clock import now_s
 from ._codec import LeaderRow, Term, decode_leader, encode_leader
 from ._peers import (
+    HelpOffer,
     LeaderView,
     PeerClient,
     PeerError,
@@ -113,18 +114,32 @@
             read_s = now_s() - asked_s
             if version != known:
                 known, unchanged_since_s = version, now_s()
-            limit_s = await self._patience_s(row)
+            limit_s = await self._limit_s(row, read_s)
             if limit_s is None:
                 return None
-            if limit_s:
-                # A leader's commits come more slowly where the store is slow.
-                limit_s += self._settings.slow_store_factor * read_s
             if now_s() - unchanged_since_s >= limit_s:
                 term = await self._replace(row, version)
                 if term is not None:
                     return term
             await curio.sleep(self._settings.election_read_s)
 
+    async def _limit_s(self, row: LeaderRow | None, read_s: float) -> float | None:
+        """Return how long the row must stay unchanged, None when its leader leads.
+
+        `read_s` is the time that the store took to tell the row.
+        """
+        settings = self._settings
+        limit_s = await self._patience_s(row)
+        if limit_s is None or row is None:
+            return limit_s
+        if limit_s:
+            # A leader's commits come more slowly where the store is slow.
+            limit_s += settings.slow_store_factor * read_s
+        is_smaller = settings.cores * settings.larger_factor <= row.cores
+        if is_smaller and not row.released:
+            limit_s += settings.smaller_s
+        return limit_s
+
     async def _patience_s(self, row: LeaderRow | None) -> float | None:
         """Return how long the row must stay unchanged, None when its leader leads."""
         settings = self._settings
@@ -155,8 +170,10 @@
         return None
 
     async def _ask(self, address: str) -> LeaderView:
+        settings = self._settings
         started_s = now_s() - self._started_s
-        return await self._peers.view(address, self._settings.address, started_s)
+        offer = HelpOffer(settings.address, started_s, settings.cores)
+        return await self._peers.view(address, offer)
 
     def _take_view(self, view: LeaderView) -> None:
         self._view = view
@@ -170,7 +187,8 @@
     async def _replace(self, row: LeaderRow | None, version: int) -> Term | None:
         """Try to become the leader after `row`."""
         epoch = 1 if row is None else row.epoch + 1
-        own = LeaderRow(epoch, self._settings.address, self._settings.token)
+        settings = self._settings
+        own = LeaderRow(epoch, settings.address, settings.token, cores=settings.cores)
         try:
             won = await self._store.commit(
                 {LEADER_ROW: version}, {LEADER_ROW: encode_leader(own)}
--- a/packages/node/src/marigoldpath_node/cell/_helpers.py
+++ b/packages/node/src/marigoldpath_node/cell/_helpers.py
@@ -3,7 +3,7 @@
 from marigoldpath_core.jobs import TaskKey
 
 from ._clock import now_s
-from ._peers import PeerClient, PeerError
+from ._peers import HelpOffer, PeerClient, PeerError
 from ._ports import Surroundings
 from ._settings import CellSettings
 
@@ -23,6 +23,7 @@
         self._peers = peers
         self._heard_s: dict[str, float] = {}
         self._started_s: dict[str, float] = {}
+        self._cores: dict[str, float] = {}
         self._waiting_ms: dict[str, float] = {"": 0.0}
 
     @property
@@ -30,20 +31,31 @@
         """The hosts besides this one that can be asked now."""
         return len(self._recent())
 
-    def note_helper(self, address: str, started_s: float) -> None:
-        """Note that an entry host called that started `started_s` ago."""
+    def note_helper(self, offer: HelpOffer) -> None:
+        """Note that an entry host called."""
+        address = offer.address
         self._heard_s[address] = now_s()
-        self._started_s[address] = now_s() - started_s
+        self._started_s[address] = now_s() - offer.started_s
+        self._cores[address] = offer.cores
         self._waiting_ms.setdefault(address, 0.0)
 
-    def youngest(self) -> str:
-        """Return the host that started last, empty when none calls.
+    def successor(self) -> str:
+        """Return the largest host and of these the youngest, empty when none calls.
 
         Hosts are often stopped one after the other; the youngest one is the least
         likely to be next.
         """
-        helpers = self._recent()
-        return max(helpers, key=lambda each: self._started_s[each], default="")
+        return max(
+            self._recent(),
+            key=lambda each: (self._cores[each], self._started_s[each]),
+            default="",
+        )
+
+    def larger(self) -> str:
+        """Return a host that is much larger than this one, empty when there is none."""
+        address = self.successor()
+        least = self._settings.larger_factor * self._settings.cores
+        return address if address and self._cores[address] >= least else ""
 
     async def ask(
         self, step: TaskKey, workers: tuple[str, ...], cost_ms: float
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -10,6 +10,7 @@
 from ._helpers import Helpers
 from ._leader import Leader
 from ._peers import (
+    HelpOffer,
     LeaderView,
     PeerClient,
     PeerError,
@@ -233,7 +234,7 @@
     @peer_routes.register("view")
     async def _serve_view(self, data: dict) -> dict | None:
         if self._helpers is not None:
-            self._helpers.note_helper(data["address"], data["started_s"])
+            self._helpers.note_helper(HelpOffer(**data))
         return dict(self._own_view()._asdict())
 
     @peer_routes.register("job")
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -101,6 +101,7 @@
                 self._tick_loop,
                 self._dispatch_loop,
                 self._retention_loop,
+                self._yield_loop,
             )
             for loop in loops:
                 await self.spawn(loop)
@@ -111,8 +112,12 @@
 
     async def stop(self) -> None:
         """Store what is left and give the leadership up."""
+        await self._hand_over(self._helpers.successor())
+
+    async def _hand_over(self, successor: str) -> None:
+        self._log.info("leadership_released", epoch=self.epoch, successor=successor)
         if self._committer is not None:
-            await self._committer.release(self._helpers.youngest())
+            await self._committer.release(successor)
         await self._ended.set()
 
     async def accept(self, job: AcceptedJob) -> None:
@@ -263,6 +268,12 @@
             self._scheduler.forget(expired)
             await self._committer.kick()
 
+    async def _yield_loop(self) -> None:
+        """Hand over to a much larger host once one calls."""
+        while not (larger := self._helpers.larger()):
+            await curio.sleep(self._settings.settled_s)
+        await self._hand_over(larger)
+
     async def _tick_loop(self) -> None:
         while True:
             await curio.sleep(self._settings.tick_s)
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -44,6 +44,17 @@
     pending: dict[str, int]
 
 
+class HelpOffer(NamedTuple):
+    """A host that the leader may ask for help or hand over to.
+
+    It started `started_s` ago and has a processor of `cores`.
+    """
+
+    address: str
+    started_s: float
+    cores: float
+
+
 class PeerClient:
     """Calls other entry hosts; raises PeerError."""
 
@@ -51,15 +62,9 @@
         self._client = client
         self._reply_s = reply_s
 
-    async def view(
-        self, address: str, own_address: str, started_s: float
-    ) -> LeaderView:
-        """Return what the process at `address` tells, and offer it help.
-
-        This process started `started_s` ago.
-        """
-        offer = {"address": own_address, "started_s": started_s}
-        data = await self._call(address, "view", offer)
+    async def view(self, address: str, offer: HelpOffer) -> LeaderView:
+        """Return what the process at `address` tells, and offer it help."""
+        data = await self._call(address, "view", offer._asdict())
         return LeaderView(
             data["epoch"], data["token"], data["store_age_s"], data["pending"]
         )
@@ -141,6 +146,7 @@
 
 
 __all__ = [
+    "HelpOffer",
     "LeaderView",
     "NotLeadingError",
     "PeerClient",
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -13,6 +13,9 @@
     change for `silent_s`, or for `refused_s` when its address refuses connections, and
     `slow_store_factor` times the time that the store takes for a read in addition.
     Another host than the named successor takes a released row after `successor_s`.
+    `cores` is the processor of this host. A candidate with `larger_factor` times less
+    than the lost leader leaves `smaller_s` to larger ones, and a leader hands over to a
+    host with as many times more once it has led for `settled_s`.
     A host that has reached neither the store nor a leader for `unready_s` is not ready.
     """
 
@@ -20,11 +23,15 @@
     address: str
     availability_zone: str
     token: str
+    cores: float = 1.0
     fleet: FleetSettings = FleetSettings()
     beat_s: float = 0.5
     refused_s: float = 0.7
     silent_s: float = 1.0
     successor_s: float = 0.3
+    larger_factor: float = 1.5
+    smaller_s: float = 0.5
+    settled_s: float = 1.0
     slow_store_factor: float = 4.0
     watch_s: float = 0.3
     peer_reply_s: float = 0.6
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -52,6 +52,7 @@
                 metrics=free_address(),
                 store=self.store.address,
                 advice="",
+                cores=1.0,
                 row_bytes=65_536,
                 bounds={"hold-max-ms": 6_000},
             )
--- a/tests/node/test_cell.py
+++ b/tests/node/test_cell.py
@@ -49,7 +49,12 @@
 from marigoldpath_node.cell._commits import Committer
 from marigoldpath_node.cell._election import Election
 from marigoldpath_node.cell._helpers import Helpers
-from marigoldpath_node.cell._peers import LeaderView, PeerError, PeerUnreachableError
+from marigoldpath_node.cell._peers import (
+    HelpOffer,
+    LeaderView,
+    PeerError,
+    PeerUnreachableError,
+)
 from marigoldpath_node.cell._records import (
     LEADER_ROW,
     job_row,
@@ -430,6 +435,14 @@
         term = self.run_with(FakePeers(), released=True, successor="10.0.0.9:1")
         self.assertEqual(term.row.epoch, 4)
 
+    def test_a_much_smaller_host_leaves_time_to_larger_ones(self):
+        refused = FakePeers(view=PeerUnreachableError("refused"))
+        self.fast = FAST._replace(smaller_s=5.0)
+        self.assertIsNotNone(self.run_with(refused, cores=1.4))
+        self.setUp()
+        self.fast = FAST._replace(smaller_s=5.0)
+        self.assertIsNone(self.run_with(refused, cores=1.5))
+
     def test_an_own_earlier_life_is_replaced_at_once(self):
         term = self.run_with(FakePeers(), address=FAST.address)
         self.assertEqual(term.row.epoch, 4)
@@ -510,16 +523,27 @@
     def test_the_host_that_started_last_is_named_as_successor(self):
         surroundings = Surroundings(None, None, None, None, KeptLog(), None)
         helpers = Helpers(FAST, surroundings, FakePeers())
-        self.assertEqual(helpers.youngest(), "")
-        helpers.note_helper("10.0.0.2:1", 50.0)
-        helpers.note_helper("10.0.0.3:1", 2.0)
-        helpers.note_helper("10.0.0.4:1", 90.0)
-        self.assertEqual(helpers.youngest(), "10.0.0.3:1")
+        self.assertEqual(helpers.successor(), "")
+        helpers.note_helper(HelpOffer("10.0.0.2:1", 50.0, 1.0))
+        helpers.note_helper(HelpOffer("10.0.0.3:1", 2.0, 1.0))
+        helpers.note_helper(HelpOffer("10.0.0.4:1", 90.0, 1.0))
+        self.assertEqual(helpers.successor(), "10.0.0.3:1")
+        self.assertEqual(helpers.larger(), "")
+
+    def test_a_leader_hands_over_to_a_much_larger_host(self):
+        """A small host cannot look at all workers of a large cell in time."""
+        surroundings = Surroundings(None, None, None, None, KeptLog(), None)
+        helpers = Helpers(FAST, surroundings, FakePeers())
+        helpers.note_helper(HelpOffer("10.0.0.2:1", 2.0, 1.4))
+        self.assertEqual(helpers.larger(), "")
+        helpers.note_helper(HelpOffer("10.0.0.3:1", 50.0, 1.5))
+        self.assertEqual(helpers.larger(), "10.0.0.3:1")
+        self.assertEqual(helpers.successor(), "10.0.0.3:1")
 
     def test_slow_questions_go_to_other_hosts_and_quick_ones_stay(self):
         surroundings = Surroundings(None, None, None, None, KeptLog(), None)
         helpers = Helpers(FAST, surroundings, FakePeers())
-        helpers.note_helper("10.0.0.2:1", 50.0)
+        helpers.note_helper(HelpOffer("10.0.0.2:1", 50.0, 1.0))
         self.assertEqual(helpers._choose(400.0), "10.0.0.2:1")
         self.assertEqual(helpers._choose(20.0), "")
 
