Gather the usable workers once for a pass, and name only promising ones to advice

Cause: a pass asked each worker three questions for each waiting step, and for each step again whether one was left to ask the advice service about.

Change: a pass gathers the usable and the open workers of each service once; a step remembers the set of workers that left none to ask about. The first task without room ends the search for its step, and a pass is followed by a pause as long as the pass. Of more than 30 workers only as many are named as are expected to have room, the emptiest first; the share of approvals of a queue is learned.

--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -2,39 +2,48 @@
 
 from ._fleet import Fleet, handlers
 from ._messages import AdviceAnswered, AskAdvice
-from ._placement import count_placed, has_room, may_run
+from ._placement import count_placed, has_room, room_for
+from ._pools import Pools, has_label
 from ._work import Step, Ticket
 from ._worker import Worker
 
 MAX_WORKERS = 100
+# A question that names no more workers is cheap enough to name all.
+FEW_WORKERS = 30
+# Share of the named workers that is expected to be approved, and the number of workers
+# after which the share of the queue counts as much.
+EXPECTED_APPROVAL = 0.4
+EXPECTED_WEIGHT = 20
 # A question that was not answered is asked again after this time.
 RETRY_MS = 150
+# A question for a later step is sent so much earlier than its expected cost.
+AHEAD_MS = 100
 
 
-def ask_if_needed(fleet: Fleet, step: Step) -> None:
+def ask_if_needed(fleet: Fleet, pools: Pools, step: Step) -> None:
     """Ask for tickets when tasks wait and a worker without a ticket could take one."""
-    if step.job.queue.advice is None or not step.waiting or not _may_ask(fleet, step):
+    if step.job.queue.advice is None or not _may_ask(fleet, step) or not step.waiting:
         return
-    unknown = _unknown_workers(fleet, step)
-    if unknown and not step.tickets:
-        _ask(fleet, step, unknown)
-        return
-    wanted = _workers_to_renew(fleet, step)
-    if wanted or unknown:
-        _ask(fleet, step, [*wanted, *unknown])
+    wanted = _workers_to_renew(fleet, step) if step.tickets else []
+    named = [*wanted, *_workers_to_add(fleet, pools, step)]
+    if named:
+        _ask(fleet, step, named)
 
 
-def ask_ahead(fleet: Fleet) -> None:
+def ask_ahead(fleet: Fleet, pools: Pools) -> None:
     """Ask for steps whose predecessors are about to end."""
     for step in list(fleet.open_steps.values()):
-        for follower in _followers(step):
+        followers = _followers(step)
+        left_ms = _left_ms(step) if followers else 0.0
+        for follower in followers:
             advice = follower.job.queue.advice
-            if advice is None or follower.tickets or follower.denied:
+            if advice is None or follower.asked or not _may_ask(fleet, follower):
+                continue
+            if left_ms > advice.cost_ms(MAX_WORKERS) + AHEAD_MS:
                 continue
-            unknown = _unknown_workers(fleet, follower)
-            lead_ms = advice.cost_ms(len(unknown)) + 100
-            if unknown and _left_ms(step) <= lead_ms and _may_ask(fleet, follower):
-                _ask(fleet, follower, unknown)
+            named = _workers_to_add(fleet, pools, follower)
+            if named and left_ms <= advice.cost_ms(len(named)) + AHEAD_MS:
+                _ask(fleet, follower, named)
 
 
 @handlers.register(AdviceAnswered)
@@ -50,12 +59,13 @@
     if event.tickets is None or advice is None:
         fleet.note("advice_failed", job=event.job_id, step=event.step)
         return
+    step.asked.update(event.workers)
+    _count_approvals(fleet, step, event)
     until_ms = fleet.now_ms + advice.valid_ms - fleet.settings.ticket_margin_ms
     for worker_id in event.workers:
         worker = fleet.workers.get(worker_id)
         text = event.tickets.get(worker_id)
         if text is None or worker is None:
-            step.denied.add(worker_id)
             step.tickets.pop(worker_id, None)
         else:
             step.tickets[worker_id] = Ticket(text, until_ms, worker.born)
@@ -95,14 +105,57 @@
     return advice is not None and advice.call_ms >= fleet.settings.slow_advice_ms
 
 
-def _unknown_workers(fleet: Fleet, step: Step) -> list[Worker]:
-    return [
-        worker
-        for worker in fleet.workers.values()
-        if worker.worker_id not in step.tickets
-        and worker.worker_id not in step.denied
-        and may_run(fleet, step, worker)
+def _workers_to_add(fleet: Fleet, pools: Pools, step: Step) -> list[Worker]:
+    """Return the workers to be asked about, of many only the most promising.
+
+    Each worker named makes the answer later, so of many only as many are named as are
+    expected to have room for the tasks that wait once some of them are refused.
+    """
+    unknown = _unknown_workers(pools, step)
+    if len(unknown) <= FEW_WORKERS:
+        return unknown
+    rooms = [(room_for(fleet, step, worker, False), worker) for worker in unknown]
+    rooms.sort(key=lambda each: -each[0])
+    needed = len(step.waiting) / _approval_share(fleet, step)
+    named: list[Worker] = []
+    for room, worker in rooms[:MAX_WORKERS]:
+        if len(named) >= FEW_WORKERS and (needed <= 0 or not room):
+            break
+        named.append(worker)
+        needed -= room
+    if step.asked and not rooms[0][0] and step.job.queue.priority > 1:
+        # It can wait for room on the workers that it has asked about.
+        return []
+    return named
+
+
+def _unknown_workers(pools: Pools, step: Step) -> list[Worker]:
+    names = pools.get(step.job.queue.service).names
+    if step.covered is names:
+        return []
+    unknown = [
+        worker for worker in pools.usable(step) if worker.worker_id not in step.asked
     ]
+    if not unknown:
+        step.covered = names
+    return unknown
+
+
+def _count_approvals(fleet: Fleet, step: Step, event: AdviceAnswered) -> None:
+    name = step.job.queue.name
+    asked, approved = fleet.approvals.get(name, (0, 0))
+    assert event.tickets is not None
+    fleet.approvals[name] = (
+        asked + len(event.workers),
+        approved + len(event.tickets),
+    )
+
+
+def _approval_share(fleet: Fleet, step: Step) -> float:
+    """Return the share of named workers that is expected to be approved."""
+    asked, approved = fleet.approvals.get(step.job.queue.name, (0, 0))
+    expected = EXPECTED_APPROVAL * EXPECTED_WEIGHT
+    return (approved + expected) / (asked + EXPECTED_WEIGHT)
 
 
 def _workers_to_renew(fleet: Fleet, step: Step) -> list[Worker]:
@@ -117,6 +170,8 @@
         worker = fleet.workers.get(worker_id)
         if worker is None or not worker.is_usable(fleet.now_ms):
             continue
+        if not has_label(step, worker):
+            continue
         if limit and placed[worker_id] >= limit:
             continue
         is_over = ticket.until_ms < fleet.now_ms + lead_ms
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -1,10 +1,9 @@
 """A pass over the open steps that starts what has room, the most urgent first."""
 
-from marigoldpath_core.jobs import Resources
-
 from . import _advice, _preemption
 from ._fleet import Fleet
-from ._placement import Candidates, background_share, candidates, choose
+from ._placement import Candidates, candidates, choose, most_fitting, room_for
+from ._pools import Pools
 from ._starts import start
 from ._work import Step, Task
 from ._worker import Worker
@@ -13,17 +12,18 @@
 def dispatch(fleet: Fleet) -> None:
     """Start waiting tasks on workers with room, and ask for advice where needed."""
     fleet.needs_dispatch = False
+    pools = Pools(fleet)
     waiting = [step for step in fleet.open_steps.values() if step.waiting]
     waiting.sort(key=lambda step: _order(fleet, step))
     for step in waiting[: fleet.settings.considered_steps]:
         if fleet.is_blocked(step):
             continue
         if step.spec.gang:
-            _place_gang(fleet, step)
+            _place_gang(fleet, pools, step)
         else:
-            _place_tasks(fleet, step)
-        _advice.ask_if_needed(fleet, step)
-    _advice.ask_ahead(fleet)
+            _place_tasks(fleet, pools, step)
+        _advice.ask_if_needed(fleet, pools, step)
+    _advice.ask_ahead(fleet, pools)
 
 
 def _order(fleet: Fleet, step: Step) -> tuple[float, ...]:
@@ -33,24 +33,29 @@
     return (job.queue.priority, late, job.due_ms)
 
 
-def _place_tasks(fleet: Fleet, step: Step) -> None:
-    among = candidates(fleet, step)
+def _place_tasks(fleet: Fleet, pools: Pools, step: Step) -> None:
+    among = candidates(fleet, pools, step)
     if not among.workers:
         return
-    unplaced: list[Task] = []
-    for task in step.waiting:
+    unplaced = 0
+    waiting = step.waiting
+    for place, task in enumerate(waiting):
         worker = choose(fleet, step, task, among)
         if worker is None and task.avoided:
             _forgive(among, task)
             worker = choose(fleet, step, task, among)
         if worker is None:
-            unplaced.append(task)
+            unplaced += 1
+            if not task.avoided:
+                # There is no room for the others either, which need as much.
+                unplaced = len(waiting) - place + unplaced - 1
+                break
             continue
         start(fleet, worker, task, fleet.next_number(task))
         among.placed[worker.worker_id] += 1
         among.racks[worker.entry.rack] += 1
     if unplaced:
-        _preemption.make_room(fleet, step, among, len(unplaced))
+        _preemption.make_room(fleet, step, among, unplaced)
 
 
 def _forgive(among: Candidates, task: Task) -> None:
@@ -59,11 +64,11 @@
         task.avoided.clear()
 
 
-def _place_gang(fleet: Fleet, step: Step) -> None:
+def _place_gang(fleet: Fleet, pools: Pools, step: Step) -> None:
     """Start all tasks of a gang or none."""
     if any(task.run is not None for task in step.tasks):
         return
-    among = candidates(fleet, step)
+    among = candidates(fleet, pools, step)
     plan = _plan_gang(fleet, step, among)
     if plan is None:
         return
@@ -76,9 +81,9 @@
     count = len(step.tasks)
     avoided = step.tasks[0].avoided
     # A gang that could never leave the urgent share free does not have to.
-    could_fit = sum(_most_fitting(fleet, step, worker) for worker in among.workers)
+    could_fit = sum(most_fitting(fleet, step, worker) for worker in among.workers)
     rooms = [
-        (_room_for(fleet, step, worker, could_fit >= count), worker)
+        (room_for(fleet, step, worker, could_fit >= count), worker)
         for worker in among.workers
         if worker.worker_id not in avoided
     ]
@@ -97,27 +102,3 @@
     if avoided:
         avoided.clear()
     return None
-
-
-def _room_for(fleet: Fleet, step: Step, worker: Worker, leave_share: bool) -> int:
-    """Return how many tasks of the step fit on the worker now."""
-    free = worker.free
-    if leave_share and step.job.queue.priority > 0:
-        usable = background_share(fleet, worker) - worker.background_cpu
-        free = free._replace(cpu_millis=min(free.cpu_millis, usable))
-    return _count_fitting(step, free)
-
-
-def _most_fitting(fleet: Fleet, step: Step, worker: Worker) -> int:
-    """Return how many tasks of the step fit on the worker when it is empty."""
-    capacity = worker.entry.capacity
-    if step.job.queue.priority > 0:
-        capacity = capacity._replace(cpu_millis=background_share(fleet, worker))
-    return _count_fitting(step, capacity)
-
-
-def _count_fitting(step: Step, room: Resources) -> int:
-    fits = [have // want for have, want in zip(room, step.need) if want]
-    if step.spec.max_per_worker:
-        fits.append(step.spec.max_per_worker)
-    return max(0, min(fits, default=len(step.tasks)))
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -61,6 +61,10 @@
         self.slow_questions: set[tuple[str, int, int]] = set()
         self.needs_dispatch = True
         self.needs_commit = False
+        # The usable workers of each service in the last pass.
+        self.usable_names: dict[str, frozenset[str]] = {}
+        # How many workers the advice service was asked about and approved, by queue.
+        self.approvals: dict[str, tuple[int, int]] = {}
 
     def emit(self, effect: Effect) -> None:
         """Ask for something to be done."""
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -3,9 +3,11 @@
 from collections import Counter
 from typing import NamedTuple
 
+from marigoldpath_core.jobs import Resources
 from marigoldpath_core.registry import Registry
 
 from ._fleet import Fleet
+from ._pools import Pools, has_label
 from ._work import Step, Task
 from ._worker import Worker
 
@@ -23,15 +25,12 @@
     racks: Counter[str]
 
 
-def candidates(fleet: Fleet, step: Step) -> Candidates:
+def candidates(fleet: Fleet, pools: Pools, step: Step) -> Candidates:
     """Return the workers that may run a step, whether they have room or not."""
-    workers = [
-        worker
-        for worker in fleet.workers.values()
-        if may_run(fleet, step, worker)
-        and fleet.is_open(worker.worker_id)
-        and has_ticket(fleet, step, worker)
-    ]
+    if step.job.queue.advice is None:
+        workers = pools.open(step)
+    else:
+        workers = _with_ticket(fleet, pools, step)
     placed = count_placed(step)
     racks: Counter[str] = Counter()
     for worker_id, count in placed.items():
@@ -46,27 +45,17 @@
     return Counter(task.run.worker_id for task in step.tasks if task.run is not None)
 
 
-def may_run(fleet: Fleet, step: Step, worker: Worker) -> bool:
-    """Return whether a usable worker is of the step's service and has its label."""
-    entry = worker.entry
-    label = step.spec.required_label
-    return (
-        worker.is_usable(fleet.now_ms)
-        and entry.service == step.job.queue.service
-        and (not label or label in entry.labels)
-    )
-
-
-def has_ticket(fleet: Fleet, step: Step, worker: Worker) -> bool:
-    """Return whether the advice service lets the step run on the worker now."""
-    if step.job.queue.advice is None:
-        return True
-    ticket = step.tickets.get(worker.worker_id)
-    return (
-        ticket is not None
-        and ticket.born == worker.born
-        and fleet.now_ms < ticket.until_ms
-    )
+def _with_ticket(fleet: Fleet, pools: Pools, step: Step) -> list[Worker]:
+    """Return the open workers that the advice service lets the step run on now."""
+    pool = pools.get(step.job.queue.service)
+    workers = []
+    for worker_id, ticket in step.tickets.items():
+        worker = pool.open.get(worker_id)
+        if worker is None or fleet.now_ms >= ticket.until_ms:
+            continue
+        if ticket.born == worker.born and has_label(step, worker):
+            workers.append(worker)
+    return workers
 
 
 def has_room(fleet: Fleet, step: Step, worker: Worker) -> bool:
@@ -89,6 +78,30 @@
     return int(kept * worker.entry.capacity.cpu_millis)
 
 
+def room_for(fleet: Fleet, step: Step, worker: Worker, leave_share: bool) -> int:
+    """Return how many tasks of the step fit on the worker now."""
+    free = worker.free
+    if leave_share and step.job.queue.priority > 0:
+        usable = background_share(fleet, worker) - worker.background_cpu
+        free = free._replace(cpu_millis=min(free.cpu_millis, usable))
+    return _count_fitting(step, free)
+
+
+def most_fitting(fleet: Fleet, step: Step, worker: Worker) -> int:
+    """Return how many tasks of the step fit on the worker when it is empty."""
+    capacity = worker.entry.capacity
+    if step.job.queue.priority > 0:
+        capacity = capacity._replace(cpu_millis=background_share(fleet, worker))
+    return _count_fitting(step, capacity)
+
+
+def _count_fitting(step: Step, room: Resources) -> int:
+    fits = [have // want for have, want in zip(room, step.need) if want]
+    if step.spec.max_per_worker:
+        fits.append(step.spec.max_per_worker)
+    return max(0, min(fits, default=len(step.tasks)))
+
+
 def choose(fleet: Fleet, step: Step, task: Task, among: Candidates) -> Worker | None:
     """Return the best worker with room, or None."""
     score = rules.get(rule_name(step))
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -113,7 +113,10 @@
 
 @results.register(StartResult.BAD_TICKET)
 def _bad_ticket(fleet: Fleet, worker: Worker, run: Run, _event: object) -> None:
-    run.task.step.tickets.pop(worker.worker_id, None)
+    step = run.task.step
+    step.tickets.pop(worker.worker_id, None)
+    step.asked.discard(worker.worker_id)
+    step.covered = None
     fleet.abandon(run)
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -122,7 +122,10 @@
         ]
         self.left = self.spec.width
         self.tickets: dict[str, Ticket] = {}
-        self.denied: set[str] = set()
+        # The workers that the advice service was asked about, approved or not.
+        self.asked: set[str] = set()
+        # The usable workers when none was left to ask about.
+        self.covered: frozenset[str] | None = None
         # Whether this leader saw a task of the step running, and whether it saw that
         # of a step before it, so that no earlier leader can have started this one.
         self.was_running = False
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -17,7 +17,7 @@
 )
 from marigoldpath_core.jobs import AcceptedJob, JobState, Queue
 
-from ._clock import now_ms, wall_ms
+from ._clock import now_ms, now_s, wall_ms
 from ._codec import Term
 from ._commits import Committer
 from ._helpers import Helpers
@@ -281,11 +281,16 @@
 
     async def _dispatch_loop(self) -> None:
         assert self._scheduler is not None
+        pause_s = self._settings.dispatch_gap_s
         while True:
             await self._kick.wait()
-            await curio.sleep(self._settings.dispatch_gap_s)
+            await curio.sleep(pause_s)
             self._kick.clear()
+            began_s = now_s()
             self._scheduler.dispatch(now_ms())
+            # Passes over many steps leave time to everything else.
+            took_s = now_s() - began_s
+            pause_s = max(self._settings.dispatch_gap_s, took_s)
             await self._perform()
 
     async def _look_at_new_workers(self) -> None:
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -691,6 +691,41 @@
         self.assertEqual(self.cell.starts(), [])
 
 
+class NamedWorkersTests(unittest.TestCase):
+    """Each worker named in a question makes the answer later."""
+
+    def setUp(self):
+        entries = [entry(f"w{place:02}", cpu=4_000) for place in range(50)]
+        self.cell = Cell(*entries, entry("wide", cpu=8_000))
+        self.cell.hear_all()
+
+    def questions(self):
+        return [each for each in self.cell.dispatch() if isinstance(each, AskAdvice)]
+
+    def test_of_many_workers_those_with_the_most_room_are_named(self):
+        self.cell.accept(job(step(width=2), queue=ADVISED))
+        (question,) = self.questions()
+        self.assertEqual(len(question.workers), 30)
+        self.assertIn("wide", question.workers)
+
+    def test_a_wide_step_names_as_many_as_it_may_need(self):
+        self.cell.accept(job(step(width=60), queue=ADVISED))
+        (question,) = self.questions()
+        self.assertGreater(len(question.workers), 30)
+
+    def test_the_others_are_named_when_too_few_were_approved(self):
+        self.cell.accept(job(step(width=2), queue=ADVISED))
+        (first,) = self.questions()
+        self.cell.wait(1_000)
+        self.cell.advise(first, {})
+        (second,) = self.questions()
+        self.assertEqual(set(first.workers) & set(second.workers), set())
+
+    def test_a_worker_with_the_required_label_is_named(self):
+        self.cell.accept(job(step(width=2, required_label="b"), queue=ADVISED))
+        self.assertEqual(self.questions(), [])
+
+
 class SlowAdviceTests(unittest.TestCase):
     def test_as_many_slow_questions_are_asked_as_there_are_hosts_to_ask_them(self):
         slow = BACKGROUND._replace(advice=AdvicePolicy(400.0, 5.0, 2_000.0))
