--- a/packages/node/src/marigoldpath_node/http/_server.py
+++ b/packages/node/src/marigoldpath_node/http/_server.py
@@ -91,6 +91,11 @@
         """Requests that are being answered."""
         return self._in_flight
 
+    @property
+    def address(self) -> str:
+        """Where the settings say to listen, as IP:PORT."""
+        return f"{self._settings.host}:{self._settings.port}"
+
     @property
     def port(self) -> int:
         """The port that the server listens on."""
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -5,11 +5,12 @@
 
 import curio
 
+from marigoldpath_bench.stand_ins import StoreStandIn, configuration
 from marigoldpath_node.http import HttpClient, HttpClientSettings
 from marigoldpath_node.observability import LineWriter
-from marigoldpath_platform._process import Process
+from marigoldpath_platform._process import ListenError, Process
 from marigoldpath_platform._settings import PlatformSettings
-from tests.adapter.stand_ins import StandInStore, StandInWorker, configuration
+from tests.adapter.stand_ins import StandInWorker
 from tests.node.cell_fakes import KeptLog
 
 JOB_ID = "5c0e7a21d94b36f8"
@@ -30,7 +31,7 @@
     """Two entry hosts, a store and two workers."""
 
     def __init__(self):
-        self.store = StandInStore()
+        self.store = StoreStandIn()
         self.workers = [StandInWorker("w1"), StandInWorker("w2")]
         self.log = KeptLog()
         self.client = HttpClient(HttpClientSettings(connect_s=0.5))
@@ -124,6 +125,15 @@
         epochs = [worker.fence for worker in fleet.workers]
         self.assertEqual(epochs, [2, 2])
 
+    def test_an_address_that_is_taken_is_named(self):
+        async def action(fleet):
+            process, settings = fleet.hosts[0]
+            with self.assertRaises(ListenError) as raised:
+                await process.start()
+            self.assertIn(settings.control, str(raised.exception))
+
+        self.play(action)
+
     def test_metrics_are_served_as_text(self):
         async def action(fleet):
             path = f"/q/{JOB_ID}"
