Let an order to start reach only the life of the worker that it is meant for

Cause: a worker that restarts under its id has seen no epoch.

Ruled out: X-Expect-Instance (the id stays the same); a wait of the successor until its predecessor has surely stopped (1.5 s after each takeover, for a case of one look).

Change: an order names the life; the adapter sends it only over a connection on which that life has answered a look, as connections end with the life at their other end. The first start on a connection costs one look. The simulated cell keeps orders from later lives in the same way.

--- a/packages/bench/src/marigoldpath_bench/fleet_world/_world.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_world.py
@@ -26,8 +26,8 @@
 from marigoldpath_core.registry import Registry
 
 from ._oracle import Oracle
-from ._store import StandInStore
-from ._worker import StandInWorker
+from ._store import SimulatedStore
+from ._worker import SimulatedWorker
 
 performers: Registry = Registry("effect in the simulated cell")
 
@@ -67,13 +67,14 @@
     def __init__(self, seed: int, settings: WorldSettings | None = None) -> None:
         self.settings = settings or WorldSettings()
         self.random = Random(seed)
+        self._hosts = Random(f"hosts {seed}")
         self.oracle = Oracle()
-        self.store = StandInStore()
+        self.store = SimulatedStore()
         self.leaders: list[SimulatedLeader] = []
         self.is_store_up = True
         capacity = Resources(self.settings.cpu_millis, self.settings.memory_mb, 0)
         self.workers = {
-            f"w{number}": StandInWorker(
+            f"w{number}": SimulatedWorker(
                 f"w{number}", capacity, self.oracle, self.random
             )
             for number in range(self.settings.workers)
@@ -112,7 +113,7 @@
     def submit(self, job: AcceptedJob) -> None:
         """Store a job and tell the leader, unless the message is lost."""
         known = self.store.leader[0]
-        known -= known > 1 and self.random.random() < self.settings.unaware
+        known -= known > 1 and self._hosts.random() < self.settings.unaware
         job = job._replace(epoch=known)
         self.store.jobs[job.spec.job_id] = job
         self.oracle.note_job(job)
@@ -284,6 +285,11 @@
         for each in self.workers.values():
             each.advance(self.now_ms)
         worker = self.workers[order.worker_id]
+        if worker.entry.born != order.born:
+            # The connection of the order ended with the life that it was meant for.
+            if told is not None:
+                self._tell(told, self._answer(order, StartResult.OTHER_LIFE))
+            return
         result, clock_ms = worker.start(order, sender.epoch, spec, self.now_ms)
         if told is None:
             return
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -174,7 +174,11 @@
 
 
 class StartRun(NamedTuple):
-    """Start a run; the worker refuses it after `until_clock_ms` on its clock."""
+    """Start a run; the worker refuses it after `until_clock_ms` on its clock.
+
+    The order must reach no other life of the worker than the one that was `born` then:
+    a later life has seen no epoch and would carry out that of a replaced leader.
+    """
 
     worker_id: str
     address: str
@@ -184,6 +188,7 @@
     checkpoint: str
     ticket: str
     until_clock_ms: int
+    born: int
 
 
 class StopRun(NamedTuple):
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -37,6 +37,7 @@
             task.checkpoint,
             ticket.text if ticket else "",
             run.until_clock_ms,
+            worker.born,
         )
     )
     fleet.note(
--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -35,7 +35,7 @@
 
     def __init__(self, settings: HttpClientSettings) -> None:
         self._settings = settings
-        self._kept: dict[str, list[_Connection]] = {}
+        self._kept: dict[tuple[str, str], list[_Connection]] = {}
         self._traffic = Traffic()
 
     @property
@@ -52,14 +52,19 @@
         value: Any = None,
         headers: dict[str, str] | None = None,
         reply_s: float | None = None,
+        pool: str = "",
+        only_kept: bool = False,
     ) -> HttpResponse:
         """Return the whole response to a request with `value` as JSON body.
 
+        Kept connections are shared by requests with the same address and `pool`. With
+        `only_kept` no connection is opened.
+
         Raises NotSentError when no connection could be made and ReplyLostError when
         the response did not come back whole within `reply_s` seconds.
         """
         body = b"" if value is None else _encode(value)
-        connection = await self._connect(address)
+        connection = await self._connect(address, pool, only_kept)
         try:
             response = await curio.timeout_after(
                 self._settings.reply_s if reply_s is None else reply_s,
@@ -74,9 +79,14 @@
         except BaseException:
             await connection.socket.close()
             raise
-        await self._keep(address, connection)
+        await self._keep((address, pool), connection)
         return response
 
+    async def forget(self, address: str, pool: str) -> None:
+        """Close the kept connections of a pool."""
+        for connection in self._kept.pop((address, pool), []):
+            await connection.socket.close()
+
     async def close(self) -> None:
         """Close the kept connections."""
         for connections in self._kept.values():
@@ -87,22 +97,24 @@
     async def prune(self) -> None:
         """Close kept connections that were idle for `kept_s`, as to replaced hosts."""
         oldest_s = time.monotonic() - self._settings.kept_s
-        for address in list(self._kept):
-            connections = self._kept[address]
+        for key in list(self._kept):
+            connections = self._kept[key]
             idle = [each for each in connections if each.kept_s < oldest_s]
             connections[:] = [each for each in connections if each not in idle]
             if not connections:
-                del self._kept[address]
+                del self._kept[key]
             for connection in idle:
                 await connection.socket.close()
 
-    async def _connect(self, address: str) -> _Connection:
-        kept = self._kept.get(address)
+    async def _connect(self, address: str, pool: str, only_kept: bool) -> _Connection:
+        kept = self._kept.get((address, pool))
         while kept:
             connection = kept.pop()
             if not _is_closed_by_peer(connection):
                 return connection
             await connection.socket.close()
+        if only_kept:
+            raise NotSentError(f"no connection to {address} is kept")
         try:
             socket = await curio.timeout_after(
                 self._settings.connect_s, _open_connection, address
@@ -112,8 +124,8 @@
         socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
         return _Connection(socket)
 
-    async def _keep(self, address: str, connection: _Connection) -> None:
-        kept = self._kept.setdefault(address, [])
+    async def _keep(self, key: tuple[str, str], connection: _Connection) -> None:
+        kept = self._kept.setdefault(key, [])
         protocol = connection.protocol
         reusable = protocol.our_state is h11.DONE and protocol.their_state is h11.DONE
         if not reusable or len(kept) >= self._settings.max_kept:
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from marigoldpath_bench.stand_ins import StandInServer, StoreStandIn, configuration
 from marigoldpath_core.fleet import (
     EndKind,
     LookOrder,
@@ -39,12 +40,7 @@
     task_key,
     task_name,
 )
-from tests.adapter.stand_ins import (
-    StandInServer,
-    StandInStore,
-    StandInWorker,
-    configuration,
-)
+from tests.adapter.stand_ins import StandInWorker
 from tests.node.cell_fakes import KeptLog
 
 JOB_ID = "5c0e7a21d94b36f8"
@@ -160,7 +156,7 @@
         ]
 
         async def run():
-            store = StandInStore()
+            store = StoreStandIn()
             await store.start()
             await good.start()
             store.put("servers", "good", good.entry())
@@ -191,7 +187,7 @@
 
     def use(self, action):
         async def run():
-            server = StandInStore()
+            server = StoreStandIn()
             await server.start()
             client = HttpClient(HttpClientSettings(connect_s=0.2))
             return await action(server, PlatformStore(client, server.address))
@@ -277,7 +273,9 @@
         return curio.run(run)
 
     def order(self, worker, worker_id="w", until=5_000):
-        return StartRun(worker_id, worker.address, TASK, 1, "payload", "", "", until)
+        return StartRun(
+            worker_id, worker.address, TASK, 1, "payload", "", "", until, 1_000
+        )
 
     def test_names_of_tasks_are_translated_both_ways(self):
         self.assertEqual(task_name(TASK), f"{JOB_ID}.0.1.17")
@@ -304,6 +302,24 @@
         expected = [StartResult.LATE, StartResult.OTHER_LIFE, StartResult.FENCED]
         self.assertEqual(self.use(action), expected)
 
+    def test_a_start_reaches_no_later_life_of_its_worker(self):
+        """That life has seen no epoch, and a replaced leader could start on it."""
+
+        async def action(worker, client):
+            worker.born = 2_000
+            return (await client.start(self.order(worker), 3)).result, worker.starts
+
+        self.assertEqual(self.use(action), (StartResult.OTHER_LIFE, []))
+
+    def test_a_connection_to_a_life_is_met_once(self):
+        async def action(worker, client):
+            for number in (1, 2, 3):
+                order = self.order(worker)._replace(run=number)
+                await client.start(order, 3)
+            return [path.rpartition("/")[2] for _, path, _ in worker.told]
+
+        self.assertEqual(self.use(action), ["hold"] + 3 * ["run-start"])
+
     def test_a_fenced_look_and_stop_are_told(self):
         async def action(worker, client):
             worker.fence = 9
@@ -317,7 +333,7 @@
     def test_a_start_without_a_connection_was_not_sent(self):
         async def run():
             client = PlatformWorkers(HttpClient(HttpClientSettings(connect_s=0.2)))
-            order = StartRun("w", "127.0.0.1:1", TASK, 1, "", "", "", 5)
+            order = StartRun("w", "127.0.0.1:1", TASK, 1, "", "", "", 5, 1_000)
             return (await client.start(order, 1)).result
 
         self.assertIs(curio.run(run), StartResult.NOT_SENT)
