Add a soak of the real programs with faults from outside

Cause: nothing ran the platform's program as separate processes under faults; stand-ins of the platform stood in the tests only.

Change: marigoldpath_bench.process_soak runs entry hosts as processes, with the store, the advice service and workers as stand-ins behind loopback proxies that delay, reset, silence or cut connections one way. Signals stop, pause, kill and reload hosts; stores are down, slow, lose answers and write late; workers restart under their id, fail, leave, carry orders out late. What workers started and callers were told is judged by the oracle of the search. The stand-ins move from the tests to marigoldpath_bench.stand_ins.

--- a/packages/bench/src/marigoldpath_bench/fleet_world/_oracle.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_oracle.py
@@ -1,6 +1,7 @@
 """Judges a cell by what its workers started and ended."""
 
 from collections import defaultdict
+from enum import Enum
 from typing import NamedTuple
 
 from marigoldpath_core.fleet import EndKind
@@ -30,6 +31,14 @@
     what: str
 
 
+class Answer(Enum):
+    """What the caller of a job knows of it."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
 class Oracle:
     """Keeps all runs and finds the rules that they break."""
 
@@ -37,11 +46,12 @@
         self._runs: dict[TaskKey, list[RunRecord]] = defaultdict(list)
         self._jobs: dict[str, AcceptedJob] = {}
         self._cancelled: dict[str, float] = {}
+        self._answers: dict[str, Answer] = {}
         self._faults: list[Fault] = []
 
     @property
     def jobs(self) -> dict[str, AcceptedJob]:
-        """The accepted jobs."""
+        """The jobs that callers handed in."""
         return self._jobs
 
     @property
@@ -49,9 +59,18 @@
         """The cancelled jobs and when they were."""
         return self._cancelled
 
-    def note_job(self, job: AcceptedJob) -> None:
-        """Note an accepted job."""
+    def note_job(self, job: AcceptedJob, answer: Answer = Answer.ACCEPTED) -> None:
+        """Note a job and what its caller knows of it."""
         self._jobs[job.spec.job_id] = job
+        self._answers[job.spec.job_id] = answer
+
+    def note_unasked(self, task: TaskKey, now_ms: float) -> None:
+        """Note an order for a task that nobody handed in, or not so."""
+        self._fault("UNASKED", now_ms, f"{task}")
+
+    def note_fault(self, rule: str, now_ms: float, what: str) -> None:
+        """Note a rule that was seen broken from outside."""
+        self._fault(rule, now_ms, what)
 
     def note_start(
         self, task: TaskKey, number: int, worker_id: str, now_ms: float
@@ -120,6 +139,14 @@
 
     def _check_state(self, job: AcceptedJob, state: JobState | None) -> list[Fault]:
         job_id = job.spec.job_id
+        answer = self._answers[job_id]
+        if answer is Answer.REFUSED:
+            runs = any(
+                runs and task.job_id == job_id for task, runs in self._runs.items()
+            )
+            return [Fault("REFUSED", 0.0, f"{job_id} ran")] if runs else []
+        if answer is Answer.UNKNOWN and state is None:
+            return []
         if job_id in self._cancelled:
             if state is JobState.CANCELLED:
                 return []
--- a/packages/bench/src/marigoldpath_bench/fleet_world/_store.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_store.py
@@ -4,7 +4,7 @@
 from marigoldpath_core.jobs import AcceptedJob, Progress
 
 
-class StandInStore:
+class SimulatedStore:
     """Jobs, progress, roster, and the leader's row as (epoch, beat)."""
 
     def __init__(self) -> None:
--- a/packages/bench/src/marigoldpath_bench/fleet_world/_worker.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_worker.py
@@ -32,7 +32,7 @@
         self.fails = False
 
 
-class StandInWorker:
+class SimulatedWorker:
     """One worker; `rate` is the speed of its clock, `now_ms` is true time."""
 
     def __init__(
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/process_soak/__main__.py
@@ -0,0 +1,56 @@
+"""Runs the soak: python -m marigoldpath_bench.process_soak --seed 1 --runs 50."""
+
+import argparse
+import sys
+import tempfile
+from pathlib import Path
+
+from ._run import SoakRun, SoakSettings
+
+SHOWN_FAULTS = 8
+
+
+def main() -> int:
+    """Run consecutive seeds; return 1 when a rule was broken."""
+    defaults = SoakSettings()
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--hosts", type=int, default=defaults.hosts)
+    parser.add_argument("--workers", type=int, default=defaults.workers)
+    parser.add_argument("--seconds", type=float, default=defaults.faults_s)
+    parser.add_argument(
+        "--logs", type=Path, help="keep the hosts' logs of failed runs here"
+    )
+    arguments = parser.parse_args()
+    settings = SoakSettings(arguments.hosts, arguments.workers, arguments.seconds)
+    failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.runs):
+        failed += _play(seed, settings, arguments.logs)
+    print(f"process soak: runs={arguments.runs} failed={failed}")
+    return 1 if failed else 0
+
+
+def _play(seed: int, settings: SoakSettings, logs: Path | None) -> bool:
+    with tempfile.TemporaryDirectory(prefix="marigoldpath-soak-") as name:
+        folder = Path(name)
+        result = SoakRun(seed, settings, folder).play()
+        counts = " ".join(
+            f"{answer.value}={count}" for answer, count in result.answers.items()
+        )
+        print(f"seed={seed} {counts} faults={len(result.faults)}", flush=True)
+        if not result.faults:
+            return False
+        for fault in result.faults[:SHOWN_FAULTS]:
+            print(f"  {fault.rule} at {fault.at_ms:.0f} ms: {fault.what}")
+        if logs is not None:
+            kept = logs / f"seed-{seed}"
+            kept.mkdir(parents=True, exist_ok=True)
+            for log in folder.glob("*.log"):
+                (kept / log.name).write_bytes(log.read_bytes())
+            (kept / "played.txt").write_text("\n".join(result.played) + "\n")
+    return True
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/process_soak/_callers.py
@@ -0,0 +1,185 @@
+"""Callers of a soak: they hand jobs in, ask for them, cancel some, and judge."""
+
+import time
+from enum import Enum
+from typing import Any
+
+import curio
+
+from marigoldpath_bench.fleet_world import Answer, random_job
+from marigoldpath_bench.stand_ins import job_body, told_state
+from marigoldpath_core.jobs import AcceptedJob, JobState, Queue
+from marigoldpath_node.http import HttpResponse, NotSentError, ReplyLostError
+
+from ._cell import BACKGROUND_PREFIX, SITE, URGENT_PREFIX, Cell
+from ._hosts import SoakHost
+
+QUEUES = {
+    URGENT_PREFIX: Queue("urgent", "service", 0, 3, 1.5, 300),
+    BACKGROUND_PREFIX: Queue("background", "service", 2, 3, 2.2, 0),
+}
+ATTEMPTS = 5
+DEADLINE_S = 3.0
+RETRY_S = (0.1, 0.6)
+ASK_S = (0.2, 1.0)
+CANCEL_SHARE = 0.08
+GANG_SHARE = 0.05
+# A connection may end without an answer so long after the request (`loss-slack-ms`).
+CUT_SLACK_S = 0.2
+# The span without unplanned faults in which planned work must cut nothing off.
+CALM_S = 3.0
+NOT_RUN = (429, 503)
+GONE = 410
+
+
+class Outcome(Enum):
+    """How one call ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not_sent"
+    NO_ANSWER = "no_answer"
+
+
+class Callers:
+    """All callers of a run; each job is a task of its own."""
+
+    def __init__(self, cell: Cell) -> None:
+        self._cell = cell
+        self._random = cell.random
+        self._jobs = 0
+        self._open = 0
+        self.states: dict[str, JobState | None] = {}
+        self.answers: dict[str, Answer] = {}
+
+    @property
+    def open_jobs(self) -> int:
+        """Jobs that are being handed in or have not ended."""
+        return self._open
+
+    async def hand_in(self) -> None:
+        """Hand a job in and follow it to its end, in the background."""
+        self._jobs += 1
+        await curio.spawn(self._play, f"{self._jobs:016x}", daemon=True)
+
+    async def is_served(self, host: SoakHost) -> bool:
+        """Return whether a host answers a question for its queue."""
+        _, response = await self._call("GET", URGENT_PREFIX, host=host)
+        return response is not None and response.status == 200
+
+    async def _play(self, job_id: str) -> None:
+        self._open += 1
+        try:
+            prefix = self._random.choice([URGENT_PREFIX, BACKGROUND_PREFIX])
+            gangs = GANG_SHARE if prefix == BACKGROUND_PREFIX else 0.0
+            spec = random_job(self._random, job_id, gangs)
+            job = AcceptedJob(spec, QUEUES[prefix], 0, 0)
+            self._cell.oracle.note_job(job, Answer.UNKNOWN)
+            answer = await self._submit(prefix, job)
+            self.answers[job_id] = answer
+            self._cell.oracle.note_job(job, answer)
+            if answer is Answer.ACCEPTED:
+                await self._follow(prefix + job_id)
+            else:
+                await self._ask_at_the_end(prefix + job_id)
+        finally:
+            self._open -= 1
+
+    async def _submit(self, prefix: str, job: AcceptedJob) -> Answer:
+        answer = Answer.REFUSED
+        body = job_body(job.spec)
+        for _ in range(ATTEMPTS):
+            outcome, response = await self._call("POST", prefix + job.spec.job_id, body)
+            if response is not None and response.status == 200:
+                return Answer.ACCEPTED
+            is_refused = response is not None and response.status in NOT_RUN
+            if outcome is not Outcome.NOT_SENT and not is_refused:
+                answer = Answer.UNKNOWN
+            await curio.sleep(self._random.uniform(*RETRY_S))
+        return answer
+
+    async def _follow(self, path: str) -> None:
+        job_id = path.rpartition("/")[2]
+        cancels = self._random.random() < CANCEL_SHARE
+        self.states[job_id] = None
+        while True:
+            await curio.sleep(self._random.uniform(*ASK_S))
+            if cancels:
+                cancels = not await self._cancel(path)
+            state = await self._ask(path)
+            if state is not None:
+                self.states[job_id] = state
+                if state.is_final:
+                    return
+
+    async def _cancel(self, path: str) -> bool:
+        _, response = await self._call("DELETE", path)
+        if response is None or response.status != 200:
+            return False
+        cell = self._cell
+        cell.oracle.cancelled[path.rpartition("/")[2]] = cell.now_ms()
+        return True
+
+    async def _ask(self, path: str) -> JobState | None:
+        _, response = await self._call("GET", path)
+        if response is None:
+            return None
+        if response.status == GONE:
+            job_id = path.rpartition("/")[2]
+            self._cell.oracle.note_fault(
+                "LOST", self._cell.now_ms(), f"{job_id} was accepted and is not known"
+            )
+        if response.status != 200:
+            return None
+        return told_state(response.json())
+
+    async def _ask_at_the_end(self, path: str) -> None:
+        """Follow a job of unknown fate, which may or may not exist."""
+        job_id = path.rpartition("/")[2]
+        while True:
+            await curio.sleep(max(ASK_S))
+            _, response = await self._call("GET", path)
+            if response is None or response.status not in (200, GONE):
+                continue
+            if response.status == GONE:
+                self.states[job_id] = None
+                return
+            self.states[job_id] = state = told_state(response.json())
+            if state.is_final:
+                return
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        host: SoakHost | None = None,
+    ) -> tuple[Outcome, HttpResponse | None]:
+        host = host or self._random.choice(self._cell.hosts)
+        sent_s = time.monotonic()
+        headers = {"host": SITE, "x-deadline-ms": str(int(DEADLINE_S * 1000))}
+        try:
+            response = await self._cell.client.request(
+                method,
+                host.ingress,
+                path,
+                value=body,
+                headers=headers,
+                reply_s=DEADLINE_S,
+            )
+        except NotSentError:
+            return Outcome.NOT_SENT, None
+        except ReplyLostError as fault:
+            is_timeout = isinstance(fault.__cause__, curio.TaskTimeout)
+            self._judge_cut(host, sent_s, is_timeout)
+            return Outcome.NO_ANSWER, None
+        return Outcome.ANSWERED, response
+
+    def _judge_cut(self, host: SoakHost, sent_s: float, is_timeout: bool) -> None:
+        now_s = time.monotonic()
+        if is_timeout or now_s - sent_s <= CUT_SLACK_S:
+            return
+        is_planned = host.leaving_until_s > now_s
+        if is_planned and self._cell.disturbed_until_s + CALM_S < sent_s:
+            self._cell.oracle.note_fault(
+                "LOST", self._cell.now_ms(), f"{host.name} cut a request off"
+            )
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/process_soak/_cell.py
@@ -0,0 +1,106 @@
+"""The processes, stand-ins and proxies of one run of the soak."""
+
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import curio
+
+from marigoldpath_bench.fleet_world import Oracle
+from marigoldpath_bench.stand_ins import AdviceStandIn, StoreStandIn, WorkerStandIn
+from marigoldpath_node.http import HttpClient, HttpClientSettings
+
+from ._hosts import SoakHost
+from ._proxy import LoopbackProxy
+
+SITE = "site.example"
+URGENT_PREFIX = "/urgent/"
+BACKGROUND_PREFIX = "/background/"
+START_STEP_S = 0.05
+
+
+class Cell:
+    """Entry hosts, workers, the store and the advice service, all on one machine.
+
+    Each host reaches the store, and each worker is reached, through a proxy.
+    """
+
+    def __init__(self, random: Random, hosts: int, workers: int, folder: Path) -> None:
+        self.random = random
+        self.oracle = Oracle()
+        self.store = StoreStandIn()
+        self.advice = AdviceStandIn()
+        self.client = HttpClient(HttpClientSettings(connect_s=0.5, max_kept=32))
+        self.workers = [
+            WorkerStandIn(f"w{number}", self.oracle, random, self.now_ms, self._advance)
+            for number in range(workers)
+        ]
+        self.hosts: list[SoakHost] = []
+        self.worker_proxies: dict[str, LoopbackProxy] = {}
+        self.version = 0
+        # When the last unplanned fault ended; planned work alone may cut nothing off.
+        self.disturbed_until_s = 0.0
+        self._count = hosts
+        self._folder = folder
+        self._started_s = time.monotonic()
+
+    def now_ms(self) -> float:
+        """Return the time since the start of the run."""
+        return (time.monotonic() - self._started_s) * 1000
+
+    def _advance(self) -> None:
+        for worker in self.workers:
+            worker.worker.advance(self.now_ms())
+
+    async def start(self) -> None:
+        """Start everything and wait until each host serves callers."""
+        await self.store.start()
+        await self.advice.start()
+        for worker in self.workers:
+            await worker.start()
+            proxy = await self._proxy(worker.address)
+            self.worker_proxies[worker.worker_id] = proxy
+            self.list_worker(worker)
+        self.configure()
+        for number in range(self._count):
+            proxy = await self._proxy(self.store.address)
+            host = SoakHost(number, proxy, self.advice.address, self._folder)
+            self.hosts.append(host)
+            host.start()
+
+    def list_worker(self, worker: WorkerStandIn, state: str = "ready") -> None:
+        """Write the worker's entry to the store."""
+        address = self.worker_proxies[worker.worker_id].address
+        self.store.put("servers", worker.worker_id, worker.entry(address, state))
+
+    def configure(self) -> None:
+        """Write a new version of the configuration with two queues."""
+        self.version += self.random.randint(1, 5)
+        shared = {"host": SITE, "service": "service", "attempts": 3}
+        advice = {"decide-ms": 20, "period-ms": 1, "valid-ms": 2_000}
+        urgent = {"name": "urgent", "prefix": URGENT_PREFIX, "priority": 0}
+        background = {"name": "background", "prefix": BACKGROUND_PREFIX, "priority": 2}
+        routes = [
+            {**shared, **urgent, "stretch": 1.5, "target-duration-ms": 300},
+            {**shared, **background, "stretch": 2.2, "advice": advice},
+        ]
+        self.store.put("op", "config", {"version": self.version, "routes": routes})
+
+    def disturb(self, for_s: float) -> None:
+        """Note an unplanned fault that ends in `for_s` seconds."""
+        self.disturbed_until_s = max(self.disturbed_until_s, time.monotonic() + for_s)
+
+    async def until(self, condition: Callable[[], bool], limit_s: float) -> bool:
+        """Wait until a condition holds; return whether it does."""
+        until_s = time.monotonic() + limit_s
+        while not condition():
+            if time.monotonic() > until_s:
+                return False
+            await curio.sleep(START_STEP_S)
+        return True
+
+    async def _proxy(self, target: str) -> LoopbackProxy:
+        proxy = LoopbackProxy(target)
+        await curio.spawn(proxy.run, daemon=True)
+        return proxy
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/process_soak/_hosts.py
@@ -0,0 +1,97 @@
+"""The entry hosts of a soak: real processes of the platform's program."""
+
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+
+from marigoldpath_bench.deployment import ROOT
+from marigoldpath_bench.fleet import ManagedProcess
+from marigoldpath_bench.stand_ins import host_settings
+
+from ._proxy import LoopbackProxy
+
+END_GRACE_S = 0.0
+PROGRAM = ROOT / "platform" / "run.py"
+
+
+class SoakHost:
+    """An entry host with its own way to the store; each life has the same addresses."""
+
+    def __init__(
+        self, number: int, store: LoopbackProxy, advice: str, folder: Path
+    ) -> None:
+        self.name = f"host-{number}"
+        self.store = store
+        # Soaks that run at a time use addresses of their own.
+        ip = f"127.{os.getpid() % 250 + 1}.0.{number + 1}"
+        ports = _free_ports(ip)
+        self.ingress = f"{ip}:{ports[0]}"
+        self.is_paused = False
+        # Before this time it may be leaving after a SIGTERM.
+        self.leaving_until_s = 0.0
+        self._log = folder / f"{self.name}.log"
+        self._settings = folder / f"{self.name}.json"
+        settings = host_settings(self.name, ip, ports, store.address, advice)
+        self._settings.write_text(json.dumps(settings))
+        self._process: ManagedProcess | None = None
+        self._started_s = 0.0
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process exists, paused or not."""
+        return self._process is not None and self._process.exit_status is None
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the start of this life."""
+        return time.monotonic() - self._started_s
+
+    @property
+    def exit_status(self) -> int | None:
+        """How the last life ended, None while it goes on."""
+        return None if self._process is None else self._process.exit_status
+
+    def start(self) -> None:
+        """Begin a life of the process unless one goes on."""
+        if self.is_running:
+            return
+        command = [sys.executable, str(PROGRAM)]
+        environment = {"MARIGOLDPATH_BOOT": str(self._settings)}
+        self.is_paused = False
+        self._started_s = time.monotonic()
+        self._process = ManagedProcess(
+            self.name, command, self._log, python_path(), environment
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process that this object started."""
+        if self._process is not None:
+            self._process.send_signal(number)
+            self.is_paused = number is signal.SIGSTOP
+
+    def end(self) -> None:
+        """Kill the process and reap it."""
+        if self._process is not None:
+            self._process.end(END_GRACE_S)
+
+
+def python_path() -> str:
+    """Return where the platform's program finds its packages."""
+    folders = [ROOT / "platform", *sorted((ROOT / "packages").glob("*/src"))]
+    return ":".join(map(str, folders))
+
+
+def _free_ports(ip: str) -> tuple[int, int, int]:
+    probes = [socket.socket() for _ in range(3)]
+    try:
+        for probe in probes:
+            probe.bind((ip, 0))
+        callers, readiness, peers = (probe.getsockname()[1] for probe in probes)
+        return callers, readiness, peers
+    finally:
+        for probe in probes:
+            probe.close()
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/stand_ins/_advice.py
@@ -0,0 +1,27 @@
+"""The advice service in small: approves a fixed share of the workers of a step."""
+
+import zlib
+from typing import Any
+
+import curio
+
+from marigoldpath_node.http import HttpRequest, HttpResponse, json_response
+
+from ._server import StandInServer
+
+ANSWER_S = 0.02
+REFUSED_IN_TEN = 3
+
+
+class AdviceStandIn(StandInServer):
+    """Approves the same workers of a step each time."""
+
+    async def answer(self, request: HttpRequest, body: Any) -> HttpResponse:
+        """Return the approved workers with their tickets."""
+        await curio.sleep(ANSWER_S)
+        approved = [
+            [worker, f"{body['step']} {worker}"]
+            for worker in body["workers"]
+            if zlib.crc32(f"{body['step']} {worker}".encode()) % 10 >= REFUSED_IN_TEN
+        ]
+        return json_response(200, {"approved": approved})
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/stand_ins/_server.py
@@ -0,0 +1,40 @@
+"""What the stand-ins of the platform share."""
+
+import json
+from typing import Any
+
+import curio
+
+from marigoldpath_node.http import (
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+    HttpServerSettings,
+)
+
+
+class StandInServer:
+    """Serves `answer` on a free port and writes down what it was told."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[str, str, Any]] = []
+        self._server = HttpServer(HttpServerSettings("127.0.0.1", 0), self._handle)
+
+    async def start(self) -> None:
+        """Listen and serve until the process ends."""
+        self._server.listen()
+        await curio.spawn(self._server.run, daemon=True)
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as IP:PORT."""
+        return f"127.0.0.1:{self._server.port}"
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        body = json.loads(request.body) if request.body else None
+        self.told.append((request.method, request.path, body))
+        return await self.answer(request, body)
+
+    async def answer(self, request: HttpRequest, body: Any) -> HttpResponse:
+        """Return the response to a request."""
+        raise NotImplementedError
--- /dev/null
+++ b/packages/bench/src/marigoldpath_bench/stand_ins/_store.py
@@ -0,0 +1,150 @@
+"""The platform's store in small: rows, transactions and the feed."""
+
+import base64
+import json
+import time
+from typing import Any, NamedTuple
+from urllib.parse import parse_qsl, urlsplit
+
+import curio
+
+from marigoldpath_bench.faults import FaultGate, FaultPlan
+from marigoldpath_bench.server import FaultyHandler
+from marigoldpath_node.http import HttpRequest, HttpResponse, json_response
+
+from ._server import StandInServer
+
+FEED_STEP_S = 0.02
+
+
+class Conflict(NamedTuple):
+    """The rows whose versions are not as a transaction expects."""
+
+    rows: list[dict[str, Any]]
+
+
+class StoreStandIn(StandInServer):
+    """Holds all rows in memory; `statuses` are answered before all else.
+
+    `late` writes are answered with a closed connection and carried out by
+    `carry_out_late`, if their condition still holds.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.rows: dict[tuple[str, str, str], dict[str, Any]] = {}
+        self.version = 0
+        self.changes: list[dict[str, Any]] = []
+        self.oldest = 0
+        self.statuses: list[int] = []
+        self.is_late = False
+        self._late: list[Any] = []
+        self._gate = FaultGate()
+        self._changed = curio.Event()
+        self._faulty = FaultyHandler(self._gate, self._serve, self._changed.wait)
+
+    async def set_fault(self, plan: FaultPlan) -> None:
+        """Treat the next requests as a plan says."""
+        self._gate.set_plan(plan)
+        changed, self._changed = self._changed, curio.Event()
+        await changed.set()
+
+    def put(self, table: str, key: str, value: Any, part: str = "") -> None:
+        """Write a row as the operator or a worker does."""
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        text = base64.b64encode(data).decode()
+        self.version += 1
+        self._store({"table": table, "part": part, "key": key, "value": text})
+
+    def forget_history(self) -> None:
+        """Answer 410 to those that ask for the changes up to now."""
+        self.oldest = self.version
+
+    def carry_out_late(self) -> None:
+        """Carry out the late writes whose condition still holds."""
+        for body in self._late:
+            self._apply(body)
+        self._late.clear()
+
+    async def answer(self, request: HttpRequest, body: Any) -> HttpResponse:
+        """Treat a request as the fault in force says."""
+        return await self._faulty(request)
+
+    async def _serve(self, request: HttpRequest) -> HttpResponse:
+        if self.statuses:
+            return json_response(self.statuses.pop(0), {})
+        query = dict(parse_qsl(urlsplit(request.target).query, keep_blank_values=True))
+        name = request.path.rpartition("/")[2]
+        if name == "rows-tx":
+            return self._transact(json.loads(request.body))
+        if name == "rows-get":
+            return self._get(query)
+        if name == "rows-feed":
+            return await self._feed(query)
+        return json_response(404, {})
+
+    def _transact(self, body: Any) -> HttpResponse:
+        rows = [*body["expect-rev"], *body["puts"], *body["remove"]]
+        if len({row["part"] for row in rows}) != 1:
+            return json_response(400, {})
+        if self.is_late:
+            self._late.append(body)
+            raise ConnectionAbortedError("the write is carried out later")
+        conflict = self._apply(body)
+        if conflict is not None:
+            return json_response(412, {"rows": conflict.rows, "ver": self.version})
+        return json_response(200, {"ver": self.version, "now-ms": 0})
+
+    def _apply(self, body: Any) -> Conflict | None:
+        current = [self._current(row) for row in body["expect-rev"]]
+        wanted = [row["ver"] for row in body["expect-rev"]]
+        if [row["ver"] for row in current] != wanted:
+            return Conflict(current)
+        self.version += 1
+        for row in body["puts"]:
+            self._store(row)
+        for row in body["remove"]:
+            self._drop(row)
+        return None
+
+    def _store(self, row: dict[str, Any]) -> None:
+        stored = {**row, "ver": self.version}
+        self.rows[row["table"], row["part"], row["key"]] = stored
+        self.changes.append(stored)
+
+    def _drop(self, row: dict[str, Any]) -> None:
+        if self.rows.pop((row["table"], row["part"], row["key"]), None) is not None:
+            self.changes.append({**row, "ver": self.version, "deleted": True})
+
+    def _current(self, row: dict[str, Any]) -> dict[str, Any]:
+        missing = {"table": row["table"], "part": row["part"], "key": row["key"]}
+        key = row["table"], row["part"], row["key"]
+        return self.rows.get(key, {**missing, "ver": 0})
+
+    def _get(self, query: dict[str, str]) -> HttpResponse:
+        found = [
+            row
+            for (table, part, key), row in sorted(self.rows.items())
+            if table == query["table"]
+            and part == query["part"]
+            and key >= query.get("from", "")
+            and ("to" not in query or key < query["to"])
+        ]
+        limit = int(query.get("limit", 500))
+        page = {"rows": found[:limit], "has-more": len(found) > limit}
+        return json_response(200, {**page, "ver": self.version, "now-ms": 0})
+
+    async def _feed(self, query: dict[str, str]) -> HttpResponse:
+        after = int(query["after"])
+        if after < self.oldest:
+            return json_response(410, {})
+        until_s = time.monotonic() + int(query.get("wait-ms", 0)) / 1000
+        while True:
+            found = [
+                row
+                for row in self.changes
+                if row["ver"] > after and row["table"] == query["table"]
+            ]
+            if found or time.monotonic() >= until_s:
+                return json_response(200, {"rows": found, "ver": self.version})
+            await curio.sleep(FEED_STEP_S)
