Confine urgent jobs to a zone until their spread is stored

The cut of the leader's zone at 33.5 s left 12 workers unheard by the new leader of 35.2 s, so every job of the old epoch waited until 42.2 s: the old leader might have started any of them there.

Change: the accepting host writes its zone into an urgent job. Tasks start in that zone alone until the job's progress says that it is spread, which the leader stores when the zone has no room. The roster tells each worker's zone, and a new leader holds a job up only for unheard workers where it may run.

Tests: ZoneTests in tests.core.test_fleet; the search plays two zones.

--- a/packages/bench/src/marigoldpath_bench/fleet_world/_search.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_search.py
@@ -15,6 +15,7 @@
 # Share of jobs that are accepted by a host which has not heard of the newest leader.
 UNAWARE = 0.2
 GANG_SHARE = 0.1
+ZONES = 2
 URGENT = Queue("urgent", "service", 0, 3, 1.5, 300)
 BACKGROUND = Queue("background", "service", 2, 3, 2.2, 1_200)
 
@@ -22,13 +23,13 @@
 class FleetSearch:
     """One run of random jobs under random faults."""
 
-    def __init__(self, seed: int, unaware: float = UNAWARE) -> None:
+    def __init__(self, seed: int, unaware: float = UNAWARE, zones: int = ZONES) -> None:
         self._random = Random(f"fleet {seed}")
         lost = self._random.choice([0.0, 0.02, 0.1])
         late = self._random.choice([0.0, 0.05, 0.2])
         delay_ms = self._random.choice([5.0, 40.0, 400.0])
         settings = WorldSettings(
-            lost=lost, late=late, delay_ms=delay_ms, unaware=unaware
+            lost=lost, late=late, delay_ms=delay_ms, unaware=unaware, zones=zones
         )
         self._world = FleetWorld(seed, settings)
         self._jobs = 0
--- a/packages/bench/src/marigoldpath_bench/fleet_world/_worker.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_worker.py
@@ -36,10 +36,16 @@
     """One worker; `rate` is the speed of its clock, `now_ms` is true time."""
 
     def __init__(
-        self, worker_id: str, capacity: Resources, oracle: Oracle, random: Random
+        self,
+        worker_id: str,
+        capacity: Resources,
+        oracle: Oracle,
+        random: Random,
+        zone: str = "zone",
     ) -> None:
         self.worker_id = worker_id
         self.capacity = capacity
+        self.zone = zone
         self.fails_all = False
         self._oracle = oracle
         self._random = random
@@ -69,7 +75,7 @@
             self.worker_id,
             "service",
             f"{self.worker_id}:1",
-            "zone",
+            self.zone,
             ("a", "rack-1"),
             "rack-1",
             self.capacity,
--- a/packages/bench/src/marigoldpath_bench/fleet_world/_world.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_world/_world.py
@@ -36,7 +36,7 @@
     """The size of a cell, the longest delay of a message and the share of lost ones.
 
     `unaware` is the share of jobs whose accepting host has not heard of the newest
-    leader.
+    leader. Some jobs are confined to one of `zones` availability zones.
     """
 
     workers: int = 6
@@ -46,6 +46,7 @@
     lost: float = 0.0
     late: float = 0.0
     unaware: float = 0.0
+    zones: int = 1
     fleet: FleetSettings = FleetSettings()
 
 
@@ -75,7 +76,11 @@
         capacity = Resources(self.settings.cpu_millis, self.settings.memory_mb, 0)
         self.workers = {
             f"w{number}": SimulatedWorker(
-                f"w{number}", capacity, self.oracle, self.random
+                f"w{number}",
+                capacity,
+                self.oracle,
+                self.random,
+                f"zone-{number % self.settings.zones}",
             )
             for number in range(self.settings.workers)
         }
@@ -114,7 +119,7 @@
         """Store a job and tell the leader, unless the message is lost."""
         known = self.store.leader[0]
         known -= known > 1 and self._hosts.random() < self.settings.unaware
-        job = job._replace(epoch=known)
+        job = job._replace(epoch=known, zone=self._choose_zone())
         self.store.jobs[job.spec.job_id] = job
         self.oracle.note_job(job)
         for leader in self.leaders:
@@ -123,6 +128,13 @@
             if leader.is_alive and not self._is_lost():
                 self._tell(leader, JobAccepted(job))
 
+    def _choose_zone(self) -> str:
+        """Return an availability zone, or none in a third of the cases."""
+        zones = self.settings.zones
+        if zones == 1 or self._hosts.random() < 1 / 3:
+            return ""
+        return f"zone-{self._hosts.randrange(zones)}"
+
     def cancel(self, job_id: str) -> None:
         """Store a cancellation and tell the leaders."""
         self.store.cancelled.add(job_id)
--- a/packages/bench/src/marigoldpath_bench/stand_ins/_store.py
+++ b/packages/bench/src/marigoldpath_bench/stand_ins/_store.py
@@ -41,7 +41,7 @@
         self._late: list[Any] = []
         self._gate = FaultGate()
         self._changed = curio.Event()
-        self._faulty = FaultyHandler(self._gate, self._serve, self._changed.wait)
+        self._faulty = FaultyHandler(self._gate, self._serve, self._wait)
 
     async def set_fault(self, plan: FaultPlan) -> None:
         """Treat the next requests as a plan says."""
@@ -49,6 +49,9 @@
         changed, self._changed = self._changed, curio.Event()
         await changed.set()
 
+    async def _wait(self) -> None:
+        await self._changed.wait()
+
     def put(self, table: str, key: str, value: Any, part: str = "") -> None:
         """Write a row as the operator or a worker does."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -114,8 +114,9 @@
     unknown = _unknown_workers(pools, step)
     if len(unknown) <= FEW_WORKERS:
         return unknown
+    zone = step.job.zone
     rooms = [(room_for(fleet, step, worker, False), worker) for worker in unknown]
-    rooms.sort(key=lambda each: -each[0])
+    rooms.sort(key=lambda each: (zone not in ("", each[1].entry.zone), -each[0]))
     needed = len(step.waiting) / _approval_share(fleet, step)
     named: list[Worker] = []
     for room, worker in rooms[:MAX_WORKERS]:
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -36,6 +36,7 @@
 def _place_tasks(fleet: Fleet, pools: Pools, step: Step) -> None:
     among = candidates(fleet, pools, step)
     if not among.workers:
+        _spread_if_advised(fleet, step)
         return
     unplaced = 0
     waiting = step.waiting
@@ -54,10 +55,18 @@
         start(fleet, worker, task, fleet.next_number(task))
         among.placed[worker.worker_id] += 1
         among.racks[worker.entry.rack] += 1
-    if unplaced:
+    if unplaced and step.job.zone:
+        fleet.spread(step.job)
+    elif unplaced:
         _preemption.make_room(fleet, step, among, unplaced)
 
 
+def _spread_if_advised(fleet: Fleet, step: Step) -> None:
+    """Let the job leave its zone when no worker there may run the step."""
+    if step.asked or step.job.queue.advice is None:
+        fleet.spread(step.job)
+
+
 def _forgive(among: Candidates, task: Task) -> None:
     """Let a task return to workers it avoids when there are no others."""
     if all(worker.worker_id in task.avoided for worker in among.workers):
@@ -71,6 +80,7 @@
     among = candidates(fleet, pools, step)
     plan = _plan_gang(fleet, step, among)
     if plan is None:
+        _spread_if_advised(fleet, step)
         return
     number = fleet.next_number(*step.tasks)
     for task, worker in zip(step.tasks, plan):
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -164,11 +164,24 @@
             return False
         if step.job.accepted.epoch >= self.epoch:
             return False
+        zone = step.job.zone
         return any(
-            entry.jobs is None or job_id in entry.jobs
+            (entry.jobs is None or job_id in entry.jobs)
+            and (not zone or entry.zone in ("", zone))
             for entry in self.unheard.values()
         )
 
+    def spread(self, job: Job) -> None:
+        """Let a job run outside its zone once that is stored.
+
+        A successor that cannot hear the workers of another zone would take it for
+        certain that the job does not run there.
+        """
+        if job.zone and not job.wants_spread:
+            job.wants_spread = True
+            self.note("job_spreading", job=job.spec.job_id, zone=job.zone)
+            self.mark_dirty(job)
+
     def note_unknown_jobs(self, worker: Worker, named: set[str]) -> None:
         """Keep which jobs of a worker's newest list are not known."""
         unknown = {
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -4,6 +4,7 @@
 
 from ._fleet import Fleet, handlers
 from ._messages import JobAccepted, JobCancelled, JobsRead, QueuesChanged
+from ._room import count_fitting
 from ._work import Job, Step, Task
 
 
@@ -36,6 +37,9 @@
         steps=[step.width for step in job.spec.steps],
         accepted_epoch=accepted.epoch,
     )
+    if job.zone and not _has_room_at_home(fleet, job):
+        # It is stored while the advice service is asked.
+        fleet.spread(job)
     if job_id in fleet.cancelled:
         finish(fleet, job, JobState.CANCELLED, "cancelled before it was known")
     elif job.spec.occurrences:
@@ -149,6 +153,22 @@
         finish(fleet, job, JobState.DONE, "all tasks are done")
 
 
+def _has_room_at_home(fleet: Fleet, job: Job) -> bool:
+    """Return whether the widest step is likely to fit into the job's zone now."""
+    usable = [
+        worker
+        for worker in fleet.workers.values()
+        if worker.entry.zone == job.zone
+        and worker.entry.service == job.queue.service
+        and worker.is_usable(fleet.now_ms)
+    ]
+    for spec in job.spec.steps:
+        room = sum(count_fitting(spec, spec.need, worker.free) for worker in usable)
+        if room * fleet.settings.home_share < spec.width:
+            return False
+    return True
+
+
 def _objective_ms(job: Job) -> float:
     return job.queue.stretch * job.longest_chain_ms() + job.queue.target_ms
 
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -235,6 +235,7 @@
 
     address: str
     jobs: tuple[str, ...] | None
+    zone: str = ""
 
 
 class Commit(NamedTuple):
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -3,11 +3,11 @@
 from collections import Counter
 from typing import NamedTuple
 
-from marigoldpath_core.jobs import Resources
 from marigoldpath_core.registry import Registry
 
 from ._fleet import Fleet
 from ._pools import Pools, has_label
+from ._room import count_fitting
 from ._work import Step, Task
 from ._worker import Worker
 
@@ -31,6 +31,8 @@
         workers = pools.open(step)
     else:
         workers = _with_ticket(fleet, pools, step)
+    if zone := step.job.zone:
+        workers = [worker for worker in workers if worker.entry.zone == zone]
     placed = count_placed(step)
     racks: Counter[str] = Counter()
     for worker_id, count in placed.items():
@@ -84,7 +86,7 @@
     if leave_share and step.job.queue.priority > 0:
         usable = background_share(fleet, worker) - worker.background_cpu
         free = free._replace(cpu_millis=min(free.cpu_millis, usable))
-    return _count_fitting(step, free)
+    return count_fitting(step.spec, step.need, free)
 
 
 def most_fitting(fleet: Fleet, step: Step, worker: Worker) -> int:
@@ -92,14 +94,7 @@
     capacity = worker.entry.capacity
     if step.job.queue.priority > 0:
         capacity = capacity._replace(cpu_millis=background_share(fleet, worker))
-    return _count_fitting(step, capacity)
-
-
-def _count_fitting(step: Step, room: Resources) -> int:
-    fits = [have // want for have, want in zip(room, step.need) if want]
-    if step.spec.max_per_worker:
-        fits.append(step.spec.max_per_worker)
-    return max(0, min(fits, default=len(step.tasks)))
+    return count_fitting(step.spec, step.need, capacity)
 
 
 def choose(fleet: Fleet, step: Step, task: Task, among: Candidates) -> Worker | None:
--- a/packages/core/src/marigoldpath_core/fleet/_roster.py
+++ b/packages/core/src/marigoldpath_core/fleet/_roster.py
@@ -33,12 +33,12 @@
 
 
 def _wanted(worker: Worker, current: RosterEntry | None) -> RosterEntry | None:
-    address = worker.entry.address
+    address, zone = worker.entry.address, worker.entry.zone
     if worker.is_listed and not worker.is_silent and not worker.entry.draining:
-        return RosterEntry(address, None)
+        return RosterEntry(address, None, zone)
     jobs = {run.task.key.job_id for run in worker.runs.values()}
     if not jobs:
         return None
     if current is not None and current.jobs is not None and jobs <= set(current.jobs):
         return current
-    return RosterEntry(address, tuple(sorted(jobs)))
+    return RosterEntry(address, tuple(sorted(jobs)), zone)
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -173,6 +173,9 @@
         if commit.roster is not None:
             fleet.stored_roster = dict(commit.roster)
             fleet.needs_dispatch = True
+        for job_id, progress in commit.progress.items():
+            if progress.is_spread and job_id in fleet.jobs:
+                fleet.jobs[job_id].is_spread = True
         for job_id in commit.final:
             job = fleet.jobs.pop(job_id, None)
             if job is not None:
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -9,6 +9,8 @@
     `lease_ms` is asked for at each look at a worker. `clock_slack` is the rate by which
     a worker's clock may be slow. `start_window_ms` bounds how late an order to start
     may be carried out by a life whose clock is known, `late_order_ms` by any other.
+    A job stays in its zone while its widest step needs at most `home_share` of what
+    fits there, as the advice service refuses some of the workers.
     `longest_lease_ms` is the most that a worker grants. `keep_final_ms` is how long the
     state of an ended job can be asked for.
     """
@@ -23,6 +25,7 @@
     majority_ms: int = 1_500
     look_wait_ms: int = 500
     urgent_reserve: float = 0.15
+    home_share: float = 0.5
     lasting_start_ms: int = 3_500
     retry_stop_ms: int = 1_300
     leaving_margin_ms: int = 1_300
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -164,6 +164,9 @@
         self.state = JobState.QUEUED
         self.steps: dict[tuple[int, int], Step] = {}
         self.stored = progress
+        # Whether it may run outside its zone, as wanted and as stored.
+        self.is_spread = progress is not None and progress.is_spread
+        self.wants_spread = self.is_spread
         self.begun_occurrences = 0
         self.due_ms = 0.0
         self.has_started = False
@@ -178,6 +181,11 @@
         """Return the policy of the job's queue."""
         return self.accepted.queue
 
+    @property
+    def zone(self) -> str:
+        """Return the availability zone that the job is confined to, empty for none."""
+        return "" if self.is_spread else self.accepted.zone
+
     @property
     def occurrences(self) -> int:
         """Return how many times the steps run."""
@@ -230,7 +238,7 @@
                     checkpoints[occurrence, number, place] = task.checkpoint
             if mask:
                 done[occurrence, number] = mask
-        return Progress(self.state, done, failures, checkpoints)
+        return Progress(self.state, done, failures, checkpoints, self.wants_spread)
 
 
 def _restore(step: Step, stored: Progress) -> None:
--- a/packages/core/src/marigoldpath_core/jobs/_model.py
+++ b/packages/core/src/marigoldpath_core/jobs/_model.py
@@ -86,13 +86,15 @@
     """A stored job: its specification, its queue and when it was accepted.
 
     `epoch` is the leader's epoch known to the accepting host; `accepted_ms` is
-    milliseconds since the epoch of Unix.
+    milliseconds since the epoch of Unix. Until its progress says that it is spread, the
+    job runs on workers of `zone` alone, or on any where `zone` is empty.
     """
 
     spec: JobSpec
     queue: Queue
     epoch: int
     accepted_ms: int
+    zone: str = ""
 
 
 class TaskKey(NamedTuple):
@@ -123,10 +125,12 @@
     """What is stored of a job that has begun.
 
     `done` maps (occurrence, step) to a bit mask of done tasks, `failures` a task to the
-    numbers of its failed runs, and `checkpoints` a task to its newest one.
+    numbers of its failed runs, and `checkpoints` a task to its newest one. A job that
+    `is_spread` may run outside its availability zone.
     """
 
     state: JobState
     done: dict[tuple[int, int], int] = {}  # noqa: RUF012
     failures: dict[tuple[int, int, int], tuple[int, ...]] = {}  # noqa: RUF012
     checkpoints: dict[tuple[int, int, int], str] = {}  # noqa: RUF012
+    is_spread: bool = False
--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -26,6 +26,7 @@
     queue: list[Any]
     epoch: int
     accepted_ms: int
+    zone: str
 
 
 class ProgressData(TypedDict, total=False):
@@ -35,6 +36,7 @@
     done: dict[str, str]
     failures: dict[str, list[int]]
     checkpoints: dict[str, str]
+    spread: bool
 
 
 class LeaderRow(NamedTuple):
@@ -71,6 +73,7 @@
         "queue": [*job.queue],
         "epoch": job.epoch,
         "accepted_ms": job.accepted_ms,
+        "zone": job.zone,
     }
     return to_json(data)
 
@@ -92,7 +95,7 @@
     policy = Queue(*data["queue"])
     if policy.advice is not None:
         policy = policy._replace(advice=AdvicePolicy(*policy.advice))
-    return AcceptedJob(spec, policy, data["epoch"], data["accepted_ms"])
+    return AcceptedJob(spec, policy, data["epoch"], data["accepted_ms"], data["zone"])
 
 
 def encode_progress(progress: Progress) -> bytes:
@@ -108,6 +111,8 @@
         data["checkpoints"] = {
             _join(key): text for key, text in progress.checkpoints.items()
         }
+    if progress.is_spread:
+        data["spread"] = True
     return to_json(data)
 
 
@@ -119,6 +124,7 @@
         {_pair(key): int(mask, 16) for key, mask in data.get("done", {}).items()},
         {_triple(key): tuple(runs) for key, runs in data.get("failures", {}).items()},
         {_triple(key): text for key, text in data.get("checkpoints", {}).items()},
+        data.get("spread", False),
     )
 
 
@@ -141,8 +147,8 @@
     """Return a stored roster."""
     data: dict[str, list[Any]] = json.loads(value)
     return {
-        worker_id: RosterEntry(address, None if jobs is None else tuple(jobs))
-        for worker_id, (address, jobs) in data.items()
+        worker_id: RosterEntry(address, None if jobs is None else tuple(jobs), zone)
+        for worker_id, (address, jobs, zone) in data.items()
     }
 
 
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -126,7 +126,11 @@
     ) -> Submission:
         """Store a job within `patience_s` and return what is known of it."""
         started_s = now_s()
-        job = AcceptedJob(spec, queue, self._election.known_epoch, wall_ms())
+        # What is urgent stays within a zone, so that a cut of another does not hold it
+        # up; what may wait gets the room of all.
+        zone = "" if queue.priority else self._settings.availability_zone
+        epoch = self._election.known_epoch
+        job = AcceptedJob(spec, queue, epoch, wall_ms(), zone)
         outcome, stored = await self._acceptance.submit(job, patience_s)
         if stored is not None:
             await curio.spawn(self._tell_job, stored, daemon=True)
--- a/tests/bench/test_fleet_world.py
+++ b/tests/bench/test_fleet_world.py
@@ -44,8 +44,8 @@
         }
         for seed, cause in causes.items():
             with self.subTest(seed=seed, cause=cause):
-                # Found before the search had hosts that are unaware of a new leader.
-                found = FleetSearch(seed, unaware=0.0).run(STEPS)
+                # Found before the search had zones and hosts unaware of a new leader.
+                found = FleetSearch(seed, unaware=0.0, zones=1).run(STEPS)
                 self.assertEqual(found, [])
 
 
--- a/tests/core/fleet_fixture.py
+++ b/tests/core/fleet_fixture.py
@@ -72,7 +72,10 @@
         self.now_ms = 10_000.0
         self.entries = entries
         roster = (
-            {each.worker_id: RosterEntry(each.address, None) for each in entries}
+            {
+                each.worker_id: RosterEntry(each.address, None, each.zone)
+                for each in entries
+            }
             if roster is None
             else roster
         )
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -94,7 +94,7 @@
         cell.accept(job(step()))
         cell.wait(10)
         self.assertEqual(cell.starts(), [])
-        self.assertEqual(cell.commit().roster, {"a": RosterEntry("a:1", None)})
+        self.assertEqual(cell.commit().roster, {"a": RosterEntry("a:1", None, "zone")})
         self.assertEqual(len(cell.starts()), 1)
 
     def test_a_step_waits_for_the_steps_before_it(self):
@@ -461,7 +461,7 @@
         self.cell.handle(WorkerSilent("a"))
         self.cell.wait(10)
         roster = self.cell.commit().roster
-        self.assertEqual(roster["a"], RosterEntry("a:1", (JOB,)))
+        self.assertEqual(roster["a"], RosterEntry("a:1", (JOB,), "zone"))
         self.assertEqual(roster["b"].jobs, None)
 
     def test_a_silent_or_leaving_worker_without_runs_is_dropped(self):
@@ -498,8 +498,8 @@
     def test_only_the_jobs_of_an_unheard_silent_worker_wait(self):
         other = "00000000000000ab"
         roster = {
-            "a": RosterEntry("a:1", (JOB,)),
-            "b": RosterEntry("b:1", None),
+            "a": RosterEntry("a:1", (JOB,), "zone"),
+            "b": RosterEntry("b:1", None, "zone"),
         }
         cell = Cell(entry("a"), entry("b"), epoch=2, roster=roster)
         cell.accept(job(step()))
@@ -508,6 +508,55 @@
         self.assertEqual([o.task.job_id for o in cell.starts()], [other])
 
 
+class ZoneTests(unittest.TestCase):
+    """A job that is confined to a zone is not held up by the cut of another."""
+
+    def setUp(self):
+        self.near = entry("near", cpu=2_000, zone="near")
+        self.far = entry("far", zone="far")
+        self.cell = Cell(self.near, self.far)
+        self.cell.hear_all()
+
+    def accept(self, width, progress=None, cell=None):
+        confined = job(step(width=width))._replace(zone="near")
+        (cell or self.cell).accept(confined, progress)
+
+    def test_a_confined_job_starts_in_its_zone_alone(self):
+        self.accept(1)
+        self.assertEqual([each.worker_id for each in self.cell.starts()], ["near"])
+
+    def test_a_job_leaves_its_zone_only_after_that_is_stored(self):
+        """A successor would take it for certain that it does not run outside."""
+        self.accept(6)
+        starts = self.cell.starts()
+        self.assertEqual({each.worker_id for each in starts}, {"near"})
+        commit = self.cell.scheduler.take_commit(10)
+        self.assertTrue(commit.progress[JOB].is_spread)
+        self.assertEqual(self.cell.starts(), [])
+        self.cell.scheduler.committed(commit, self.cell.now_ms, self.cell.now_ms)
+        self.assertEqual({each.worker_id for each in self.cell.starts()}, {"far"})
+
+    def test_a_job_without_workers_in_its_zone_leaves_it(self):
+        lonely = job(step())._replace(zone="empty")
+        self.cell.accept(lonely)
+        self.assertEqual(self.cell.starts(), [])
+        self.cell.commit()
+        self.assertEqual(len(self.cell.starts()), 1)
+
+    def test_only_unheard_workers_where_it_may_run_hold_an_old_job_up(self):
+        spread = Progress(JobState.QUEUED, is_spread=True)
+        for heard, progress, may_start in (
+            ("near", None, True),
+            ("far", None, False),
+            ("near", spread, False),
+        ):
+            with self.subTest(heard=heard, progress=progress):
+                cell = Cell(self.near, self.far, epoch=2)
+                cell.report(heard)
+                self.accept(1, progress, cell)
+                self.assertEqual(bool(cell.starts()), may_start)
+
+
 class SilenceTests(unittest.TestCase):
     def setUp(self):
         self.cell = Cell(entry("a"), entry("b"))
--- a/tests/node/test_cell.py
+++ b/tests/node/test_cell.py
@@ -115,7 +115,7 @@
             StepSpec(3, Resources(500, 64, 1), estimate_ms=900),
             StepSpec(1, Resources(1, 2, 3), after=(0,), gang=True, target_ms=80),
         )
-        job = AcceptedJob(JobSpec(JOB_ID, "text", steps, 2, 5, 7), QUEUE, 4, 99)
+        job = AcceptedJob(JobSpec(JOB_ID, "text", steps, 2, 5, 7), QUEUE, 4, 99, "z")
         self.assertEqual(decode_job(encode_job(job)), job)
 
     def test_progress_survives_storage(self):
@@ -124,6 +124,7 @@
             {(0, 1): 0b1011},
             {(0, 1, 2): (1, 10_001)},
             {(0, 1, 2): "checkpoint"},
+            is_spread=True,
         )
         self.assertEqual(decode_progress(encode_progress(progress)), progress)
 
