Keep old jobs at home while workers are unheard, and urgent advice free after a takeover

Followers of the cut-off leader stayed ready for 6 s and told 20 callers to come back, as the leader still answered them.

Change: no job is spread before most workers were heard, nor one of an earlier epoch while workers are unheard; such a job preempts at home. A leader tells whether it can order, and a host beside one that cannot is not ready once the store is lost to it; in an outage of the whole store leaders can order and hosts stay ready.

Tests fail before and pass now: ZoneTests, SlowAdviceTests, CutOffTests.

--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -55,9 +55,7 @@
         start(fleet, worker, task, fleet.next_number(task))
         among.placed[worker.worker_id] += 1
         among.racks[worker.entry.rack] += 1
-    if unplaced and step.job.zone:
-        fleet.spread(step.job)
-    elif unplaced:
+    if unplaced and not fleet.spread(step.job):
         _preemption.make_room(fleet, step, among, unplaced)
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -57,7 +57,7 @@
         self.begun_ms = now_ms
         self.majority_heard_ms: float | None = None
         self.deposed = False
-        self.helpers = 1
+        self.helpers = 0
         self.slow_questions: set[tuple[str, int, int]] = set()
         self.needs_dispatch = True
         self.needs_commit = False
@@ -171,16 +171,20 @@
             for entry in self.unheard.values()
         )
 
-    def spread(self, job: Job) -> None:
-        """Let a job run outside its zone once that is stored.
+    def spread(self, job: Job) -> bool:
+        """Let a job run outside its zone once that is stored; return whether it will.
 
         A successor that cannot hear the workers of another zone would take it for
-        certain that the job does not run there.
+        certain that the job does not run there. For the same reason a job of an earlier
+        epoch stays at home while workers are unheard: elsewhere it would be held up.
         """
-        if job.zone and not job.wants_spread:
+        if not job.zone or (self.unheard and job.accepted.epoch < self.epoch):
+            return False
+        if not job.wants_spread:
             job.wants_spread = True
             self.note("job_spreading", job=job.spec.job_id, zone=job.zone)
             self.mark_dirty(job)
+        return True
 
     def note_unknown_jobs(self, worker: Worker, named: set[str]) -> None:
         """Keep which jobs of a worker's newest list are not known."""
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -37,7 +37,7 @@
         steps=[step.width for step in job.spec.steps],
         accepted_epoch=accepted.epoch,
     )
-    if job.zone and not _has_room_at_home(fleet, job):
+    if job.zone and fleet.majority_heard_ms and not _has_room_at_home(fleet, job):
         # It is stored while the advice service is asked.
         fleet.spread(job)
     if job_id in fleet.cancelled:
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -151,7 +151,7 @@
 class Tick(NamedTuple):
     """Time has passed; `wall_ms` is milliseconds since the epoch of Unix.
 
-    `helpers` is the number of hosts that ask the advice service.
+    `helpers` is the number of hosts that may ask the advice service slow questions.
     """
 
     wall_ms: int
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -63,10 +63,17 @@
         """Whether new connections should come here."""
         if self._configuration is None or self._is_stopping:
             return False
-        if self._election.leader is not None:
+        if self._follows_able_leader():
             return True
         return self._acceptance.suspect_s < self._settings.unready_s
 
+    def _follows_able_leader(self) -> bool:
+        """Return whether a leader is reached that is not cut off from the others."""
+        if self._leader is not None:
+            return self._leader.can_order
+        view = self._election.view
+        return self._election.leader is not None and (view is None or view.can_order)
+
     @property
     def acceptance(self) -> Acceptance:
         """How this host stores jobs, and what it knows of the store."""
@@ -233,6 +240,7 @@
             token,
             self._leader.store_age_s,
             self._leader.pending(),
+            self._leader.can_order,
         )
 
     @peer_routes.register("view")
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -61,6 +61,7 @@
         self._committer: Committer | None = None
         self._queues: dict[str, Queue] = {}
         self._swept_version = 0
+        self._began_s = now_s()
         self._looking: set[str] = set()
         self._orders = Orders(settings, surroundings, helpers, self)
         self._kick = curio.Event()
@@ -82,6 +83,11 @@
         """Seconds since the leader's row was last stored."""
         return 0.0 if self._committer is None else self._committer.age_s
 
+    @property
+    def can_order(self) -> bool:
+        """Whether this leader may start and renew anything now."""
+        return self._scheduler is not None and self._scheduler.may_order(now_ms())
+
     def state_of(self, job_id: str) -> JobState | None:
         """Return what callers are told of a job, None when it is not known."""
         return None if self._scheduler is None else self._scheduler.state_of(job_id)
@@ -277,7 +283,17 @@
     async def _tick_loop(self) -> None:
         while True:
             await curio.sleep(self._settings.tick_s)
-            await self.handle(Tick(wall_ms(), max(1, self._helpers.count)))
+            await self.handle(Tick(wall_ms(), self._askers()))
+
+    def _askers(self) -> int:
+        """Return how many hosts ask the advice service slow questions.
+
+        Those of this host would stand before its urgent ones, so it asks them itself
+        only where no other host calls.
+        """
+        if now_s() - self._began_s < self._settings.alone_s:
+            return self._helpers.count
+        return max(1, self._helpers.count)
 
     async def _dispatch_loop(self) -> None:
         assert self._scheduler is not None
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -35,13 +35,15 @@
 class LeaderView(NamedTuple):
     """What a process tells of itself; `epoch` is 0 while it does not lead.
 
-    `token` names the life of the process, `store_age_s` is since the last commit.
+    `token` names the life of the process, `store_age_s` is since the last commit. A
+    leader that is cut off from the store and from most workers cannot order.
     """
 
     epoch: int
     token: str
     store_age_s: float
     pending: dict[str, int]
+    can_order: bool = True
 
 
 class HelpOffer(NamedTuple):
@@ -65,9 +67,10 @@
     async def view(self, address: str, offer: HelpOffer) -> LeaderView:
         """Return what the process at `address` tells, and offer it help."""
         data = await self._call(address, "view", offer._asdict())
-        return LeaderView(
-            data["epoch"], data["token"], data["store_age_s"], data["pending"]
-        )
+        try:
+            return LeaderView(**data)
+        except TypeError as fault:
+            raise PeerError(f"bad view of {address}: {fault}") from fault
 
     async def tell_job(self, address: str, job: AcceptedJob) -> None:
         """Tell the leader of a stored job."""
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -16,6 +16,7 @@
     `cores` is the processor of this host. A candidate with `larger_factor` times less
     than the lost leader leaves `smaller_s` to larger ones, and a leader hands over to a
     host with as many times more once it has led for `settled_s`.
+    A leader that no other host has called for `alone_s` is on its own.
     A host that has reached neither the store nor a leader for `unready_s` is not ready.
     """
 
@@ -32,6 +33,7 @@
     larger_factor: float = 1.5
     smaller_s: float = 0.5
     settled_s: float = 1.0
+    alone_s: float = 1.5
     slow_store_factor: float = 4.0
     watch_s: float = 0.3
     peer_reply_s: float = 0.6
--- a/tests/core/test_fleet.py
+++ b/tests/core/test_fleet.py
@@ -543,6 +543,22 @@
         self.cell.commit()
         self.assertEqual(len(self.cell.starts()), 1)
 
+    def test_an_old_job_stays_at_home_while_workers_are_unheard(self):
+        """Elsewhere it would have to wait for them."""
+        cell = Cell(self.near, self.far, epoch=2)
+        cell.report("near")
+        self.accept(3, cell=cell)
+        self.assertEqual(len(cell.starts()), 2)
+        self.assertEqual(cell.commit().progress, {})
+        cell.report("far")
+        cell.scheduler.dispatch(cell.now_ms)
+        self.assertTrue(cell.commit().progress[JOB].is_spread)
+
+    def test_a_new_leader_spreads_no_job_before_it_has_heard_workers(self):
+        cell = Cell(self.near, self.far, epoch=2)
+        self.accept(1, cell=cell)
+        self.assertEqual(cell.commit().progress, {})
+
     def test_only_unheard_workers_where_it_may_run_hold_an_old_job_up(self):
         spread = Progress(JobState.QUEUED, is_spread=True)
         for heard, progress, may_start in (
@@ -776,6 +792,16 @@
 
 
 class SlowAdviceTests(unittest.TestCase):
+    def test_no_slow_question_is_asked_while_no_host_may_ask_it(self):
+        """It would stand before the urgent questions of the leader."""
+        slow = BACKGROUND._replace(advice=AdvicePolicy(500.0, 5.0, 2_500.0))
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        cell.accept(job(step(), queue=slow))
+        self.assertEqual(cell.dispatch(), [])
+        cell.handle(Tick(0, helpers=1))
+        self.assertEqual(len(cell.dispatch()), 1)
+
     def test_as_many_slow_questions_are_asked_as_there_are_hosts_to_ask_them(self):
         slow = BACKGROUND._replace(advice=AdvicePolicy(400.0, 5.0, 2_000.0))
         cell = Cell(entry("a"))
--- a/tests/node/test_cell.py
+++ b/tests/node/test_cell.py
@@ -289,6 +289,34 @@
         self.assertEqual(self.ready(FAST, is_working=False), (False, True))
 
 
+class CutOffTests(unittest.TestCase):
+    """Callers of a zone that is cut off are better served by another zone."""
+
+    def ready_beside(self, can_order):
+        view = LeaderView(3, "other", 9.0, {}, can_order)
+
+        async def run():
+            store = MemoryStore()
+            row = LeaderRow(3, "10.0.0.2:1", "other")
+            await store.commit({}, {LEADER_ROW: encode_leader(row)})
+            settings = FAST._replace(unready_s=0.0, silent_s=9.0, refused_s=9.0)
+            host = entry_host(store, FakePeers(view=view), settings)
+            await host.configure(Configuration(1, {}))
+            await curio.spawn(host.run, daemon=True)
+            await curio.sleep(0.1)
+            store.is_down = True
+            await curio.sleep(0.1)
+            return host.is_ready
+
+        return curio.run(run)
+
+    def test_a_host_beside_a_leader_that_can_order_is_ready(self):
+        self.assertTrue(self.ready_beside(can_order=True))
+
+    def test_a_host_beside_a_leader_that_is_cut_off_is_not_ready(self):
+        self.assertFalse(self.ready_beside(can_order=False))
+
+
 class CommitTests(unittest.TestCase):
     def setUp(self):
         self.store = MemoryStore()
