--- a/packages/bench/src/marigoldpath_bench/process_soak/_faults.py
+++ b/packages/bench/src/marigoldpath_bench/process_soak/_faults.py
@@ -62,9 +62,15 @@
     if not hosts:
         return
     host = cell.random.choice(hosts)
+    life = host.lives
     host.leaving_until_s = time.monotonic() + GRACE_S
     host.send(signal.SIGTERM)
-    if not await cell.until(lambda: not host.is_running, GRACE_S):
+
+    def has_ended() -> bool:
+        # Another fault may have killed and started it meanwhile.
+        return not host.is_running or host.lives != life
+
+    if not await cell.until(has_ended, GRACE_S):
         cell.oracle.note_fault("STOP", cell.now_ms(), f"{host.name} does not stop")
         host.send(signal.SIGKILL)
         await cell.until(lambda: not host.is_running, GRACE_S)
--- a/packages/bench/src/marigoldpath_bench/process_soak/_hosts.py
+++ b/packages/bench/src/marigoldpath_bench/process_soak/_hosts.py
@@ -31,6 +31,7 @@
         ports = _free_ports(ip)
         self.ingress = f"{ip}:{ports[0]}"
         self.is_paused = False
+        self.lives = 0
         # Before this time it may be leaving after a SIGTERM.
         self.leaving_until_s = 0.0
         self._log = folder / f"{self.name}.log"
@@ -62,6 +63,7 @@
         command = [sys.executable, str(PROGRAM)]
         environment = {"MARIGOLDPATH_BOOT": str(self._settings)}
         self.is_paused = False
+        self.lives += 1
         self._started_s = time.monotonic()
         self._process = ManagedProcess(
             self.name, command, self._log, python_path(), environment
