--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -24,7 +24,12 @@
     StoreLostError,
     StoreRefusedError,
 )
-from marigoldpath_node.http import HttpClient, HttpClientSettings, HttpRequest
+from marigoldpath_node.http import (
+    HttpClient,
+    HttpClientSettings,
+    HttpRequest,
+    HttpResponse,
+)
 from marigoldpath_platform._ingress import BadJobError, decode_job_spec, find_route
 from marigoldpath_platform._operator import (
     PlatformDirectory,
@@ -213,6 +218,29 @@
 
         self.assertEqual(len(self.use(action).rows), 1_090)
 
+    def test_a_shared_table_is_read_whole(self):
+        """Workers behind the first page would never be used."""
+
+        async def action(server, store):
+            for number in range(1_200):
+                server.put("servers", f"{number:04}", b"x")
+            return await store.read_shared("servers")
+
+        self.assertEqual(len(self.use(action).rows), 1_200)
+
+    def test_an_answer_that_cannot_be_read_may_belong_to_a_write_that_was_done(self):
+        class Garbled(StandInServer):
+            async def answer(self, request, body):
+                return HttpResponse(200, b"not json")
+
+        async def run():
+            server = Garbled()
+            await server.start()
+            store = PlatformStore(HttpClient(HttpClientSettings()), server.address)
+            await store.commit({}, {self.KEY: b"value"})
+
+        self.assertRaises(StoreLostError, curio.run, run)
+
     def test_changes_follow_a_version(self):
         async def action(server, store):
             server.put("mp-jobs", "a", b"x")
