--- /dev/null
+++ b/tests/core/test_fleet_advice.py
@@ -0,0 +1,120 @@
+"""Guards questions to the advice service."""
+
+import unittest
+
+from marigoldpath_core.fleet import (
+    AskAdvice,
+    StartResult,
+    Tick,
+)
+from marigoldpath_core.jobs import AdvicePolicy
+from tests.core.fleet_fixture import (
+    ADVISED,
+    BACKGROUND,
+    Cell,
+    entry,
+    job,
+    step,
+)
+
+
+class AdviceTests(unittest.TestCase):
+    def setUp(self):
+        self.cell = Cell(entry("a"), entry("b"))
+        self.cell.hear_all()
+        self.cell.accept(job(step(width=2), queue=ADVISED))
+        (self.question,) = self.ask()
+
+    def ask(self):
+        return [each for each in self.cell.dispatch() if isinstance(each, AskAdvice)]
+
+    def test_a_task_starts_only_with_a_ticket_for_its_worker(self):
+        self.assertEqual(sorted(self.question.workers), ["a", "b"])
+        self.cell.advise(self.question, {"b": "ticket"})
+        orders = self.cell.starts()
+        self.assertEqual(
+            [(o.worker_id, o.ticket) for o in orders], [("b", "ticket")] * 2
+        )
+
+    def test_a_ticket_is_renewed_only_for_approved_workers(self):
+        self.cell.advise(self.question, {"b": "ticket"})
+        orders = self.cell.starts()
+        for order in orders:
+            self.cell.answer(order, StartResult.NO_ROOM)
+        self.cell.now_ms += 2_100
+        self.cell.hear_all()
+        (again,) = self.ask()
+        self.assertEqual(again.workers, ("b",))
+
+    def test_a_question_without_an_answer_is_asked_again(self):
+        self.cell.advise(self.question, None)
+        self.cell.now_ms += 200
+        (again,) = self.ask()
+        self.assertEqual(again.workers, self.question.workers)
+
+    def test_a_ticket_is_of_no_use_for_the_next_life_of_a_worker(self):
+        self.cell.advise(self.question, {"a": "ticket", "b": "ticket"})
+        self.cell.report("a", born=2_000, clock_ms=10)
+        self.cell.report("b", born=2_000, clock_ms=10)
+        self.assertEqual(self.cell.starts(), [])
+
+
+class NamedWorkersTests(unittest.TestCase):
+    """Each worker named in a question makes the answer later."""
+
+    def setUp(self):
+        entries = [entry(f"w{place:02}", cpu=4_000) for place in range(50)]
+        self.cell = Cell(*entries, entry("wide", cpu=8_000))
+        self.cell.hear_all()
+
+    def questions(self):
+        return [each for each in self.cell.dispatch() if isinstance(each, AskAdvice)]
+
+    def test_of_many_workers_those_with_the_most_room_are_named(self):
+        self.cell.accept(job(step(width=2), queue=ADVISED))
+        (question,) = self.questions()
+        self.assertEqual(len(question.workers), 30)
+        self.assertIn("wide", question.workers)
+
+    def test_a_wide_step_names_as_many_as_it_may_need(self):
+        self.cell.accept(job(step(width=60), queue=ADVISED))
+        (question,) = self.questions()
+        self.assertGreater(len(question.workers), 30)
+
+    def test_the_others_are_named_when_too_few_were_approved(self):
+        self.cell.accept(job(step(width=2), queue=ADVISED))
+        (first,) = self.questions()
+        self.cell.wait(1_000)
+        self.cell.advise(first, {})
+        (second,) = self.questions()
+        self.assertEqual(set(first.workers) & set(second.workers), set())
+
+    def test_a_worker_with_the_required_label_is_named(self):
+        self.cell.accept(job(step(width=2, required_label="b"), queue=ADVISED))
+        self.assertEqual(self.questions(), [])
+
+
+class SlowAdviceTests(unittest.TestCase):
+    def test_no_slow_question_is_asked_while_no_host_may_ask_it(self):
+        """It would stand before the urgent questions of the leader."""
+        slow = BACKGROUND._replace(advice=AdvicePolicy(500.0, 5.0, 2_500.0))
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        cell.accept(job(step(), queue=slow))
+        self.assertEqual(cell.dispatch(), [])
+        cell.handle(Tick(0, helpers=1))
+        self.assertEqual(len(cell.dispatch()), 1)
+
+    def test_as_many_slow_questions_are_asked_as_there_are_hosts_to_ask_them(self):
+        slow = BACKGROUND._replace(advice=AdvicePolicy(400.0, 5.0, 2_000.0))
+        cell = Cell(entry("a"))
+        cell.hear_all()
+        for number in range(5):
+            cell.accept(job(step(), queue=slow, job_id=f"{number:016x}"))
+        cell.handle(Tick(0, 3))
+        asked = [each for each in cell.dispatch() if isinstance(each, AskAdvice)]
+        self.assertEqual(len(asked), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/node/cell_fakes.py
+++ b/tests/node/cell_fakes.py
@@ -1,8 +1,17 @@
-"""A store in memory that follows the port's rules, and a logger that keeps lines."""
+"""A store in memory that follows the port's rules, peers and a logger for tests."""
 
 import curio
 
+from marigoldpath_core.jobs import (
+    AdvicePolicy,
+    JobSpec,
+    Queue,
+    Resources,
+    StepSpec,
+)
 from marigoldpath_node.cell import (
+    CellSettings,
+    EntryHost,
     HistoryGoneError,
     Row,
     RowKey,
@@ -10,7 +19,12 @@
     StoreConflictError,
     StoreLostError,
     StoreRefusedError,
+    Surroundings,
+)
+from marigoldpath_node.cell._peers import (
+    PeerUnreachableError,
 )
+from marigoldpath_node.exposition import CellMetrics
 
 
 class MemoryStore:
@@ -117,3 +131,63 @@
 
     def events(self):
         return [event for event, _ in self.lines]
+
+
+JOB_ID = "00000000000000aa"
+
+
+QUEUE = Queue("queue", "service", 0, 3, 1.5, 300, AdvicePolicy(20.0, 0.5, 2_000.0))
+
+
+SPEC = JobSpec(JOB_ID, "payload", (StepSpec(2, Resources(500, 64, 0)),))
+
+
+SETTINGS = CellSettings("host", "10.0.0.1:1", "zone", "token")
+
+
+FAST = SETTINGS._replace(
+    accept_retry_s=0.01,
+    accept_refused_s=0.05,
+    commit_retry_s=0.01,
+    election_read_s=0.01,
+    refused_s=0.05,
+    silent_s=0.1,
+    watch_s=0.01,
+)
+
+
+class FakePeers:
+    """Answers calls to peers from a table of results by name."""
+
+    def __init__(self, **results):
+        self.results = results
+        self.calls = []
+
+    def __getattr__(self, name):
+        async def call(*arguments):
+            self.calls.append((name, arguments))
+            result = self.results.get(name, PeerUnreachableError(name))
+            if isinstance(result, Exception):
+                raise result
+            return result
+
+        return call
+
+
+def entry_host(store, peers=None, settings=FAST):
+    log = KeptLog()
+    return EntryHost(
+        settings,
+        Surroundings(store, None, None, None, log, CellMetrics()),
+        peers or FakePeers(),
+    )
+
+
+class FakeDirectory:
+    def __init__(self, fault=None):
+        self.fault = fault
+
+    async def list_workers(self):
+        if self.fault is not None:
+            raise self.fault
+        return ()
