--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -345,6 +345,7 @@
             elif order.until_clock_ms is not None:
                 await curio.sleep(self._settings.look_gap_s)
         self._looking.discard(worker_id)
+        self._orders.forget(worker_id)
 
     async def spawn(self, function: Any, *arguments: Any) -> None:
         """Run a function beside the loops; an unforeseen fault ends the term."""
--- a/packages/node/src/marigoldpath_node/cell/_orders.py
+++ b/packages/node/src/marigoldpath_node/cell/_orders.py
@@ -91,6 +91,10 @@
             self._metrics.count_end(str(note.fields["kind"]))
         self._log.info(note.event, **note.fields)
 
+    def forget(self, worker_id: str) -> None:
+        """Drop what is kept of a worker that is gone."""
+        self._gates.pop(worker_id, None)
+
     def _gate(self, worker_id: str) -> curio.Semaphore:
         gate = self._gates.get(worker_id)
         if gate is None:
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -98,6 +98,46 @@
         curio.run(with_server, self.settings, use)
 
 
+class KeptConnectionTests(unittest.TestCase):
+    """A connection to a life that is over, or to another one, must not be used."""
+
+    def use(self, settings, action):
+        async def use(server: HttpServer) -> None:
+            client = HttpClient(settings)
+            await action(client, f"127.0.0.1:{server.port}")
+            await client.close()
+
+        curio.run(with_server, HttpServerSettings("127.0.0.1", 0), use)
+
+    def test_a_kept_connection_serves_its_own_pool_alone(self) -> None:
+        async def action(client, address):
+            await client.request("GET", address, "/", pool="first")
+            await client.request("GET", address, "/", pool="first", only_kept=True)
+            for pool in ("", "second"):
+                with self.assertRaises(NotSentError):
+                    await client.request("GET", address, "/", pool=pool, only_kept=True)
+
+        self.use(HttpClientSettings(), action)
+
+    def test_the_connections_of_a_pool_are_forgotten_together(self) -> None:
+        async def action(client, address):
+            await client.request("GET", address, "/", pool="first")
+            await client.forget(address, "first")
+            with self.assertRaises(NotSentError):
+                await client.request("GET", address, "/", pool="first", only_kept=True)
+
+        self.use(HttpClientSettings(), action)
+
+    def test_idle_connections_are_closed(self) -> None:
+        async def action(client, address):
+            await client.request("GET", address, "/")
+            await client.prune()
+            with self.assertRaises(NotSentError):
+                await client.request("GET", address, "/", only_kept=True)
+
+        self.use(HttpClientSettings(kept_s=0.0), action)
+
+
 class HttpClientTests(unittest.TestCase):
     def test_an_unreachable_peer_cannot_have_read_the_request(self) -> None:
         async def use() -> None:
