Hand over only to hosts that reach the store

Cause, found by reading: where the store turns some machines away, a small leader would hand over to a large host that cannot write the row; a small one takes over after 0.3 s and hands over again. Test: no_leader_hands_over_to_a_host_without_the_store.

--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -1,6 +1,6 @@
 """Finds the leader, watches it and takes over from one that is lost."""
 
-from collections.abc import Callable
+from typing import Protocol
 
 import curio
 
@@ -18,6 +18,19 @@
 from ._settings import CellSettings
 
 
+class StoreWatch(Protocol):
+    """What this host knows of its way to the store."""
+
+    @property
+    def is_store_suspect(self) -> bool:
+        """Whether the store did not answer the last call of this host."""
+        ...
+
+    def note_store(self, *, is_working: bool, reason: str = "") -> None:
+        """Note whether the store answers this host."""
+        ...
+
+
 class Election:
     """Watches the leader's row and its process on behalf of one entry host."""
 
@@ -26,13 +39,13 @@
         settings: CellSettings,
         surroundings: Surroundings,
         peers: PeerClient,
-        note_store: Callable[..., None],
+        store_watch: StoreWatch,
     ) -> None:
         self._settings = settings
         self._store = surroundings.store
         self._log = surroundings.log
         self._peers = peers
-        self._note_store = note_store
+        self._store_watch = store_watch
         self._leader: LeaderRow | None = None
         self._view: LeaderView | None = None
         self._is_stopped = False
@@ -104,13 +117,13 @@
             try:
                 row, version = await read_leader(self._store)
             except StoreError as fault:
-                self._note_store(is_working=False, reason=repr(fault))
+                self._store_watch.note_store(is_working=False, reason=repr(fault))
                 known = -1
                 if self._leader is not None:
                     return None
                 await curio.sleep(self._settings.election_read_s)
                 continue
-            self._note_store(is_working=True)
+            self._store_watch.note_store(is_working=True)
             read_s = now_s() - asked_s
             if version != known:
                 known, unchanged_since_s = version, now_s()
@@ -172,7 +185,8 @@
     async def _ask(self, address: str) -> LeaderView:
         settings = self._settings
         started_s = now_s() - self._started_s
-        offer = HelpOffer(settings.address, started_s, settings.cores)
+        has_store = not self._store_watch.is_store_suspect
+        offer = HelpOffer(settings.address, started_s, settings.cores, has_store)
         return await self._peers.view(address, offer)
 
     def _take_view(self, view: LeaderView) -> None:
--- a/packages/node/src/marigoldpath_node/cell/_helpers.py
+++ b/packages/node/src/marigoldpath_node/cell/_helpers.py
@@ -1,5 +1,7 @@
 """Spreads questions to the advice service over the entry hosts."""
 
+from typing import NamedTuple
+
 from marigoldpath_core.jobs import TaskKey
 
 from ._clock import now_s
@@ -11,6 +13,14 @@
 HELPER_AGE_S = 1.5
 
 
+class Helper(NamedTuple):
+    """An entry host that called: its last offer, when it came and when it started."""
+
+    offer: HelpOffer
+    heard_s: float
+    started_s: float
+
+
 class Helpers:
     """The entry hosts that call this leader, and the questions that each is asking."""
 
@@ -21,9 +31,7 @@
         self._advice = surroundings.advice
         self._log = surroundings.log
         self._peers = peers
-        self._heard_s: dict[str, float] = {}
-        self._started_s: dict[str, float] = {}
-        self._cores: dict[str, float] = {}
+        self._helpers: dict[str, Helper] = {}
         self._waiting_ms: dict[str, float] = {"": 0.0}
 
     @property
@@ -33,29 +41,29 @@
 
     def note_helper(self, offer: HelpOffer) -> None:
         """Note that an entry host called."""
-        address = offer.address
-        self._heard_s[address] = now_s()
-        self._started_s[address] = now_s() - offer.started_s
-        self._cores[address] = offer.cores
-        self._waiting_ms.setdefault(address, 0.0)
+        heard_s = now_s()
+        helper = Helper(offer, heard_s, heard_s - offer.started_s)
+        self._helpers[offer.address] = helper
+        self._waiting_ms.setdefault(offer.address, 0.0)
 
     def successor(self) -> str:
-        """Return the largest host and of these the youngest, empty when none calls.
+        """Return the largest host that can lead, empty when none calls.
 
-        Hosts are often stopped one after the other; the youngest one is the least
-        likely to be next.
+        Of those alike it is the youngest. Hosts are often stopped one after the other;
+        the youngest one is the least likely to be next.
         """
-        return max(
-            self._recent(),
-            key=lambda each: (self._cores[each], self._started_s[each]),
-            default="",
-        )
+        able = [each for each in self._recent() if each.offer.has_store]
+        if not able:
+            return ""
+        best = max(able, key=lambda each: (each.offer.cores, each.started_s))
+        return best.offer.address
 
     def larger(self) -> str:
         """Return a host that is much larger than this one, empty when there is none."""
         address = self.successor()
         least = self._settings.larger_factor * self._settings.cores
-        return address if address and self._cores[address] >= least else ""
+        is_larger = address and self._helpers[address].offer.cores >= least
+        return address if is_larger else ""
 
     async def ask(
         self, step: TaskKey, workers: tuple[str, ...], cost_ms: float
@@ -69,21 +77,19 @@
             return await self._peers.ask_advice(address, step, workers, cost_ms)
         except PeerError as fault:
             self._log.info("helper_failed", address=address, reason=repr(fault))
-            self._heard_s.pop(address, None)
+            self._helpers.pop(address, None)
             return None
         finally:
             self._waiting_ms[address] -= cost_ms
 
     def _choose(self, cost_ms: float) -> str:
         """Return the least busy helper, empty for this process itself."""
-        helpers = self._recent()
+        helpers = [helper.offer.address for helper in self._recent()]
         # A slow question must not stand before the quick ones of this process.
         if cost_ms < self._settings.fleet.slow_advice_ms or not helpers:
             helpers.append("")
         return min(helpers, key=lambda each: self._waiting_ms[each] + 10 * bool(each))
 
-    def _recent(self) -> list[str]:
+    def _recent(self) -> list[Helper]:
         oldest_s = now_s() - HELPER_AGE_S
-        return [
-            address for address, heard_s in self._heard_s.items() if heard_s > oldest_s
-        ]
+        return [each for each in self._helpers.values() if each.heard_s > oldest_s]
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -49,9 +49,7 @@
         self._log = surroundings.log
         self._peers = peers
         self._acceptance = Acceptance(settings, surroundings, peers)
-        self._election = Election(
-            settings, surroundings, peers, self._acceptance.note_store
-        )
+        self._election = Election(settings, surroundings, peers, self._acceptance)
         self._acceptance.follow(self._election)
         self._leader: Leader | None = None
         self._helpers: Helpers | None = None
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -276,8 +276,10 @@
 
     async def _yield_loop(self) -> None:
         """Hand over to a much larger host once one calls."""
-        while not (larger := self._helpers.larger()):
+        larger = ""
+        while not larger:
             await curio.sleep(self._settings.settled_s)
+            larger = self._helpers.larger()
         await self._hand_over(larger)
 
     async def _tick_loop(self) -> None:
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -49,12 +49,14 @@
 class HelpOffer(NamedTuple):
     """A host that the leader may ask for help or hand over to.
 
-    It started `started_s` ago and has a processor of `cores`.
+    It started `started_s` ago and has a processor of `cores`. A host that does not
+    reach the store can ask for advice, but cannot lead.
     """
 
     address: str
     started_s: float
     cores: float
+    has_store: bool = True
 
 
 class PeerClient:
--- a/tests/node/test_cell_election.py
+++ b/tests/node/test_cell_election.py
@@ -27,6 +27,13 @@
 from tests.node.cell_fakes import FAST, FakeDirectory, FakePeers, KeptLog, MemoryStore
 
 
+class FakeStoreWatch:
+    is_store_suspect = False
+
+    def note_store(self, *, is_working, reason=""):
+        pass
+
+
 class ElectionTests(unittest.TestCase):
     def setUp(self):
         self.store = MemoryStore()
@@ -42,7 +49,8 @@
         surroundings = Surroundings(
             self.store, None, None, None, self.log, CellMetrics()
         )
-        election = Election(self.fast, surroundings, peers, lambda **_: None)
+        self.watch = FakeStoreWatch()
+        election = Election(self.fast, surroundings, peers, self.watch)
         return await curio.ignore_after(0.6, election.win)
 
     def view(self, **fields):
@@ -168,6 +176,15 @@
         self.assertEqual(helpers.larger(), "10.0.0.3:1")
         self.assertEqual(helpers.successor(), "10.0.0.3:1")
 
+    def test_no_leader_hands_over_to_a_host_without_the_store(self):
+        """The next leader would hand over to it again, and so on."""
+        surroundings = Surroundings(None, None, None, None, KeptLog(), None)
+        helpers = Helpers(FAST, surroundings, FakePeers())
+        helpers.note_helper(HelpOffer("10.0.0.2:1", 2.0, 4.0, has_store=False))
+        self.assertEqual((helpers.larger(), helpers.successor()), ("", ""))
+        helpers.note_helper(HelpOffer("10.0.0.3:1", 2.0, 0.5))
+        self.assertEqual(helpers.successor(), "10.0.0.3:1")
+
     def test_slow_questions_go_to_other_hosts_and_quick_ones_stay(self):
         surroundings = Surroundings(None, None, None, None, KeptLog(), None)
         helpers = Helpers(FAST, surroundings, FakePeers())
