Let one background step alone renew tickets for the room of a worker

Change: a worker that is named in a slow question under way is not named by another background step, and a step renews for twice the room that its waiting tasks need. Tests: RenewalTests in tests.core.test_fleet_advice.

--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -20,16 +20,21 @@
 RETRY_MS = 150
 # A question for a later step is sent so much earlier than its expected cost.
 AHEAD_MS = 100
+# Tickets are renewed for so many times the room that the waiting tasks need, as more
+# urgent ones may take it meanwhile.
+RENEWED_ROOM = 2
 
 
 def ask_if_needed(fleet: Fleet, pools: Pools, step: Step) -> None:
     """Ask for tickets when tasks wait and a worker without a ticket could take one."""
     if step.job.queue.advice is None or not _may_ask(fleet, step) or not step.waiting:
         return
-    wanted = _workers_to_renew(fleet, step) if step.tickets else []
+    wanted = _workers_to_renew(fleet, pools, step) if step.tickets else []
     named = [*wanted, *_workers_to_add(fleet, pools, step)]
     if named:
         _ask(fleet, step, named)
+        if _is_slow(fleet, step):
+            pools.claimed.update(worker.worker_id for worker in named)
 
 
 def ask_ahead(fleet: Fleet, pools: Pools) -> None:
@@ -51,7 +56,7 @@
 @handlers.register(AdviceAnswered)
 def take_advice(fleet: Fleet, event: AdviceAnswered) -> None:
     """Keep approvals, refusals and tickets."""
-    fleet.slow_questions.discard(event[:3])
+    fleet.slow_questions.pop(event[:3], None)
     job = fleet.jobs.get(event.job_id)
     step = job.steps.get((event.occurrence, event.step)) if job is not None else None
     if job is None or step is None:
@@ -100,7 +105,7 @@
     step.is_asking = True
     step.asked_ms = fleet.now_ms
     if _is_slow(fleet, step):
-        fleet.slow_questions.add(step.key)
+        fleet.slow_questions[step.key] = named
     fleet.emit(AskAdvice(*step.key, named, advice.cost_ms(len(named))))
 
 
@@ -163,8 +168,33 @@
     return (approved + expected) / (asked + EXPECTED_WEIGHT)
 
 
-def _workers_to_renew(fleet: Fleet, step: Step) -> list[Worker]:
-    """Return approved workers with room whose ticket is over or about to be."""
+def _workers_to_renew(fleet: Fleet, pools: Pools, step: Step) -> list[Worker]:
+    """Return approved workers with room whose ticket is over or about to be.
+
+    Of a backlog of background steps only the first asks for the room of a worker, and
+    for no more room than its tasks may take.
+    """
+    renewed = _approved_workers(fleet, step)
+    if step.job.queue.priority <= 1:
+        return renewed
+    rooms = [
+        (room_for(fleet, step, worker, True), worker)
+        for worker in renewed
+        if worker.worker_id not in pools.claimed
+    ]
+    rooms.sort(key=lambda each: -each[0])
+    needed = RENEWED_ROOM * len(step.waiting)
+    chosen: list[Worker] = []
+    for room, worker in rooms:
+        if needed <= 0:
+            break
+        chosen.append(worker)
+        needed -= max(1, room)
+    return chosen
+
+
+def _approved_workers(fleet: Fleet, step: Step) -> list[Worker]:
+    """Return the promising approved workers whose ticket must be renewed."""
     advice = step.job.queue.advice
     assert advice is not None
     lead_ms = advice.call_ms
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -58,7 +58,8 @@
         self.majority_heard_ms: float | None = None
         self.deposed = False
         self.helpers = 0
-        self.slow_questions: set[tuple[str, int, int]] = set()
+        # The workers named in the slow questions that are under way, by step.
+        self.slow_questions: dict[tuple[str, int, int], tuple[str, ...]] = {}
         self.needs_dispatch = True
         self.needs_commit = False
         # The usable workers of each service in the last pass.
--- a/packages/core/src/marigoldpath_core/fleet/_pools.py
+++ b/packages/core/src/marigoldpath_core/fleet/_pools.py
@@ -22,6 +22,10 @@
     """The pools of one pass."""
 
     def __init__(self, fleet: Fleet) -> None:
+        # Workers whose room a slow question is asked for.
+        self.claimed = {
+            name for named in fleet.slow_questions.values() for name in named
+        }
         usable: dict[str, dict[str, Worker]] = {}
         for worker_id, worker in fleet.workers.items():
             if worker.is_usable(fleet.now_ms):
--- a/tests/core/test_fleet_advice.py
+++ b/tests/core/test_fleet_advice.py
@@ -94,6 +94,38 @@
         self.assertEqual(self.questions(), [])
 
 
+class RenewalTests(unittest.TestCase):
+    """A backlog that renews all its tickets leaves no host for other questions."""
+
+    def setUp(self):
+        slow = BACKGROUND._replace(advice=AdvicePolicy(500.0, 5.0, 2_000.0))
+        self.cell = Cell(*(entry(f"w{place}", cpu=4_000) for place in range(4)))
+        self.cell.hear_all()
+        self.cell.handle(Tick(0, 40))
+        for number in range(3):
+            # Each has one more task than fits.
+            large = job(step(width=5, cpu=3_400), queue=slow, job_id=f"{number:016x}")
+            self.cell.accept(large)
+        for question in self.questions():
+            self.cell.advise(question, dict.fromkeys(question.workers, "t"))
+        self.cell.dispatch()
+        self.cell.wait(5_000)
+        self.cell.hear_all()
+
+    def questions(self):
+        return [each for each in self.cell.dispatch() if isinstance(each, AskAdvice)]
+
+    def test_one_step_alone_asks_for_the_room_of_a_worker(self):
+        questions = self.questions()
+        self.assertEqual(len(questions), 1)
+        self.assertEqual(self.questions(), [])
+
+    def test_no_more_room_is_asked_for_than_the_tasks_may_take(self):
+        self.cell.scheduler._fleet.open_steps["0" * 16, 0, 0].tasks[1:] = []
+        (first, *_) = self.questions()
+        self.assertLessEqual(len(first.workers), 2)
+
+
 class SlowAdviceTests(unittest.TestCase):
     def test_no_slow_question_is_asked_while_no_host_may_ask_it(self):
         """It would stand before the urgent questions of the leader."""
