Read rows and offers of earlier versions

Cause, found by reading: jobs and rosters stored before zones came in have none, and a new leader that met such a row could not load; an older host's offer without its processor was refused, and that host would have taken the leader for lost during an upgrade. Change: both default. Test: test_rows_of_earlier_versions_are_read.

--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -95,7 +95,9 @@
     policy = Queue(*data["queue"])
     if policy.advice is not None:
         policy = policy._replace(advice=AdvicePolicy(*policy.advice))
-    return AcceptedJob(spec, policy, data["epoch"], data["accepted_ms"], data["zone"])
+    # Rows of earlier versions have no zone.
+    zone = data.get("zone", "")
+    return AcceptedJob(spec, policy, data["epoch"], data["accepted_ms"], zone)
 
 
 def encode_progress(progress: Progress) -> bytes:
@@ -147,8 +149,9 @@
     """Return a stored roster."""
     data: dict[str, list[Any]] = json.loads(value)
     return {
-        worker_id: RosterEntry(address, None if jobs is None else tuple(jobs), zone)
-        for worker_id, (address, jobs, zone) in data.items()
+        worker_id: RosterEntry(address, None if jobs is None else tuple(jobs), *zone)
+        # Rows of earlier versions have no zone.
+        for worker_id, (address, jobs, *zone) in data.items()
     }
 
 
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -55,7 +55,7 @@
 
     address: str
     started_s: float
-    cores: float
+    cores: float = 1.0
     has_store: bool = True
 
 
--- a/tests/node/test_cell_commits.py
+++ b/tests/node/test_cell_commits.py
@@ -1,5 +1,6 @@
 """Guards what a cell stores, and how it is read back."""
 
+import json
 import time
 import unittest
 from unittest import mock
@@ -71,6 +72,16 @@
         job = AcceptedJob(JobSpec(JOB_ID, "text", steps, 2, 5, 7), QUEUE, 4, 99, "z")
         self.assertEqual(decode_job(encode_job(job)), job)
 
+    def test_rows_of_earlier_versions_are_read(self):
+        """A leader that cannot read them could not lead after an upgrade."""
+        job = AcceptedJob(SPEC, QUEUE, 4, 99)
+        data = json.loads(encode_job(job))
+        del data["zone"]
+        self.assertEqual(decode_job(json.dumps(data).encode()), job)
+        roster = {"a": RosterEntry("a:1", None), "b": RosterEntry("b:1", (JOB_ID,))}
+        old = b'{"a":["a:1",null],"b":["b:1",["%s"]]}' % JOB_ID.encode()
+        self.assertEqual(decode_roster(old), roster)
+
     def test_progress_survives_storage(self):
         progress = Progress(
             JobState.RUNNING,
