Count what a pass has placed instead of what it has not

The count of tasks without a place was mended by hand at the break; the tasks placed say it. No change of behaviour; the tests of the fleet and of the election pass.

--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -38,23 +38,23 @@
     if not among.workers:
         _spread_if_advised(fleet, step)
         return
-    unplaced = 0
     waiting = step.waiting
-    for place, task in enumerate(waiting):
+    placed = 0
+    for task in waiting:
         worker = choose(fleet, step, task, among)
         if worker is None and task.avoided:
             _forgive(among, task)
             worker = choose(fleet, step, task, among)
         if worker is None:
-            unplaced += 1
             if not task.avoided:
                 # There is no room for the others either, which need as much.
-                unplaced = len(waiting) - place + unplaced - 1
                 break
             continue
         start(fleet, worker, task, fleet.next_number(task))
+        placed += 1
         among.placed[worker.worker_id] += 1
         among.racks[worker.entry.rack] += 1
+    unplaced = len(waiting) - placed
     if unplaced and not fleet.spread(step.job):
         _preemption.make_room(fleet, step, among, unplaced)
 
--- a/packages/node/src/marigoldpath_node/cell/_helpers.py
+++ b/packages/node/src/marigoldpath_node/cell/_helpers.py
@@ -61,9 +61,10 @@
     def larger(self) -> str:
         """Return a host that is much larger than this one, empty when there is none."""
         address = self.successor()
+        if not address:
+            return ""
         least = self._settings.larger_factor * self._settings.cores
-        is_larger = address and self._helpers[address].offer.cores >= least
-        return address if is_larger else ""
+        return address if self._helpers[address].offer.cores >= least else ""
 
     async def ask(
         self, step: TaskKey, workers: tuple[str, ...], cost_ms: float
