--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -30,7 +30,8 @@
 class Fleet:
     """Two entry hosts, a store and two workers."""
 
-    def __init__(self):
+    def __init__(self, cores=(1.0, 1.0)):
+        self.cores = cores
         self.store = StoreStandIn()
         self.workers = [StandInWorker("w1"), StandInWorker("w2")]
         self.log = KeptLog()
@@ -53,7 +54,7 @@
                 metrics=free_address(),
                 store=self.store.address,
                 advice="",
-                cores=1.0,
+                cores=self.cores[number],
                 row_bytes=65_536,
                 bounds={"hold-max-ms": 6_000},
             )
@@ -84,9 +85,9 @@
 
 
 class WholePathTests(unittest.TestCase):
-    def play(self, action):
+    def play(self, action, **fields):
         async def run():
-            fleet = Fleet()
+            fleet = Fleet(**fields)
             await fleet.start()
             await action(fleet)
             return fleet
@@ -125,6 +126,20 @@
         epochs = [worker.fence for worker in fleet.workers]
         self.assertEqual(epochs, [2, 2])
 
+    def test_the_larger_host_leads_after_a_while(self):
+        async def action(fleet):
+            async def wait():
+                while not fleet.hosts[1][0]._host.is_leading:
+                    await curio.sleep(0.05)
+
+            await curio.timeout_after(PATIENCE_S, wait)
+            path = f"/q/{JOB_ID}"
+            await fleet.until(lambda: fleet.ask(0, "POST", path, BODY), 200)
+            await fleet.until(lambda: fleet.ask(0, "GET", path), 200, "done")
+
+        fleet = self.play(action, cores=(1.0, 2.0))
+        self.assertFalse(fleet.hosts[0][0]._host.is_leading)
+
     def test_an_address_that_is_taken_is_named(self):
         async def action(fleet):
             process, settings = fleet.hosts[0]
