--- a/packages/bench/src/marigoldpath_bench/process_soak/_regressions.py
+++ b/packages/bench/src/marigoldpath_bench/process_soak/_regressions.py
@@ -6,4 +6,5 @@
     51: "a host that was killed and started meanwhile counted as not stopped (soak)",
     311: "a cancellation without an answer counted as never sent (soak)",
     413: "a host that was paused while it stopped counted as not stopped (soak)",
+    421: "a host that was paused while it stopped counted as not stopped (soak)",
 }
