Replace a leader that cannot load, and give the load more time after each failure

One was found by reading that fits: a leader whose load fails reads all again for ever, and its peers take it for sound, as the age of its last commit counts from the first one. On a link of 5 to 10 Mbit/s the jobs of such a cell (1 MB and more) take longer than the limit of 1 s for a page, five reads at a time.

Change: a load of more than 3 s counts as a leader without the store, so that another host takes over; a leader whose load failed looks whether it was replaced; the limit for a page doubles up to 8 s. Tests: two in tests.node.test_cell_election, which failed before.

--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -33,6 +33,7 @@
     JOBS_TABLE,
     cancelled_jobs,
     read_all,
+    read_leader,
     remove_jobs,
     sort_job_rows,
 )
@@ -80,8 +81,10 @@
 
     @property
     def store_age_s(self) -> float:
-        """Seconds since the leader's row was last stored."""
-        return 0.0 if self._committer is None else self._committer.age_s
+        """Seconds since the leader's row was last stored, or of a load in excess."""
+        if self._committer is not None:
+            return self._committer.age_s
+        return max(0.0, now_s() - self._began_s - self._settings.load_s)
 
     @property
     def can_order(self) -> bool:
@@ -100,6 +103,8 @@
         """Lead until the term ends."""
         try:
             await self._load()
+            if self._ended.is_set():
+                return
             loops = (
                 self._commit_loop,
                 self._directory_loop,
@@ -168,14 +173,21 @@
 
     async def _load(self) -> None:
         started_ms = now_ms()
+        reply_s = self._settings.load_reply_s
         while True:
             try:
-                stored = await read_all(self._store)
+                stored = await read_all(self._store, reply_s)
                 entries = await self._directory.list_workers()
                 break
             except StoreError as fault:
-                self._log.warning("leader_load_failed", reason=repr(fault))
-                await curio.sleep(self._settings.commit_retry_s)
+                self._log.warning(
+                    "leader_load_failed", reason=repr(fault), reply_s=reply_s
+                )
+            if await self._is_replaced():
+                await self.end("replaced while the stored state was read")
+                return
+            reply_s = min(2 * reply_s, self._settings.load_reply_most_s)
+            await curio.sleep(self._settings.commit_retry_s)
         scheduler = FleetScheduler(
             self._settings.fleet, self.epoch, stored.roster, now_ms()
         )
@@ -204,6 +216,16 @@
         await self.handle(WorkersListed(entries))
         await self._look_at_new_workers()
 
+    async def _is_replaced(self) -> bool:
+        """Return whether the leader's row is surely somebody else's."""
+        try:
+            row, _ = await read_leader(self._store)
+        except StoreError as fault:
+            self._log.info("leader_row_unread", reason=repr(fault))
+            return False
+        own = self._term.row
+        return row is None or (row.epoch, row.token) != (own.epoch, own.token)
+
     async def _commit_loop(self) -> None:
         assert self._committer is not None
         await self._committer.run()
--- a/packages/node/src/marigoldpath_node/cell/_ports.py
+++ b/packages/node/src/marigoldpath_node/cell/_ports.py
@@ -79,11 +79,16 @@
         ...
 
     async def read(
-        self, table: str, part: str, first: str = "", last: str = ""
+        self,
+        table: str,
+        part: str,
+        first: str = "",
+        last: str = "",
+        reply_s: float | None = None,
     ) -> Rows:
         """Return the rows with keys from `first` to before `last`.
 
-        Raises StoreError.
+        `reply_s` bounds the wait for each page of them. Raises StoreError.
         """
         ...
 
--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -120,14 +120,19 @@
     return JobState.CANCELLED if stored.is_cancelled else JobState.QUEUED
 
 
-async def read_all(store: Store) -> StoredState:
-    """Return all jobs, their progress and the roster; raises StoreError."""
+async def read_all(store: Store, reply_s: float | None = None) -> StoredState:
+    """Return all jobs, their progress and the roster; raises StoreError.
+
+    `reply_s` bounds the wait for each page of rows.
+    """
     ranges = [(JOBS_TABLE, str(part)) for part in range(JOB_PARTS)]
     ranges.append((PROGRESS_TABLE, LEAD_PART))
     ranges.append((LEAD_TABLE, LEAD_PART))
     gate = curio.Semaphore(READS_AT_ONCE)
     async with curio.TaskGroup(wait=all) as group:
-        reads = [await group.spawn(_attempt, gate, store, *each) for each in ranges]
+        reads = [
+            await group.spawn(_attempt, gate, store, *each, reply_s) for each in ranges
+        ]
     *parts, progress_rows, lead_rows = [_checked(read.result) for read in reads]
     job_rows: list[Row] = []
     for part in parts:
@@ -142,12 +147,16 @@
 
 
 async def _attempt(
-    gate: curio.Semaphore, store: Store, table: str, part: str
+    gate: curio.Semaphore,
+    store: Store,
+    table: str,
+    part: str,
+    reply_s: float | None,
 ) -> Rows | StoreError:
     # A task group cancels its other tasks when one raises.
     async with gate:
         try:
-            return await store.read(table, part)
+            return await store.read(table, part, reply_s=reply_s)
         except StoreError as fault:
             return fault
 
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -17,6 +17,9 @@
     than the lost leader leaves `smaller_s` to larger ones, and a leader hands over to a
     host with as many times more once it has led for `settled_s`.
     A leader that no other host has called for `alone_s` is on its own.
+    A leader that has not loaded the stored state within `load_s` counts as one without
+    the store. A page of that state may take `load_reply_s`, and twice as long after
+    each failure up to `load_reply_most_s`, as on a slow link.
     A host that has reached neither the store nor a leader for `unready_s` is not ready.
     """
 
@@ -34,6 +37,9 @@
     smaller_s: float = 0.5
     settled_s: float = 1.0
     alone_s: float = 1.5
+    load_s: float = 3.0
+    load_reply_s: float = 1.0
+    load_reply_most_s: float = 8.0
     slow_store_factor: float = 4.0
     watch_s: float = 0.3
     peer_reply_s: float = 0.6
--- a/tests/node/cell_fakes.py
+++ b/tests/node/cell_fakes.py
@@ -41,6 +41,7 @@
         self.is_down = False
         self.is_history_gone = False
         self.failing_reads = []
+        self.reply_limits = []
         self.writes = []
         self._late = []
         self._changes = []
@@ -74,7 +75,8 @@
         self._late.clear()
         return done
 
-    async def read(self, table, part, first="", last=""):
+    async def read(self, table, part, first="", last="", reply_s=None):
+        self.reply_limits.append(reply_s)
         if self.is_down:
             raise StoreRefusedError("down")
         if (table, part) in self.failing_reads:
--- a/tests/node/test_cell_election.py
+++ b/tests/node/test_cell_election.py
@@ -149,6 +149,38 @@
         self.assertIn("leader_load_failed", log.events())
         self.assertIn("leader_loaded", log.events())
 
+    def test_a_load_that_fails_gets_more_time(self):
+        """The rows of a large cell may not pass a slow link within the first limit."""
+        store = MemoryStore()
+        store.failing_reads = 2 * [("jobs", "0")]
+        self.play(store, FakeDirectory())
+        limits = {each for each in store.reply_limits if each is not None}
+        self.assertEqual(limits, {1.0, 2.0, 4.0})
+
+    def test_a_leader_that_cannot_load_is_replaced_and_notices(self):
+        store = MemoryStore()
+        store.failing_reads = 1_000 * [("jobs", "0")]
+
+        async def run():
+            log = KeptLog()
+            surroundings = Surroundings(
+                store, None, FakeDirectory(), None, log, CellMetrics()
+            )
+            settings = FAST._replace(load_s=0.1)
+            host = EntryHost(settings, surroundings, FakePeers())
+            await curio.spawn(host.run, daemon=True)
+            await curio.sleep(0.3)
+            told = host._own_view()
+            other = LeaderRow(7, "10.0.0.2:1", "other")
+            await store.commit({}, {LEADER_ROW: encode_leader(other)})
+            await curio.sleep(0.1)
+            return told, log
+
+        told, log = curio.run(run)
+        self.assertGreater(told.store_age_s, 0.1)
+        self.assertFalse(told.can_order)
+        self.assertIn("leadership_lost", log.events())
+
     def test_a_host_takes_part_again_after_an_unforeseen_fault(self):
         _, log = self.play(MemoryStore(), FakeDirectory(ValueError("fault")))
         self.assertIn("term_failed", log.events())
