Let a leader that hears no majority of the workers leave to another host

Such a leader stores its row and reaches neither its peers nor the workers in time, as a host with a link of 10 Mbit/s would with 176 workers. It could not hand over to a larger host, as none gets through to it.

Change: a leader that hears no majority of the workers for 4 s releases its row; the process that released one takes it again only after 2 s. Test: a_leader_out_of_reach_of_the_workers_leaves_to_another_host.

--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -82,6 +82,10 @@
         """
         if now_ms - self._confirmed_ms < self._settings.order_limit_ms:
             return True
+        return self.hears_majority(now_ms)
+
+    def hears_majority(self, now_ms: float) -> bool:
+        """Return whether most workers answered under this epoch recently."""
         workers = [each for each in self._fleet.workers.values() if each.is_listed]
         oldest_ms = now_ms - self._settings.majority_ms
         heard = sum(
--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -159,6 +159,9 @@
         if row is None:
             return 0.0
         if row.released:
+            if row.token == settings.token:
+                # This process has left the leadership to others.
+                return settings.left_s
             is_named = row.successor in ("", settings.address)
             return 0.0 if is_named else settings.successor_s
         self.note_epoch(row.epoch)
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -113,6 +113,7 @@
                 self._dispatch_loop,
                 self._retention_loop,
                 self._yield_loop,
+                self._hearing_loop,
             )
             for loop in loops:
                 await self.spawn(loop)
@@ -304,6 +305,21 @@
             larger = self._helpers.larger()
         await self._hand_over(larger)
 
+    async def _hearing_loop(self) -> None:
+        """Leave to another host when most workers are out of reach of this one.
+
+        It may be cut off from them, or its link too slow for their lists; while it
+        stores its row, no other host would replace it.
+        """
+        assert self._scheduler is not None
+        heard_s = now_s()
+        while now_s() - heard_s < self._settings.lonely_s:
+            await curio.sleep(self._settings.watch_s)
+            if self._scheduler.hears_majority(now_ms()) or not self._scheduler.workers:
+                heard_s = now_s()
+        self._log.warning("workers_out_of_reach", workers=len(self._scheduler.workers))
+        await self._hand_over(self._helpers.successor())
+
     async def _tick_loop(self) -> None:
         while True:
             await curio.sleep(self._settings.tick_s)
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -12,14 +12,16 @@
     time between commits of a leader; a candidate replaces a leader whose row did not
     change for `silent_s`, or for `refused_s` when its address refuses connections, and
     `slow_store_factor` times the time that the store takes for a read in addition.
-    Another host than the named successor takes a released row after `successor_s`.
+    Another host than the named successor takes a released row after `successor_s`, and
+    the one that released it after `left_s`.
     `cores` is the processor of this host. A candidate with `larger_factor` times less
     than the lost leader leaves `smaller_s` to larger ones, and a leader hands over to a
     host with as many times more once it has led for `settled_s`.
     A leader that no other host has called for `alone_s` is on its own.
-    A leader that has not loaded the stored state within `load_s` counts as one without
-    the store. A page of that state may take `load_reply_s`, and twice as long after
-    each failure up to `load_reply_most_s`, as on a slow link.
+    A leader that hears no majority of the workers for `lonely_s` leaves to another
+    host, and one that has not loaded the stored state within `load_s` counts as one
+    without the store. A page of that state may take `load_reply_s`, and twice as long
+    after each failure up to `load_reply_most_s`, as on a slow link.
     A host that has reached neither the store nor a leader for `unready_s` is not ready.
     """
 
@@ -33,10 +35,12 @@
     refused_s: float = 0.7
     silent_s: float = 1.0
     successor_s: float = 0.3
+    left_s: float = 2.0
     larger_factor: float = 1.5
     smaller_s: float = 0.5
     settled_s: float = 1.0
     alone_s: float = 1.5
+    lonely_s: float = 4.0
     load_s: float = 3.0
     load_reply_s: float = 1.0
     load_reply_most_s: float = 8.0
--- a/tests/node/cell_fakes.py
+++ b/tests/node/cell_fakes.py
@@ -186,10 +186,11 @@
 
 
 class FakeDirectory:
-    def __init__(self, fault=None):
+    def __init__(self, fault=None, entries=()):
         self.fault = fault
+        self.entries = entries
 
     async def list_workers(self):
         if self.fault is not None:
             raise self.fault
-        return ()
+        return self.entries
--- a/tests/node/test_cell_election.py
+++ b/tests/node/test_cell_election.py
@@ -7,9 +7,11 @@
 from marigoldpath_node.cell import (
     EntryHost,
     Surroundings,
+    WorkerFailedError,
 )
 from marigoldpath_node.cell._codec import (
     LeaderRow,
+    decode_leader,
     encode_leader,
 )
 from marigoldpath_node.cell._election import Election
@@ -24,6 +26,7 @@
     LEADER_ROW,
 )
 from marigoldpath_node.exposition import CellMetrics
+from tests.core.fleet_fixture import entry
 from tests.node.cell_fakes import FAST, FakeDirectory, FakePeers, KeptLog, MemoryStore
 
 
@@ -149,6 +152,31 @@
         self.assertIn("leader_load_failed", log.events())
         self.assertIn("leader_loaded", log.events())
 
+    def test_a_leader_out_of_reach_of_the_workers_leaves_to_another_host(self):
+        """Its row is stored all the while, so that nobody would replace it."""
+
+        class Unreachable:
+            async def look(self, worker_id, epoch, order):
+                raise WorkerFailedError("no connection")
+
+        store = MemoryStore()
+
+        async def run():
+            directory = FakeDirectory(entries=(entry("a"), entry("b")))
+            surroundings = Surroundings(
+                store, Unreachable(), directory, None, KeptLog(), CellMetrics()
+            )
+            settings = FAST._replace(lonely_s=0.2, left_s=5.0)
+            host = EntryHost(settings, surroundings, FakePeers())
+            await curio.spawn(host.run, daemon=True)
+            await curio.sleep(0.1)
+            led = host.is_leading
+            await curio.sleep(0.6)
+            return led, host.is_leading
+
+        self.assertEqual(curio.run(run), (True, False))
+        self.assertTrue(decode_leader(store.rows[LEADER_ROW].value).released)
+
     def test_a_load_that_fails_gets_more_time(self):
         """The rows of a large cell may not pass a slow link within the first limit."""
         store = MemoryStore()
