--- a/tests/bench/test_fleet_world.py
+++ b/tests/bench/test_fleet_world.py
@@ -30,8 +30,6 @@
                 self.assertEqual(FleetSearch(seed).run(STEPS), [])
 
     def test_seeds_that_once_failed(self):
-        # Seed 24 does not meet its case since the timing of stored rosters changed.
-        # The case is open: docs/platform.md, "What is left".
         causes = {
             6: "an order under way met the next life of a worker",
             11: "a gang could never leave the urgent share free",
