Print why a step of a scenario failed

Cause: the progress formatter names only the scenario.

Change: a hook prints the exception of a failed step. tools/pin_requirements.py drops an option that --no-emit-options includes; the test of tracked files takes its name for the address of an index.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,7 @@
 """Hooks that skip known failures and check the invariants after each scenario."""
 
 import json
+import sys
 from typing import Any
 
 from marigoldpath_bench.process_harness import SHARED_HARNESS
@@ -14,6 +15,21 @@
         scenario.skip("listed in KNOWN-RED.txt")
 
 
+def after_step(context: Any, step: Any) -> None:
+    """Print why a step failed.
+
+    The progress formatter names only the scenario, and a failure that depends on the
+    timing of processes cannot be repeated to find out.
+    """
+    if step.status.has_failed():
+        print(
+            f"{context.scenario.filename}: {context.scenario.name}: {step.name}: "
+            f"{step.exception!r}",
+            file=sys.__stderr__,
+            flush=True,
+        )
+
+
 def after_scenario(context: Any, scenario: Any) -> None:
     """Restore or stop the shared processes and check the simulated zone."""
     failed = scenario.status.has_failed()
--- a/tools/pin_requirements.py
+++ b/tools/pin_requirements.py
@@ -15,7 +15,6 @@
     "--generate-hashes",
     "--allow-unsafe",
     "--strip-extras",
-    "--no-emit-index-url",
     "--no-emit-trusted-host",
     "--no-emit-options",
     "--no-annotate",
