Keep the cost of a start from growing with the number of workers

Change: passes share the pools for 100 ms, and placement checks a worker again before it starts a run there; the pools keep the workers in the order of their free capacity, so a request examines only as many as it needs; steps count their waiting tasks; open steps are examined for advance advice once a tick, and the progress of a run is extrapolated from its last report; runs are checked for stalls every 300 ms. The leader's list of tasks is a set, so that a spawn does not walk it.

Ruled out: incremental pools; the final check makes them unnecessary. The test of renewals set the list of a step's tasks directly; it marks them as done instead, and checks the same.

--- a/packages/bench/src/marigoldpath_bench/benchmarks.py
+++ b/packages/bench/src/marigoldpath_bench/benchmarks.py
@@ -9,7 +9,12 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
-from marigoldpath_bench import journal_bench, policy_bench, process_bench
+from marigoldpath_bench import (
+    journal_bench,
+    policy_bench,
+    process_bench,
+    scheduler_bench,
+)
 from marigoldpath_core.registry import Registry
 
 Benchmark = Callable[[int, str | None], Iterable[Mapping[str, Any]]]
@@ -29,6 +34,12 @@
     return journal_bench.measures(seed)
 
 
+@BENCHMARKS.register("scheduler")
+def scheduler(seed: int, daemon_python: str | None) -> Iterable[Mapping[str, Any]]:
+    """Measure the cell's scheduler with 24 to 4,100 workers."""
+    return scheduler_bench.measures(seed)
+
+
 @BENCHMARKS.register("process")
 def processes(seed: int, daemon_python: str | None) -> Iterable[Mapping[str, Any]]:
     """Measure the running system part by part."""
--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from collections.abc import Iterator
 
 from ._fleet import Fleet, handlers
 from ._messages import AdviceReplied, RequestAdvice
@@ -24,8 +25,9 @@
 # retry of a request that failed.
 ADVICE_RETRY_MS = 150
 # Advice for a later step is requested in advance: earlier than the step is expected to
-# start by the expected duration of the request plus this time.
-PREFETCH_LEAD_MS = 100
+# start by the expected duration of the request plus this time, which includes the
+# interval at which the steps are examined.
+PREFETCH_LEAD_MS = 200
 # Tickets are renewed for this multiple of the capacity that the waiting tasks need,
 # because more urgent tasks can use some of it before the reply arrives.
 RENEWAL_CAPACITY_FACTOR = 2
@@ -40,7 +42,7 @@
     if (
         step.job.queue.advice is None
         or not _may_request(fleet, step)
-        or not step.waiting
+        or not step.waiting_tasks
     ):
         return
     to_renew = _workers_to_renew(fleet, pools, step) if step.tickets else []
@@ -52,10 +54,16 @@
 
 
 def prefetch(fleet: Fleet, pools: Pools) -> None:
-    """Request the first advice for steps whose predecessors are about to complete."""
+    """Request the first advice for steps whose predecessors are about to complete.
+
+    This examines every open step, so it is done once for each Tick.
+    """
+    if not fleet.prefetch_due:
+        return
+    fleet.prefetch_due = False
     for step in list(fleet.open_steps.values()):
-        next_steps = _directly_unblocked_steps(step)
-        remaining_ms = _remaining_ms(step) if next_steps else 0.0
+        next_steps = [] if step.waiting_tasks else _directly_unblocked_steps(step)
+        remaining_ms = _remaining_ms(fleet, step) if next_steps else 0.0
         for next_step in next_steps:
             advice = next_step.job.queue.advice
             if (
@@ -149,40 +157,47 @@
     includes those with the most free capacity, and only as many as the waiting tasks
     are expected to need after the service has refused some of the workers.
     """
-    unqueried = _unqueried_workers(pools, step)
-    if len(unqueried) <= MIN_WORKERS_PER_REQUEST:
-        return unqueried
-    zone = step.job.zone
-    capacities = [
-        (count_fitting_now(fleet, step, worker, False), worker) for worker in unqueried
-    ]
-    capacities.sort(key=lambda each: (zone not in ("", each[1].entry.zone), -each[0]))
-    needed = len(step.waiting) / _expected_approval_rate(fleet, step)
+    worker_ids = pools.get(step.job.queue.service).worker_ids
+    if step.exhausted_pool_ids is worker_ids:
+        return []
+    needed = step.waiting_tasks / _expected_approval_rate(fleet, step)
     selected: list[Worker] = []
-    for capacity, worker in capacities[:MAX_WORKERS_PER_REQUEST]:
-        if len(selected) >= MIN_WORKERS_PER_REQUEST and (needed <= 0 or not capacity):
+    full: list[Worker] = []
+    for worker in _unqueried_workers(pools, step):
+        # The workers are in the order of their free capacity, so those that follow a
+        # number of full ones are likely to be full too.
+        has_enough = needed <= 0 or len(full) >= MIN_WORKERS_PER_REQUEST
+        if len(selected) + len(full) >= MIN_WORKERS_PER_REQUEST and has_enough:
+            break
+        if len(selected) >= MAX_WORKERS_PER_REQUEST:
             break
-        selected.append(worker)
+        capacity = count_fitting_now(fleet, step, worker, False)
+        (selected if capacity else full).append(worker)
         needed -= capacity
-    if step.queried_workers and not capacities[0][0] and step.job.queue.priority > 1:
+    if not selected and not full:
+        step.exhausted_pool_ids = worker_ids
+    if not selected and step.queried_workers and step.job.queue.priority > 1:
         # No unqueried worker has free capacity, so the step waits for capacity on the
         # workers that it has already requested.
         return []
-    return selected
+    return selected + full[: max(0, MIN_WORKERS_PER_REQUEST - len(selected))]
 
 
-def _unqueried_workers(pools: Pools, step: Step) -> list[Worker]:
-    worker_ids = pools.get(step.job.queue.service).worker_ids
-    if step.exhausted_pool_ids is worker_ids:
-        return []
-    unqueried = [
-        worker
-        for worker in pools.usable(step)
-        if worker.worker_id not in step.queried_workers
-    ]
-    if not unqueried:
-        step.exhausted_pool_ids = worker_ids
-    return unqueried
+def _unqueried_workers(pools: Pools, step: Step) -> Iterator[Worker]:
+    """Yield the workers not requested for the step, those of its zone first.
+
+    Within the zone and outside of it, the workers with the most free capacity of the
+    resource that is scarce for the step come first.
+    """
+    pool = pools.get(step.job.queue.service)
+    order = pool.by_free_accelerators if step.need.accelerators else pool.by_free_cpu
+    zone = step.job.zone
+    for is_home in (True, False) if zone else (True,):
+        for worker in order:
+            if zone and (worker.entry.zone == zone) is not is_home:
+                continue
+            if worker.worker_id not in step.queried_workers and has_label(step, worker):
+                yield worker
 
 
 def _count_approvals(fleet: Fleet, step: Step, event: AdviceReplied) -> None:
@@ -219,7 +234,7 @@
         if worker.worker_id not in pools.requested_worker_ids
     ]
     capacities.sort(key=lambda each: -each[0])
-    needed = RENEWAL_CAPACITY_FACTOR * len(step.waiting)
+    needed = RENEWAL_CAPACITY_FACTOR * step.waiting_tasks
     chosen: list[Worker] = []
     for capacity, worker in capacities:
         if needed <= 0:
@@ -279,15 +294,19 @@
     ]
 
 
-def _remaining_ms(step: Step) -> float:
-    """Return the estimated time until the step is done, infinite while a task waits."""
+def _remaining_ms(fleet: Fleet, step: Step) -> float:
+    """Return the estimated time until the step is done; none of its tasks waits.
+
+    The percentage of a run is as old as the last report of its worker.
+    """
     remaining_ms = 0.0
     for task in step.tasks:
-        if task.done:
-            continue
         if task.run is None:
-            return float("inf")
-        remaining_ms = max(
-            remaining_ms, step.spec.estimate_ms * (1 - task.run.percent / 100)
-        )
+            continue
+        worker = fleet.workers.get(task.run.worker_id)
+        report_age_ms = fleet.now_ms - worker.clock_read_ms if worker else 0.0
+        run_ms = step.spec.estimate_ms * (1 - task.run.percent / 100)
+        if task.run.percent:
+            run_ms -= report_age_ms
+        remaining_ms = max(remaining_ms, run_ms)
     return remaining_ms
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -9,7 +9,7 @@
     count_fitting_now,
     find_candidates,
 )
-from ._pools import Pools
+from ._pools import Pools, current_pools
 from ._starts import send_start
 from ._work import Step, Task
 from ._worker import Worker
@@ -18,8 +18,8 @@
 def dispatch(fleet: Fleet) -> None:
     """Start waiting tasks on workers with free capacity and request advice."""
     fleet.needs_dispatch = False
-    pools = Pools(fleet)
-    waiting = [step for step in fleet.open_steps.values() if step.waiting]
+    pools = current_pools(fleet)
+    waiting = [step for step in fleet.open_steps.values() if step.waiting_tasks]
     waiting.sort(key=lambda step: _dispatch_priority(fleet, step))
     for step in waiting[: fleet.settings.max_steps_per_pass]:
         if fleet.is_blocked(step):
@@ -106,7 +106,7 @@
     capacities = [
         (count_fitting_now(fleet, step, worker, fitting_when_empty >= count), worker)
         for worker in candidates.workers
-        if worker.worker_id not in avoided_workers
+        if worker.worker_id not in avoided_workers and fleet.is_startable(worker)
     ]
     if step.spec.colocated:
         racks: dict[str, int] = {}
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -1,6 +1,7 @@
 """The state that the parts of the scheduler share."""
 
 import math
+from typing import TYPE_CHECKING
 
 from marigoldpath_core.jobs import JobState, Queue, TaskKey
 from marigoldpath_core.registry import Registry
@@ -10,6 +11,9 @@
 from ._work import Job, Run, RunState, Step, Task
 from ._worker import Worker
 
+if TYPE_CHECKING:
+    from ._pools import Pools
+
 # The numbers of the runs of one epoch are higher than those of all earlier epochs.
 RUNS_PER_EPOCH = 10_000
 
@@ -64,8 +68,16 @@
         self.slow_requests: dict[tuple[str, int, int], tuple[str, ...]] = {}
         self.needs_dispatch = True
         self.needs_commit = False
-        # The usable workers of each service in the last scheduling pass.
+        # The usable workers of each service when the pools were last built.
         self.usable_worker_ids: dict[str, frozenset[str]] = {}
+        # The worker pools of the last scheduling pass.
+        self.pools: Pools | None = None
+        # Whether a worker became usable since the pools were built.
+        self.pools_outdated = True
+        # When the runs were last checked for stalls and stops without effect.
+        self.runs_checked_ms = -math.inf
+        # Whether a Tick has come since the open steps were examined for advance advice.
+        self.prefetch_due = True
         # The number of workers in all advice requests with a reply and the number of
         # approved ones, by queue.
         self.approval_counts: dict[str, tuple[int, int]] = {}
@@ -233,7 +245,12 @@
         The next leader waits for the report or the lease expiry of such a worker before
         it starts jobs of earlier epochs.
         """
-        return all(
-            worker_id in roster and roster[worker_id].jobs is None
-            for roster in (self.roster, self.stored_roster)
-        )
+        current = self.roster.get(worker_id)
+        stored = self.stored_roster.get(worker_id)
+        if current is None or stored is None:
+            return False
+        return current.jobs is None and stored.jobs is None
+
+    def is_startable(self, worker: Worker) -> bool:
+        """Return whether a run may be started on the worker now."""
+        return worker.is_usable(self.now_ms) and self.may_start_on(worker.worker_id)
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -1,11 +1,13 @@
 """Acceptance, cancellation and completion of jobs."""
 
-from marigoldpath_core.jobs import JobState
+from marigoldpath_core.jobs import JobState, StepSpec
 
 from ._capacity import count_fitting
 from ._fleet import Fleet, handlers
 from ._messages import JobAccepted, JobCancelled, JobsRead, QueuesChanged
+from ._pools import current_pools
 from ._work import Job, Step, Task
+from ._worker import Worker
 
 
 @handlers.register(JobAccepted)
@@ -166,18 +168,21 @@
 
     The part is `home_zone_fraction`.
     """
-    usable = [
-        worker
-        for worker in fleet.workers.values()
-        if worker.entry.zone == job.zone
-        and worker.entry.service == job.queue.service
-        and worker.is_usable(fleet.now_ms)
-    ]
-    for spec in job.spec.steps:
-        capacity = sum(count_fitting(spec, spec.need, worker.free) for worker in usable)
-        if capacity * fleet.settings.home_zone_fraction < spec.width:
-            return False
-    return True
+    usable = current_pools(fleet).get(job.queue.service).zones.get(job.zone, [])
+    fraction = fleet.settings.home_zone_fraction
+    return all(
+        _has_room_for(spec, usable, spec.width / fraction) for spec in job.spec.steps
+    )
+
+
+def _has_room_for(spec: StepSpec, workers: list[Worker], tasks: float) -> bool:
+    """Return whether this number of tasks of a step fits on the workers now."""
+    capacity = 0
+    for worker in workers:
+        capacity += count_fitting(spec, spec.need, worker.free)
+        if capacity >= tasks:
+            return True
+    return False
 
 
 def _allowed_ms(job: Job) -> float:
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -125,9 +125,9 @@
     for worker in candidates.workers:
         if limit and candidates.placed[worker.worker_id] >= limit:
             continue
-        if worker.worker_id in task.avoided_workers or not has_capacity(
-            fleet, step, worker
-        ):
+        if worker.worker_id in task.avoided_workers:
+            continue
+        if not has_capacity(fleet, step, worker) or not fleet.is_startable(worker):
             continue
         value = (*_locality(step, worker, candidates), *score(step, worker, candidates))
         if best is None or value < best_score:
--- a/packages/core/src/marigoldpath_core/fleet/_pools.py
+++ b/packages/core/src/marigoldpath_core/fleet/_pools.py
@@ -6,44 +6,42 @@
 from ._work import Step
 from ._worker import Worker
 
+# A worker that became unusable stays in the pools for at most this time. Placement
+# checks each worker again before it starts a run there.
+POOL_LIFETIME_MS = 100
+
 
 class Pool(NamedTuple):
     """The usable workers of a service by id, and those of them that may start runs.
 
     `startable` holds the usable workers whose stored roster entry allows starts.
-    `worker_ids` are the ids of `usable`; the set stays the same object from pass to
-    pass while its content does not change.
+    `worker_ids` are the ids of `usable`; the set stays the same object while its
+    content does not change. `by_free_cpu` and `by_free_accelerators` are the usable
+    workers in the order of their free capacity when the pool was built, the one with
+    the most first. `zones` are the workers of `by_free_cpu` by availability zone.
     """
 
     usable: dict[str, Worker]
     startable: dict[str, Worker]
     worker_ids: frozenset[str]
+    by_free_cpu: tuple[Worker, ...] = ()
+    by_free_accelerators: tuple[Worker, ...] = ()
+    zones: dict[str, list[Worker]] = {}  # noqa: RUF012
 
 
 class Pools:
-    """The worker pools of one scheduling pass."""
+    """The worker pools of the services; scheduling passes share them for a while."""
 
     def __init__(self, fleet: Fleet) -> None:
+        self.built_ms = fleet.now_ms
         # The workers in the slow advice requests in flight.
-        self.requested_worker_ids = {
-            worker_id
-            for worker_ids in fleet.slow_requests.values()
-            for worker_id in worker_ids
-        }
+        self.requested_worker_ids: set[str] = set()
         usable: dict[str, dict[str, Worker]] = {}
         for worker_id, worker in fleet.workers.items():
             if worker.is_usable(fleet.now_ms):
                 usable.setdefault(worker.entry.service, {})[worker_id] = worker
         self._pools = {
-            service: Pool(
-                workers,
-                {
-                    worker_id: worker
-                    for worker_id, worker in workers.items()
-                    if fleet.may_start_on(worker_id)
-                },
-                _stable_ids(fleet, service, workers),
-            )
+            service: _build_pool(fleet, service, workers)
             for service, workers in usable.items()
         }
 
@@ -66,6 +64,49 @@
 _EMPTY = Pool({}, {}, frozenset())
 
 
+def current_pools(fleet: Fleet) -> Pools:
+    """Return the pools for a scheduling pass, which are built if they are too old."""
+    pools = fleet.pools
+    if (
+        pools is None
+        or fleet.pools_outdated
+        or fleet.now_ms - pools.built_ms >= POOL_LIFETIME_MS
+    ):
+        pools = fleet.pools = Pools(fleet)
+        fleet.pools_outdated = False
+    pools.requested_worker_ids = {
+        worker_id
+        for worker_ids in fleet.slow_requests.values()
+        for worker_id in worker_ids
+    }
+    return pools
+
+
+def _build_pool(fleet: Fleet, service: str, workers: dict[str, Worker]) -> Pool:
+    startable = {
+        worker_id: worker
+        for worker_id, worker in workers.items()
+        if fleet.may_start_on(worker_id)
+    }
+    by_free_cpu = sorted(workers.values(), key=lambda each: -each.free.cpu_millis)
+    by_free_accelerators = by_free_cpu
+    if any(each.entry.capacity.accelerators for each in by_free_cpu):
+        by_free_accelerators = sorted(
+            by_free_cpu, key=lambda each: -each.free.accelerators
+        )
+    zones: dict[str, list[Worker]] = {}
+    for worker in by_free_cpu:
+        zones.setdefault(worker.entry.zone, []).append(worker)
+    return Pool(
+        workers,
+        startable,
+        _stable_ids(fleet, service, workers),
+        tuple(by_free_cpu),
+        tuple(by_free_accelerators),
+        zones,
+    )
+
+
 def has_label(step: Step, worker: Worker) -> bool:
     """Return whether the worker has the label that the step requires."""
     label = step.spec.required_label
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -33,6 +33,7 @@
         elif entry.draining and not worker.entry.draining:
             fleet.log("worker_draining", worker=entry.worker_id)
         worker.update_entry(entry)
+        fleet.pools_outdated = True
         if entry.draining:
             worker.drain_observed_ms = fleet.now_ms
         if worker.incarnation and entry.incarnation > worker.incarnation:
@@ -52,7 +53,7 @@
     if event.incarnation > worker.incarnation:
         _begin_incarnation(fleet, worker, event.incarnation)
     if worker.is_unresponsive or worker.last_report_ms is None:
-        fleet.needs_dispatch = True
+        fleet.needs_dispatch = fleet.pools_outdated = True
     if worker.last_report_ms is None:
         # A previous leader could have renewed the lease until this leader's poll made
         # the worker refuse commands of earlier epochs.
@@ -197,6 +198,8 @@
         if run is not None:
             listed.add(row.task)
             _update_run(fleet, run, row, event.clock_ms)
+    if worker.orphaned_runs and not orphaned_runs:
+        fleet.pools_outdated = True
     worker.orphaned_runs = orphaned_runs
     if not all_applied:
         return
--- a/packages/core/src/marigoldpath_core/fleet/_roster.py
+++ b/packages/core/src/marigoldpath_core/fleet/_roster.py
@@ -22,6 +22,8 @@
             # which jobs could be running there.
             continue
         current = fleet.roster.get(worker.worker_id)
+        if current is not None and _is_open_as_required(worker, current):
+            continue
         required = _required_entry(worker, current)
         if required == current:
             continue
@@ -38,9 +40,24 @@
         fleet.roster_dirty = fleet.needs_commit = True
 
 
+def _may_get_starts(worker: Worker) -> bool:
+    return worker.is_listed and not worker.is_unresponsive and not worker.entry.draining
+
+
+def _is_open_as_required(worker: Worker, current: RosterEntry) -> bool:
+    """Return whether an entry that allows starts of any job needs no change."""
+    entry = worker.entry
+    return (
+        current.jobs is None
+        and current.address == entry.address
+        and current.zone == entry.zone
+        and _may_get_starts(worker)
+    )
+
+
 def _required_entry(worker: Worker, current: RosterEntry | None) -> RosterEntry | None:
     address, zone = worker.entry.address, worker.entry.zone
-    if worker.is_listed and not worker.is_unresponsive and not worker.entry.draining:
+    if _may_get_starts(worker):
         return RosterEntry(address, None, zone)
     jobs = {run.task.key.job_id for run in worker.runs.values()}
     if not jobs:
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -22,6 +22,11 @@
 from ._messages import Commit, Effect, Event, RosterEntry, Tick
 from ._roster import update_roster
 from ._settings import FleetSettings
+from ._worker import Worker
+
+# The interval of the checks that examine every run. The time limits that they check are
+# several times longer.
+RUN_CHECK_INTERVAL_MS = 300
 
 _MODULES_WITH_HANDLERS = (_advice, _terminations, _jobs, _reports, _starts)
 
@@ -135,9 +140,22 @@
             address,
             until_clock_ms,
             worker.last_stored_termination,
-            self._settings.poll_wait_ms,
+            self._poll_wait_ms(worker, now_ms),
         )
 
+    def _poll_wait_ms(self, worker: Worker, now_ms: float) -> int:
+        """Return how long a worker may delay its reply until a run terminates.
+
+        A termination ends the wait. Only loads and progress have to be polled for.
+        """
+        settings = self._settings
+        if worker.has_fillers:
+            return settings.watched_poll_wait_ms
+        oldest_ms = now_ms - settings.stall_ms / 2
+        if any(run.last_progress_ms < oldest_ms for run in worker.runs.values()):
+            return settings.watched_poll_wait_ms
+        return settings.poll_wait_ms
+
     def has_unstored_terminations(self, worker_id: str) -> bool:
         """Return whether terminations reported by the worker are not stored yet."""
         worker = self._fleet.workers.get(worker_id)
@@ -212,7 +230,7 @@
                 )
         if commit.roster is not None:
             fleet.stored_roster = dict(commit.roster)
-            fleet.needs_dispatch = True
+            fleet.needs_dispatch = fleet.pools_outdated = True
         for job_id, progress in commit.progress.items():
             if progress.may_leave_zone and job_id in fleet.jobs:
                 fleet.jobs[job_id].may_leave_zone = True
@@ -260,10 +278,13 @@
     fleet.advice_hosts = event.advice_hosts
     _jobs.begin_due_occurrences(fleet)
     _reports.expire_leases(fleet)
-    _reports.retry_stops(fleet)
     update_roster(fleet)
-    _health.stop_stalled_runs(fleet)
+    if fleet.now_ms - fleet.runs_checked_ms >= RUN_CHECK_INTERVAL_MS:
+        fleet.runs_checked_ms = fleet.now_ms
+        _reports.retry_stops(fleet)
+        _health.stop_stalled_runs(fleet)
     _draining.evict_from_draining_workers(fleet)
     _throttling.throttle_fillers(fleet)
+    fleet.prefetch_due = True
     # Tickets and quarantines expire without an event.
     fleet.needs_dispatch = True
--- a/packages/core/src/marigoldpath_core/fleet/_throttling.py
+++ b/packages/core/src/marigoldpath_core/fleet/_throttling.py
@@ -15,9 +15,10 @@
     They resume after response times have been well below the targets for a while.
     """
     for worker in fleet.workers.values():
+        if not worker.has_fillers or worker.is_unresponsive:
+            continue
         fillers = [run for run in worker.runs.values() if run.task.step.spec.fills]
-        if fillers and not worker.is_unresponsive:
-            _throttle(fleet, worker, fillers)
+        _throttle(fleet, worker, fillers)
 
 
 def _throttle(fleet: Fleet, worker: Worker, fillers: list[Run]) -> None:
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -72,21 +72,21 @@
     """A task of one occurrence of a step."""
 
     __slots__ = (
+        "_done",
+        "_run",
         "avoided_workers",
         "checkpoint",
-        "done",
         "failed_runs",
         "key",
         "number",
-        "run",
         "step",
     )
 
     def __init__(self, key: TaskKey, step: "Step") -> None:
         self.key = key
         self.step = step
-        self.done = False
-        self.run: Run | None = None
+        self._done = False
+        self._run: Run | None = None
         # The number of the newest run.
         self.number = 0
         # Terminations on several workers arrive in any order, and a new leader receives
@@ -95,10 +95,32 @@
         self.checkpoint = ""
         self.avoided_workers: set[str] = set()
 
+    @property
+    def done(self) -> bool:
+        """Whether a run of the task is done."""
+        return self._done
+
+    @done.setter
+    def done(self, value: bool) -> None:
+        was_waiting = self.is_waiting
+        self._done = value
+        self.step.waiting_tasks += self.is_waiting - was_waiting
+
+    @property
+    def run(self) -> Run | None:
+        """The run with resources allocated on a worker, None if there is none."""
+        return self._run
+
+    @run.setter
+    def run(self, value: Run | None) -> None:
+        was_waiting = self.is_waiting
+        self._run = value
+        self.step.waiting_tasks += self.is_waiting - was_waiting
+
     @property
     def is_waiting(self) -> bool:
         """Return whether the task is not done and has no run."""
-        return not self.done and self.run is None
+        return not self._done and self._run is None
 
 
 class Ticket:
@@ -125,6 +147,8 @@
             for task_index in range(self.spec.width)
         ]
         self.remaining_tasks = self.spec.width
+        # The number of tasks that are not done and have no run; its tasks update it.
+        self.waiting_tasks = self.spec.width
         self.tickets: dict[str, Ticket] = {}
         # The workers that were in an advice request, approved or not.
         self.queried_workers: set[str] = set()
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -16,6 +16,8 @@
 
     def __init__(self, entry: WorkerEntry) -> None:
         self._entry = entry
+        self._free = entry.capacity
+        self._fillers = 0
         self._runs: dict[TaskKey, Run] = {}
         self._cpu_millis = 0
         self._memory_mb = 0
@@ -65,12 +67,12 @@
     @property
     def free(self) -> Resources:
         """Return the capacity that is not allocated to runs."""
-        capacity = self._entry.capacity
-        return Resources(
-            capacity.cpu_millis - self._cpu_millis,
-            capacity.memory_mb - self._memory_mb,
-            capacity.accelerators - self._accelerators,
-        )
+        return self._free
+
+    @property
+    def has_fillers(self) -> bool:
+        """Return whether a filler has resources allocated on the worker."""
+        return self._fillers > 0
 
     @property
     def background_cpu_millis(self) -> int:
@@ -81,6 +83,7 @@
         """Apply a newer entry of the directory."""
         self._entry = entry
         self.is_listed = True
+        self._update_free()
 
     def estimated_clock_ms(self, now_ms: float) -> int:
         """Return the estimated reading of the worker's clock, without drift.
@@ -154,6 +157,17 @@
         self._cpu_millis += sign * need.cpu_millis
         self._memory_mb += sign * need.memory_mb
         self._accelerators += sign * need.accelerators
+        self._update_free()
         step = run.task.step
+        if step.spec.fills:
+            self._fillers += sign
         if step.job.queue.priority > 0:
             self._background_cpu_millis += sign * need.cpu_millis
+
+    def _update_free(self) -> None:
+        capacity = self._entry.capacity
+        self._free = Resources(
+            capacity.cpu_millis - self._cpu_millis,
+            capacity.memory_mb - self._memory_mb,
+            capacity.accelerators - self._accelerators,
+        )
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -70,7 +70,7 @@
         self._effect_runner = EffectRunner(settings, dependencies, followers, self)
         self._dispatch_event = curio.Event()
         self._term_ended = curio.Event()
-        self._tasks: list[curio.Task] = []
+        self._tasks: set[curio.Task] = set()
 
     @property
     def epoch(self) -> int:
@@ -427,8 +427,7 @@
 
         An unexpected error in the task ends the term.
         """
-        self._tasks = [task for task in self._tasks if not task.terminated]
-        self._tasks.append(
+        self._tasks.add(
             await curio.spawn(self._run_guarded, function, *arguments, daemon=True)
         )
 
@@ -440,3 +439,5 @@
         except Exception as error:
             self._log.exception("leader_task_failed", task=function.__name__)
             await self.end(f"{function.__name__} failed: {error!r}")
+        finally:
+            self._tasks.discard(await curio.current_task())
--- a/tests/core/test_fleet_advice.py
+++ b/tests/core/test_fleet_advice.py
@@ -134,7 +134,8 @@
         self.assertEqual(self.advice_requests(), [])
 
     def test_no_more_capacity_is_requested_than_the_tasks_can_use(self):
-        self.harness.scheduler._fleet.open_steps["0" * 16, 0, 0].tasks[1:] = []
+        for task in self.harness.scheduler._fleet.open_steps["0" * 16, 0, 0].tasks[1:]:
+            task.done = True
         (first, *_) = self.advice_requests()
         self.assertLessEqual(len(first.workers), 2)
 
--- a/tests/core/test_fleet_health.py
+++ b/tests/core/test_fleet_health.py
@@ -3,6 +3,7 @@
 import unittest
 
 from marigoldpath_core.fleet import (
+    FleetSettings,
     TerminationReason,
     ThrottleRun,
     WorkersListed,
@@ -22,6 +23,54 @@
 )
 
 
+class PollWaitTests(unittest.TestCase):
+    """Guards against polls that cost more than they find out, and against blind spots.
+
+    A termination ends the wait of a poll, so only load and progress need short waits.
+    """
+
+    def setUp(self):
+        self.settings = FleetSettings()
+        self.harness = FleetHarness(entry("a"))
+        self.harness.report_all()
+
+    def wait_ms(self):
+        # Without a recent commit, the leader could not grant a lease.
+        self.harness.commit()
+        return self.harness.scheduler.next_poll("a", self.harness.now_ms).wait_ms
+
+    def start(self, **fields):
+        self.harness.accept(job(step(estimate_ms=9_000, **fields)))
+        (command,) = self.harness.dispatch_starts()
+        self.harness.confirm_start(command)
+        return command
+
+    def test_an_idle_worker_and_one_with_progress_may_wait_long(self):
+        self.assertEqual(self.wait_ms(), self.settings.poll_wait_ms)
+        command = self.start()
+        self.harness.now_ms += 2_000
+        self.harness.report("a", [running(command, 20)])
+        self.assertEqual(self.wait_ms(), self.settings.poll_wait_ms)
+
+    def test_a_run_without_progress_is_polled_more_often(self):
+        """A stall is found by several reports with the same progress."""
+        self.start()
+        self.harness.now_ms += 2_000
+        self.assertEqual(self.wait_ms(), self.settings.watched_poll_wait_ms)
+
+    def test_a_filler_is_polled_more_often(self):
+        """The load of the tasks beside it decides whether it is throttled."""
+        self.start(fills=True)
+        self.assertEqual(self.wait_ms(), self.settings.watched_poll_wait_ms)
+
+    def test_an_idle_majority_still_proves_the_authority_of_the_leader(self):
+        """Guards against a leader that loses its authority in an outage of the store.
+
+        Each worker replies at least once in `majority_window_ms`.
+        """
+        self.assertLess(self.settings.poll_wait_ms, self.settings.majority_window_ms)
+
+
 class UnresponsiveWorkerTests(unittest.TestCase):
     """Guards against tasks that run twice.
 
--- a/tests/core/test_fleet_pools.py
+++ b/tests/core/test_fleet_pools.py
@@ -1,9 +1,12 @@
 """Tests of the worker pools of a scheduling pass and of free capacity."""
 
 import unittest
+from random import Random
 
+from marigoldpath_core.fleet import WorkerUnresponsive
 from marigoldpath_core.fleet._capacity import count_fitting
-from marigoldpath_core.fleet._pools import Pools
+from marigoldpath_core.fleet._pools import POOL_LIFETIME_MS, Pools, current_pools
+from marigoldpath_core.fleet._work import Run
 from marigoldpath_core.jobs import Resources
 from tests.core.fleet_fixture import FleetHarness, entry, job, step
 
@@ -55,6 +58,60 @@
         self.assertEqual(found, ["b"])
 
 
+class CurrentPoolsTests(unittest.TestCase):
+    """Guards against passes whose cost grows with the fleet, and against stale pools.
+
+    Passes share the pools for a while, so a worker can become unusable meanwhile.
+    """
+
+    def setUp(self):
+        self.harness = FleetHarness(entry("a"), entry("b"))
+        self.harness.report_all()
+        self.fleet = self.harness.scheduler._fleet
+
+    def test_passes_share_the_pools_for_a_limited_time(self):
+        first = current_pools(self.fleet)
+        self.assertIs(current_pools(self.fleet), first)
+        self.fleet.now_ms += POOL_LIFETIME_MS
+        self.assertIsNot(current_pools(self.fleet), first)
+
+    def test_a_worker_that_reports_again_is_in_the_pools_at_once(self):
+        self.harness.handle(WorkerUnresponsive("a"))
+        self.fleet.now_ms += POOL_LIFETIME_MS
+        self.assertEqual(set(current_pools(self.fleet).get("service").usable), {"b"})
+        self.harness.report("a")
+        usable = current_pools(self.fleet).get("service").usable
+        self.assertEqual(set(usable), {"a", "b"})
+
+    def test_no_run_starts_on_a_worker_that_became_unusable(self):
+        """A start there would last until its lease expires, or fail for certain."""
+        gang = step(width=2, cpu=4_000, gang=True)
+        for shape in (step(width=2), gang):
+            with self.subTest(gang=shape.gang):
+                self.setUp()
+                current_pools(self.fleet)
+                self.harness.handle(WorkerUnresponsive("a"))
+                self.harness.accept(job(shape))
+                commands = self.harness.dispatch_starts()
+                self.assertEqual([each.worker_id for each in commands], ["b", "b"])
+
+
+class WaitingTasksTests(unittest.TestCase):
+    """Guards against steps that a pass skips although one of their tasks waits."""
+
+    def test_the_count_follows_every_change_of_a_task(self):
+        random = Random(7)
+        harness = FleetHarness(entry("a"))
+        harness.report_all()
+        harness.accept(job(step(width=5)))
+        (waiting,) = harness.open_steps()
+        for _ in range(200):
+            task = random.choice(waiting.tasks)
+            task.run = random.choice([None, Run(task, 1, "a", step().need, 0.0)])
+            task.done = random.random() < 0.3
+            self.assertEqual(waiting.waiting_tasks, len(waiting.waiting))
+
+
 class FreeCapacityTests(unittest.TestCase):
     """Guards against overloaded workers: the count of tasks must not be too high."""
 
