Store jobs through other hosts, and let many followers report less often

Change: the leader names two random followers that reach the store in its status; a host tries the leader and then those, within the caller's time and a retry budget. A lost reply of one of them leaves the outcome unknown. Followers report at most 100 times a second together; a failed call makes a host check its leader at once. A status of a later version is read without its new fields. An idle connection is checked by one call instead of four.

--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -51,6 +51,7 @@
         self._is_stopped = False
         self._started_s = now_s()
         self._known_epoch = 0
+        self._recheck_event = curio.Event()
         self._is_stale_leader_logged = False
 
     @property
@@ -87,7 +88,7 @@
     async def _monitor_leader(self) -> None:
         """Poll the leader; return when it is lost or its last commit is too old."""
         while self._leader is not None:
-            await curio.sleep(self._settings.check_interval_s)
+            await self._wait_for_next_check()
             try:
                 status = await self._exchange_status(self._leader.address)
             except PeerError as error:
@@ -105,6 +106,17 @@
             self._is_stale_leader_logged = True
             return
 
+    async def recheck(self) -> None:
+        """Check the leader at once, because a call to it failed."""
+        await self._recheck_event.set()
+
+    async def _wait_for_next_check(self) -> None:
+        interval_s = self._settings.check_interval_s
+        if self._leader_status is not None:
+            interval_s = max(interval_s, self._leader_status.status_interval_s)
+        await curio.ignore_after(interval_s, self._recheck_event.wait)
+        self._recheck_event.clear()
+
     async def _find_leader(self) -> Term | None:
         """Find a leader or acquire its row.
 
--- a/packages/node/src/marigoldpath_node/cell/_followers.py
+++ b/packages/node/src/marigoldpath_node/cell/_followers.py
@@ -1,5 +1,6 @@
 """Tracks a leader's followers and distributes its advice requests among them."""
 
+from random import Random
 from typing import NamedTuple
 
 from marigoldpath_core.jobs import TaskKey
@@ -9,9 +10,10 @@
 from ._ports import CellDependencies
 from ._settings import CellSettings
 
-# A follower whose last status is older than this gets no advice requests and cannot
-# become the successor.
+# A follower from which no status arrived for this time, and for this number of status
+# intervals, gets no advice requests and cannot become the successor.
 FOLLOWER_TIMEOUT_S = 1.5
+FOLLOWER_TIMEOUT_INTERVALS = 2.5
 
 
 class Follower(NamedTuple):
@@ -41,18 +43,43 @@
         self._peers = peers
         self._followers: dict[str, Follower] = {}
         self._outstanding_ms: dict[str, float] = {"": 0.0}
+        self._status_interval_s = settings.check_interval_s
+        self._pruned_s = now_s()
+        self._random = Random()
 
     @property
     def count(self) -> int:
         """The number of followers that can send advice requests now."""
         return len(self._recent_followers())
 
+    @property
+    def status_interval_s(self) -> float:
+        """The interval in seconds at which each follower reports its status."""
+        return self._status_interval_s
+
+    def choose_writers(self) -> tuple[str, ...]:
+        """Return followers that can store jobs for hosts that do not reach the store.
+
+        They are chosen at random, so that the jobs of such hosts are spread.
+        """
+        able = [each for each in self._recent_followers() if each.status.has_store]
+        chosen = self._random.sample(able, min(self._settings.max_writers, len(able)))
+        return tuple(each.status.address for each in chosen)
+
     def record_status(self, status: FollowerStatus) -> None:
         """Record the status that a follower sent."""
         received_s = now_s()
         follower = Follower(status, received_s, received_s - status.started_s)
         self._followers[status.address] = follower
         self._outstanding_ms.setdefault(status.address, 0.0)
+        self._status_interval_s = max(
+            self._settings.check_interval_s,
+            len(self._followers) / self._settings.max_status_rate,
+        )
+        if received_s - self._pruned_s > self._timeout_s:
+            self._pruned_s = received_s
+            recent = self._recent_followers()
+            self._followers = {each.status.address: each for each in recent}
 
     def choose_successor(self) -> str:
         """Return the address of the largest follower that can lead, or an empty string.
@@ -111,6 +138,12 @@
             addresses, key=lambda each: self._outstanding_ms[each] + 10 * bool(each)
         )
 
+    @property
+    def _timeout_s(self) -> float:
+        return max(
+            FOLLOWER_TIMEOUT_S, FOLLOWER_TIMEOUT_INTERVALS * self._status_interval_s
+        )
+
     def _recent_followers(self) -> list[Follower]:
-        oldest_s = now_s() - FOLLOWER_TIMEOUT_S
+        oldest_s = now_s() - self._timeout_s
         return [each for each in self._followers.values() if each.received_s > oldest_s]
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -15,6 +15,7 @@
     PeerClient,
     PeerError,
     decode_job_body,
+    decode_status,
     peer_routes,
 )
 from ._ports import (
@@ -138,8 +139,8 @@
         """Store a job and return what is known about the outcome.
 
         Unless its last store call failed, this host writes the job itself for at most
-        `timeout_s`. If the job is not accepted, the leader is requested to store it,
-        which can take another `peer_timeout_s`.
+        `timeout_s`. If the job is not accepted, the leader and then other hosts are
+        requested to store it, which can take another `peer_timeout_s`.
         """
         started_s = now_s()
         # Jobs of priority 0 are confined to this zone, so that a network partition of
@@ -234,6 +235,7 @@
         except PeerError as error:
             # The leader finds the job when it next reads the changes of the job table.
             self._log.info("job_not_told", job=job.spec.job_id, reason=repr(error))
+            await self._election.recheck()
 
     async def _forward_cancellation(self, job_id: str) -> None:
         try:
@@ -250,18 +252,21 @@
         token = self._settings.token
         if self._leader is None:
             return LeaderStatus(0, token, 0.0, {})
+        assert self._followers is not None
         return LeaderStatus(
             self._leader.epoch,
             token,
             self._leader.store_age_s,
             self._leader.pending(),
             self._leader.may_send_commands,
+            self._followers.status_interval_s,
+            self._followers.choose_writers(),
         )
 
     @peer_routes.register("view")
     async def _serve_status(self, data: dict) -> dict | None:
         if self._followers is not None:
-            self._followers.record_status(FollowerStatus(**data))
+            self._followers.record_status(decode_status(FollowerStatus, data))
         return dict(self._own_status()._asdict())
 
     @peer_routes.register("job")
@@ -280,15 +285,15 @@
 
     @peer_routes.register("store-job")
     async def _serve_store_job(self, data: dict) -> dict | None:
-        if self._leader is None:
+        if self._job_writer.is_store_unresponsive:
             return None
         outcome, stored = await self._job_writer.write(
             decode_job_body(data),
             self._settings.peer_timeout_s / 2,
             SubmissionOutcome.NOT_RUN,
         )
-        if stored is not None and self._leader is not None:
-            await self._leader.add_job(stored)
+        if stored is not None:
+            await curio.spawn(self._forward_job, stored, daemon=True)
         return {"outcome": outcome.value}
 
     @peer_routes.register("state")
--- a/packages/node/src/marigoldpath_node/cell/_job_writer.py
+++ b/packages/node/src/marigoldpath_node/cell/_job_writer.py
@@ -13,6 +13,7 @@
 from ._peers import NotLeadingError, PeerClient, PeerError, PeerUnreachableError
 from ._ports import CellDependencies, StoreError, StoreLostError
 from ._records import write_job
+from ._retry_budget import RetryBudget
 from ._settings import CellSettings
 
 # Jobs that this host accepted within this time are added to the leader's last reported
@@ -60,6 +61,9 @@
         self._outage_since_s: float | None = None
         self._outcomes: dict[str, SubmissionOutcome] = {}
         self._recent_jobs: deque[tuple[float, str]] = deque()
+        self._retry_budget = RetryBudget(
+            settings.retry_budget_ratio, settings.max_retry_budget
+        )
 
     @property
     def is_store_unresponsive(self) -> bool:
@@ -95,8 +99,11 @@
         """Store a job and return what is known about the outcome.
 
         Unless its last store call failed, this host writes the job itself for at most
-        `timeout_s`. If the job is not accepted, the leader is requested to store it.
+        `timeout_s`. If the job is not accepted, the leader and then other hosts are
+        requested to store it.
         """
+        timeout_at_s = now_s() + timeout_s
+        self._retry_budget.record_request()
         # A repeated submission starts from the outcome of the earlier one: an accepted
         # id stays accepted, and a job whose outcome was unknown may still run, so
         # NOT_RUN would be false.
@@ -105,7 +112,9 @@
         if known is not SubmissionOutcome.ACCEPTED and not self.is_store_unresponsive:
             result = await self.write(job, timeout_s, known)
         if result.outcome is not SubmissionOutcome.ACCEPTED:
-            result = SubmissionResult(await self._submit_to_leader(job, result.outcome))
+            result = SubmissionResult(
+                await self._submit_to_peers(job, result.outcome, timeout_at_s)
+            )
         self._record_outcome(job.spec.job_id, result.outcome)
         if (
             result.outcome is SubmissionOutcome.ACCEPTED
@@ -154,33 +163,59 @@
                 return SubmissionResult(outcome)
             await curio.sleep(self._settings.write_retry_s)
 
-    async def _submit_to_leader(
-        self, job: AcceptedJob, outcome: SubmissionOutcome
+    async def _submit_to_peers(
+        self, job: AcceptedJob, outcome: SubmissionOutcome, timeout_at_s: float
     ) -> SubmissionOutcome:
-        """Request that the leader stores a job that this host could not store.
+        """Request other hosts to store a job that this host could not store.
 
-        `outcome` is what is known from earlier attempts. It is returned if the leader
-        cannot have stored the job.
+        `outcome` is what is known from earlier attempts. It is returned if no host can
+        have stored the job. The first host is always tried. Each further one needs a
+        part of the retry budget, so that an outage of the store does not multiply the
+        calls between the hosts.
         """
+        for attempt, address in enumerate(self._addresses_of_writers()):
+            if attempt and (
+                now_s() >= timeout_at_s or not self._retry_budget.take_retry()
+            ):
+                break
+            peer_outcome = await self._submit_to_peer(address, job)
+            if peer_outcome is SubmissionOutcome.ACCEPTED:
+                return peer_outcome
+            if peer_outcome is SubmissionOutcome.UNKNOWN:
+                outcome = peer_outcome
+        return outcome
+
+    def _addresses_of_writers(self) -> list[str]:
+        """Return the leader's address, if it reaches the store, and those of others."""
         leader = None if self._election is None else self._election.leader
         status = None if self._election is None else self._election.leader_status
         if leader is None or status is None:
-            return outcome
-        if status.store_age_s > self._settings.max_commit_age_s:
-            return outcome
+            return []
+        addresses = [each for each in status.writers if each != self._settings.address]
+        if status.store_age_s <= self._settings.max_commit_age_s:
+            addresses.insert(0, leader.address)
+        return addresses
+
+    async def _submit_to_peer(
+        self, address: str, job: AcceptedJob
+    ) -> SubmissionOutcome:
+        """Request that one host stores a job and return what is known afterwards."""
         try:
-            leader_outcome = SubmissionOutcome(
-                await self._peers.store_job(leader.address, job)
-            )
+            outcome = SubmissionOutcome(await self._peers.store_job(address, job))
         except (PeerUnreachableError, NotLeadingError) as error:
-            self._log.info("job_not_stored_by_leader", reason=repr(error))
-            return outcome
-        except PeerError as error:
-            self._log.info("job_not_stored_by_leader", reason=repr(error))
-            return SubmissionOutcome.UNKNOWN
-        if leader_outcome is SubmissionOutcome.NOT_RUN:
-            return outcome
-        return leader_outcome
+            outcome, reason = SubmissionOutcome.NOT_RUN, repr(error)
+        except (PeerError, ValueError) as error:
+            outcome, reason = SubmissionOutcome.UNKNOWN, repr(error)
+        else:
+            reason = ""
+        self._log.info(
+            "job_passed_to_peer",
+            job=job.spec.job_id,
+            address=address,
+            outcome=outcome.value,
+            reason=reason,
+        )
+        return outcome
 
     def _drop_old_jobs(self) -> None:
         oldest_s = now_s() - RECENT_WINDOW_S
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -1,7 +1,7 @@
 """HTTP calls between the entry hosts of a cell."""
 
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 from marigoldpath_core.jobs import AcceptedJob, JobState, TaskKey
 from marigoldpath_core.registry import Registry
@@ -40,6 +40,10 @@
     commit. `pending` is the number of jobs that have not started, keyed by queue.
     `can_order` is whether the leader may send commands. It must not send any while it
     reaches neither the store nor a majority of the workers.
+
+    A leader asks each follower to report its status every `status_interval_s`.
+    `writers` are addresses of followers that reach the store and can store a job for a
+    host that does not.
     """
 
     epoch: int
@@ -47,6 +51,8 @@
     store_age_s: float
     pending: dict[str, int]
     can_order: bool = True
+    status_interval_s: float = 0.3
+    writers: tuple[str, ...] = ()
 
 
 class FollowerStatus(NamedTuple):
@@ -64,6 +70,9 @@
     has_store: bool = True
 
 
+Status = TypeVar("Status", LeaderStatus, FollowerStatus)
+
+
 class PeerClient:
     """Calls other entry hosts. Each method raises PeerError if its call fails."""
 
@@ -77,7 +86,7 @@
         """Send this host's status to the process at `address` and return its status."""
         data = await self._call(address, "view", own_status._asdict())
         try:
-            return LeaderStatus(**data)
+            return decode_status(LeaderStatus, data)
         except TypeError as error:
             raise PeerError(f"bad status of {address}: {error}") from error
 
@@ -90,9 +99,10 @@
         await self._call(address, "cancel", {"job": job_id})
 
     async def store_job(self, address: str, job: AcceptedJob) -> str:
-        """Request that the leader at `address` stores a job.
+        """Request that the host at `address` stores a job.
 
-        Return the value of the `SubmissionOutcome`.
+        Return the value of the `SubmissionOutcome`. Raises NotLeadingError if the host
+        does not reach the store, so it has stored nothing.
         """
         data = {"job": encode_job(job).decode()}
         return (await self._call(address, "store-job", data))["outcome"]
@@ -140,6 +150,16 @@
             raise PeerError(str(error)) from error
 
 
+def decode_status(kind: type[Status], data: dict) -> Status:
+    """Return the status in a message; fields of later versions are ignored.
+
+    Raises TypeError if `data` is not an object or a required field is missing.
+    """
+    if not isinstance(data, dict):
+        raise TypeError(f"a status must be an object, not {type(data).__name__}")
+    return kind(**{name: data[name] for name in kind._fields if name in data})
+
+
 PeerRoute = Callable[[Any, dict], Awaitable[dict | None]]
 peer_routes: Registry[str, PeerRoute] = Registry("peer call")
 
@@ -147,7 +167,7 @@
 async def serve_peer(host: Any, request: HttpRequest) -> HttpResponse:
     """Serve a request of a peer; `host` is passed to the route's function.
 
-    A route returns None if only the leader can serve the request.
+    A route returns None if only another host can serve the request.
     """
     name = request.path.removeprefix(PATH_PREFIX)
     if request.method != "POST" or name not in peer_routes:
@@ -178,6 +198,7 @@
     "PeerError",
     "PeerUnreachableError",
     "decode_job_body",
+    "decode_status",
     "peer_routes",
     "serve_peer",
 ]
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -39,6 +39,13 @@
     of that state times out after `load_page_timeout_s`; the timeout doubles after each
     failed load up to `max_load_page_timeout_s`, because a link may be slow.
 
+    Followers report their status to the leader every `check_interval_s`, or less often
+    if they are so many that they would send more than `max_status_rate` a second.
+
+    A host that does not reach the store requests the leader, and after it at most
+    `max_writers` followers, to store a job. Each submission earns `retry_budget_ratio`
+    of such a further attempt, and `max_retry_budget` attempts can be saved up.
+
     A host that reaches no leader is not ready once its store calls have failed for
     `unready_timeout_s`.
     """
@@ -64,6 +71,7 @@
     max_load_page_timeout_s: float = 8.0
     slow_store_factor: float = 4.0
     check_interval_s: float = 0.3
+    max_status_rate: float = 100.0
     peer_timeout_s: float = 0.6
     unready_timeout_s: float = 0.3
     max_commit_age_s: float = 1.2
@@ -84,3 +92,6 @@
     write_retry_s: float = 0.1
     refused_write_timeout_s: float = 0.35
     max_remembered_jobs: int = 2_000
+    max_writers: int = 2
+    retry_budget_ratio: float = 0.2
+    max_retry_budget: float = 10.0
--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -1,6 +1,7 @@
 """An HTTP/1.1 client on h11 and curio that reuses connections."""
 
 import json
+import socket
 import time
 from typing import Any, NamedTuple
 
@@ -28,8 +29,9 @@
 
 
 class _Connection:
-    def __init__(self, socket: curio.io.Socket) -> None:
-        self.socket = socket
+    def __init__(self, raw_socket: socket.socket) -> None:
+        self.raw_socket = raw_socket
+        self.socket = curio.io.Socket(raw_socket)
         self.protocol = h11.Connection(h11.CLIENT)
         self.idle_since_s = 0.0
 
@@ -122,13 +124,13 @@
         if reuse_only:
             raise NotSentError(f"no connection to {address} is kept")
         try:
-            socket = await curio.timeout_after(
-                self._settings.connect_s, _open_socket, address
+            connection = await curio.timeout_after(
+                self._settings.connect_s, _open_connection, address
             )
         except (OSError, ValueError, curio.TaskTimeout) as error:
             raise NotSentError(f"no connection to {address}: {error!r}") from error
-        socket.setsockopt(curio.socket.IPPROTO_TCP, curio.socket.TCP_NODELAY, 1)
-        return _Connection(socket)
+        connection.raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return connection
 
     async def _release(self, key: tuple[str, str], connection: _Connection) -> None:
         idle = self._idle.setdefault(key, [])
@@ -176,18 +178,18 @@
                 raise h11.RemoteProtocolError("the peer closed the connection")
 
 
-async def _open_socket(address: str) -> curio.io.Socket:
+async def _open_connection(address: str) -> _Connection:
     # curio.open_connection starts a thread per call to resolve the name. Addresses
     # here are IP addresses, which need no resolution.
     host, _, port = address.rpartition(":")
-    family = curio.socket.AF_INET6 if ":" in host else curio.socket.AF_INET
-    socket = curio.socket.socket(family, curio.socket.SOCK_STREAM)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    connection = _Connection(socket.socket(family, socket.SOCK_STREAM))
     try:
-        await socket.connect((host.strip("[]"), int(port)))
+        await connection.socket.connect((host.strip("[]"), int(port)))
     except BaseException:
-        await socket.close()
+        await connection.socket.close()
         raise
-    return socket
+    return connection
 
 
 def _encode_json(value: Any) -> bytes:
@@ -216,12 +218,10 @@
 
 def _is_closed_by_peer(connection: _Connection) -> bool:
     """Return whether an idle connection was closed or holds unexpected bytes."""
-    with connection.socket.blocking() as raw:
-        raw.setblocking(False)
-        try:
-            raw.recv(1, curio.socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+    try:
+        connection.raw_socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
         return True
+    return True
--- a/tests/node/test_cell_election.py
+++ b/tests/node/test_cell_election.py
@@ -21,6 +21,7 @@
     LeaderStatus,
     PeerError,
     PeerUnreachableError,
+    decode_status,
 )
 from marigoldpath_node.cell._records import (
     LEADER_ROW_KEY,
@@ -29,6 +30,7 @@
 from tests.core.fleet_fixture import entry
 from tests.node.cell_fakes import (
     FAST_SETTINGS,
+    SETTINGS,
     FakeDirectory,
     FakePeers,
     MemoryStore,
@@ -146,6 +148,54 @@
         self.assertEqual(term.row.epoch, 4)
 
 
+class RecheckTests(unittest.TestCase):
+    """Guards against a lost leader that a host follows for a whole status interval."""
+
+    def lost_after_s(self, recheck):
+        status = LeaderStatus(3, "other", 0.0, {}, status_interval_s=5.0)
+        peers = FakePeers(exchange_status=status)
+
+        async def run():
+            store = MemoryStore()
+            row = LeaderRow(3, "10.0.0.2:1", "other")
+            await store.commit({}, {LEADER_ROW_KEY: encode_leader(row)})
+            dependencies = CellDependencies(
+                store, None, None, None, RecordingLogger(), CellMetrics()
+            )
+            election = Election(FAST_SETTINGS, dependencies, peers, FakeStoreHealth())
+            await curio.spawn(election.run_until_elected, daemon=True)
+            await curio.sleep(0.05)
+            assert election.leader is not None
+            peers.results.clear()
+            if recheck:
+                await election.recheck()
+            await curio.sleep(0.1)
+            return election.leader
+
+        return curio.run(run)
+
+    def test_a_failed_call_makes_the_host_check_its_leader_at_once(self):
+        self.assertIsNone(self.lost_after_s(recheck=True))
+
+    def test_without_one_the_host_keeps_to_the_interval_of_the_leader(self):
+        self.assertIsNotNone(self.lost_after_s(recheck=False))
+
+
+class StatusTests(unittest.TestCase):
+    """Guards against hosts of two versions that take each other for lost."""
+
+    def test_fields_of_a_later_version_are_ignored(self):
+        data = {**LeaderStatus(3, "t", 0.5, {})._asdict(), "later": 1}
+        self.assertEqual(decode_status(LeaderStatus, data).epoch, 3)
+
+    def test_a_missing_field_has_its_default_and_a_required_one_is_an_error(self):
+        data = {"address": "10.0.0.2:1", "started_s": 1.0}
+        self.assertTrue(decode_status(FollowerStatus, data).has_store)
+        for bad in ({"started_s": 1.0}, [], None, "text"):
+            with self.subTest(bad=bad), self.assertRaises(TypeError):
+                decode_status(FollowerStatus, bad)
+
+
 class TermTests(unittest.TestCase):
     """After an error that ends its term, a process still takes part in elections."""
 
@@ -273,6 +323,34 @@
         followers.record_status(FollowerStatus("10.0.0.3:1", 2.0, 0.5))
         self.assertEqual(followers.choose_successor(), "10.0.0.3:1")
 
+    def test_many_followers_report_less_often(self):
+        """Guards against a leader whose time goes into the status of its followers.
+
+        Their reports grow with the number of hosts, whatever the load is.
+        """
+        dependencies = CellDependencies(None, None, None, None, RecordingLogger(), None)
+        settings = SETTINGS._replace(max_status_rate=100.0)
+        followers = Followers(settings, dependencies, FakePeers())
+        for number in range(300):
+            followers.record_status(FollowerStatus(f"10.0.0.{number}:1", 2.0))
+            if number == 20:
+                self.assertEqual(followers.status_interval_s, settings.check_interval_s)
+        self.assertEqual(followers.status_interval_s, 3.0)
+        self.assertEqual(followers.count, 300)
+
+    def test_only_followers_that_reach_the_store_write_for_others(self):
+        dependencies = CellDependencies(None, None, None, None, RecordingLogger(), None)
+        followers = Followers(SETTINGS, dependencies, FakePeers())
+        self.assertEqual(followers.choose_writers(), ())
+        for number in range(8):
+            status = FollowerStatus(f"10.0.0.{number}:1", 2.0, 1.0, number % 2 == 0)
+            followers.record_status(status)
+        chosen = followers.choose_writers()
+        self.assertEqual(len(chosen), SETTINGS.max_writers)
+        self.assertLessEqual(
+            set(chosen), {f"10.0.0.{number}:1" for number in (0, 2, 4, 6)}
+        )
+
     def test_slow_advice_requests_go_to_followers_and_quick_ones_do_not(self):
         dependencies = CellDependencies(None, None, None, None, RecordingLogger(), None)
         followers = Followers(FAST_SETTINGS, dependencies, FakePeers())
--- a/tests/node/test_cell_submission.py
+++ b/tests/node/test_cell_submission.py
@@ -22,6 +22,9 @@
 )
 from marigoldpath_node.cell._peers import (
     LeaderStatus,
+    NotLeadingError,
+    PeerError,
+    PeerUnreachableError,
 )
 from marigoldpath_node.cell._records import (
     LEADER_ROW_KEY,
@@ -136,6 +139,131 @@
         self.assertEqual(curio.run(run), (SubmissionOutcome.ACCEPTED, None))
 
 
+class StoringPeers:
+    """Peers of a host that does not reach the store; `outcomes` is by address."""
+
+    def __init__(self, status, outcomes):
+        self.status = status
+        self.outcomes = outcomes
+        self.requested = []
+
+    async def exchange_status(self, _address, _own_status):
+        return self.status
+
+    async def store_job(self, address, _job):
+        self.requested.append(address)
+        outcome = self.outcomes[address]
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+    async def send_job(self, _address, _job):
+        pass
+
+
+class StoreThroughPeersTests(unittest.TestCase):
+    """A host that the store turns away finds another host that can write.
+
+    Guards against jobs that are refused although other hosts could store them, and
+    against a refusal of a job that one of them may have stored.
+    """
+
+    LEADER, FIRST, SECOND = "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"
+
+    def submit(self, outcomes, settings=FAST_SETTINGS, submissions=1, **status):
+        writers = (self.FIRST, self.SECOND)
+        leader_status = LeaderStatus(3, "other", 0.0, {}, writers=writers)
+        self.peers = StoringPeers(leader_status._replace(**status), outcomes)
+
+        async def run():
+            store = MemoryStore()
+            row = LeaderRow(3, self.LEADER, "other")
+            await store.commit({}, {LEADER_ROW_KEY: encode_leader(row)})
+            host = entry_host(store, self.peers, settings)
+            await curio.spawn(host.run, daemon=True)
+            await curio.sleep(0.05)
+            store.is_down = True
+            results = [
+                await host.submit(SPEC._replace(job_id=f"{number:016x}"), QUEUE, 0.3)
+                for number in range(submissions)
+            ]
+            return results[-1]
+
+        return curio.run(run)
+
+    def test_another_host_stores_the_job_if_the_leader_cannot(self):
+        outcome = self.submit(
+            {
+                self.LEADER: NotLeadingError("no store"),
+                self.FIRST: PeerUnreachableError("gone"),
+                self.SECOND: "accepted",
+            }
+        )
+        self.assertIs(outcome, SubmissionOutcome.ACCEPTED)
+        self.assertEqual(self.peers.requested, [self.LEADER, self.FIRST, self.SECOND])
+
+    def test_a_leader_without_the_store_is_not_requested(self):
+        outcome = self.submit({self.FIRST: "accepted"}, store_age_s=9.0)
+        self.assertIs(outcome, SubmissionOutcome.ACCEPTED)
+        self.assertEqual(self.peers.requested, [self.FIRST])
+
+    def test_a_lost_reply_of_one_host_is_never_not_run(self):
+        for lost in (PeerError("no reply"), "unknown"):
+            with self.subTest(lost=lost):
+                outcome = self.submit(
+                    {
+                        self.LEADER: lost,
+                        self.FIRST: "not_run",
+                        self.SECOND: NotLeadingError("no store"),
+                    }
+                )
+                self.assertIs(outcome, SubmissionOutcome.UNKNOWN)
+
+    def test_a_job_that_no_host_can_have_stored_is_not_run(self):
+        outcome = self.submit(
+            {
+                self.LEADER: "not_run",
+                self.FIRST: NotLeadingError("no store"),
+                self.SECOND: PeerUnreachableError("gone"),
+            }
+        )
+        self.assertIs(outcome, SubmissionOutcome.NOT_RUN)
+
+    def test_the_budget_bounds_the_further_attempts(self):
+        """Guards against an outage that multiplies the calls between the hosts."""
+        refused = NotLeadingError("no store")
+        self.submit(
+            {self.LEADER: refused, self.FIRST: refused, self.SECOND: refused},
+            FAST_SETTINGS._replace(max_retry_budget=4.0, retry_budget_ratio=0.1),
+            submissions=20,
+        )
+        further = [each for each in self.peers.requested if each != self.LEADER]
+        self.assertGreaterEqual(len(further), 4)
+        self.assertLessEqual(len(further), 4 + 20 * 0.1)
+
+
+class StoreForPeerTests(unittest.TestCase):
+    """A host stores jobs of others only while it reaches the store itself."""
+
+    def serve(self, *, is_store_up):
+        store = MemoryStore()
+        job = AcceptedJob(SPEC, QUEUE, 1, 0)
+
+        async def run():
+            host = entry_host(store)
+            host.job_writer.record_store_call(is_working=is_store_up)
+            body = {"job": encode_job(job).decode()}
+            return await host._serve_store_job(body)
+
+        return curio.run(run), job_row_key(JOB_ID) in store.rows
+
+    def test_a_follower_stores_a_job_of_another_host(self):
+        self.assertEqual(self.serve(is_store_up=True), ({"outcome": "accepted"}, True))
+
+    def test_a_host_without_the_store_refuses_it(self):
+        self.assertEqual(self.serve(is_store_up=False), (None, False))
+
+
 class StateTests(unittest.TestCase):
     def test_the_state_is_read_from_the_store_if_no_leader_replies(self):
         store = MemoryStore()
