Answer malformed messages without ending a term or a handler

Cause: operators of similar systems saw one malformed message take a whole process down. It could happen here: hypothesis, with valid messages of which one value is replaced, found that a worker's report or reply to a start with a field of another type, advice without tickets, an address with a port over 65535, a worker id that is not ASCII, a directory entry nested too deeply, a peer's status with a text for its cores, an answer of the store without rows, and a damaged row of a job each raised an exception that ends the leader's term; every next leader reads the same and ends too.

Ruled out: catching every exception in the leader's loops. An error inside the scheduler can leave its state inconsistent, so it still ends the term; the messages are checked where they are decoded.

--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -147,8 +147,9 @@
 
 
 def decode_leader(value: bytes) -> LeaderRow:
-    """Decode the stored leader's row."""
-    return LeaderRow(**json.loads(value))
+    """Decode the stored leader's row; fields of later versions are ignored."""
+    data: dict[str, Any] = json.loads(value)
+    return LeaderRow(**{name: data[name] for name in LeaderRow._fields if name in data})
 
 
 def encode_roster(roster: dict[str, RosterEntry]) -> bytes:
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -217,9 +217,13 @@
         self._synced_version = stored.version
         scheduler.handle(QueuesChanged(self._queues), now_ms())
         scheduler.handle(Tick(wall_ms()), now_ms())
+        if stored.unreadable:
+            self._log.error("rows_unreadable", jobs=sorted(stored.unreadable))
         # The previous leader may have terminated after it removed a job's row and
         # before it removed the job's progress.
-        scheduler.forget(tuple(set(stored.progress) - set(stored.jobs)))
+        scheduler.forget(
+            tuple(set(stored.progress) - set(stored.jobs) - stored.unreadable)
+        )
         for job_id, stored_job in stored.jobs.items():
             if stored_job.is_cancelled:
                 scheduler.handle(JobCancelled(job_id), now_ms())
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -11,6 +11,7 @@
     HttpRequest,
     HttpResponse,
     NotSentError,
+    decode_json,
     json_response,
 )
 
@@ -71,6 +72,16 @@
 
 
 Status = TypeVar("Status", LeaderStatus, FollowerStatus)
+# The JSON types of the fields of a status. A bool is an int and a list a tuple, as far
+# as their use is concerned.
+STATUS_FIELD_TYPES: dict[Any, tuple[type, ...]] = {
+    int: (int,),
+    float: (int, float),
+    bool: (bool,),
+    str: (str,),
+    dict[str, int]: (dict,),
+    tuple[str, ...]: (list, tuple),
+}
 
 
 class PeerClient:
@@ -105,16 +116,21 @@
         does not reach the store, so it has stored nothing.
         """
         data = {"job": encode_job(job).decode()}
-        return (await self._call(address, "store-job", data))["outcome"]
+        return _require_field(await self._call(address, "store-job", data), "outcome")
 
     async def state(self, address: str, job_id: str) -> JobState | None:
         """Return the state of a job from the leader, or None if the job is unknown."""
-        data = await self._call(address, "state", {"job": job_id})
-        return JobState(data["state"]) if data["state"] else None
+        state = _require_field(
+            await self._call(address, "state", {"job": job_id}), "state"
+        )
+        try:
+            return JobState(state) if state else None
+        except ValueError as error:
+            raise PeerError(f"bad state of {address}: {error}") from error
 
     async def pending(self, address: str) -> dict[str, int]:
         """Return the leader's count of jobs that have not started, keyed by queue."""
-        return (await self._call(address, "pending", {}))["pending"]
+        return _require_field(await self._call(address, "pending", {}), "pending")
 
     async def request_advice(
         self, address: str, step: TaskKey, workers: tuple[str, ...], cost_ms: float
@@ -126,7 +142,9 @@
         """
         data = {"step": list(step), "workers": list(workers), "cost_ms": cost_ms}
         reply_s = self._reply_s + 3 * cost_ms / 1000
-        return (await self._call(address, "advice", data, reply_s))["tickets"]
+        return _require_field(
+            await self._call(address, "advice", data, reply_s), "tickets"
+        )
 
     async def _call(
         self, address: str, name: str, data: Any, reply_s: float | None = None
@@ -143,7 +161,7 @@
                 raise NotLeadingError(f"{address} is not the leader")
             if response.status != 200:
                 raise PeerError(f"{address} replied {response.status} to {name}")
-            return response.json()
+            return _require_object(response.json())
         except NotSentError as error:
             raise PeerUnreachableError(str(error)) from error
         except (HttpError, ValueError) as error:
@@ -153,11 +171,29 @@
 def decode_status(kind: type[Status], data: dict) -> Status:
     """Return the status in a message; fields of later versions are ignored.
 
-    Raises TypeError if `data` is not an object or a required field is missing.
+    Raises TypeError if `data` is not an object, if a required field is missing, or if a
+    field has another type.
     """
     if not isinstance(data, dict):
         raise TypeError(f"a status must be an object, not {type(data).__name__}")
-    return kind(**{name: data[name] for name in kind._fields if name in data})
+    fields = {name: data[name] for name in kind._fields if name in data}
+    for name, value in fields.items():
+        expected = STATUS_FIELD_TYPES[kind.__annotations__[name]]
+        if not isinstance(value, expected):
+            raise TypeError(f"{name} must not be {value!r}")
+    return kind(**fields)
+
+
+def _require_field(data: dict, name: str) -> Any:
+    if name not in data:
+        raise PeerError(f"a reply has no {name}")
+    return data[name]
+
+
+def _require_object(data: Any) -> dict:
+    if not isinstance(data, dict):
+        raise ValueError(f"a reply must be an object, not {type(data).__name__}")
+    return data
 
 
 PeerRoute = Callable[[Any, dict], Awaitable[dict | None]]
@@ -173,7 +209,7 @@
     if request.method != "POST" or name not in peer_routes:
         return json_response(404, {"message": f"no peer call {request.path}"})
     try:
-        data = HttpResponse(200, request.body).json()
+        data = decode_json(request.body)
         reply = await peer_routes.get(name)(host, data)
     except (KeyError, TypeError, ValueError) as error:
         return json_response(400, {"message": f"bad body of {name}: {error!r}"})
@@ -185,9 +221,12 @@
 def decode_job_body(data: dict) -> AcceptedJob:
     """Decode the job in the body of a peer's request.
 
-    Raises ValueError or KeyError.
+    Raises ValueError.
     """
-    return decode_job(data["job"].encode())
+    try:
+        return decode_job(data["job"].encode())
+    except (AttributeError, IndexError, KeyError, RecursionError, TypeError) as error:
+        raise ValueError(f"no valid job: {error!r}") from error
 
 
 __all__ = [
--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -18,7 +18,15 @@
     encode_progress,
     encode_roster,
 )
-from ._ports import Row, RowKey, Store, StoreConflictError, StoreError, VersionedRows
+from ._ports import (
+    Row,
+    RowKey,
+    Store,
+    StoreConflictError,
+    StoreError,
+    StoreLostError,
+    VersionedRows,
+)
 
 JOBS_TABLE = "jobs"
 LEADER_TABLE = "lead"
@@ -34,6 +42,15 @@
 CANCEL_SUFFIX = ".cancel"
 # Opening many connections at once overflows the accept queue of the store's listener.
 MAX_CONCURRENT_READS = 5
+# What the decoders raise for a row that was damaged or written by a later version.
+UNREADABLE_ROW_ERRORS = (
+    AttributeError,
+    KeyError,
+    IndexError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 class StoredJob(NamedTuple):
@@ -46,13 +63,15 @@
 class StoredState(NamedTuple):
     """The stored state that a new leader loads.
 
-    All changes of jobs up to the store's `version` are included.
+    All changes of jobs up to the store's `version` are included. The jobs in
+    `unreadable` are stored, but one of their rows cannot be decoded.
     """
 
     jobs: dict[str, StoredJob]
     progress: dict[str, Progress]
     roster: dict[str, RosterEntry]
     version: int
+    unreadable: frozenset[str] = frozenset()
 
 
 def job_row_key(job_id: str) -> RowKey:
@@ -79,11 +98,23 @@
     except StoreConflictError as error:
         for row in error.rows:
             if row.key == key and row.value:
-                return decode_job(row.value)
+                return _decode_stored_job(row)
         raise
     return job
 
 
+def _decode_stored_job(row: Row) -> AcceptedJob:
+    """Decode the row of a job that is stored already.
+
+    Raises StoreLostError for an unreadable row: the job may run, so it must not be
+    reported as never run.
+    """
+    try:
+        return decode_job(row.value)
+    except UNREADABLE_ROW_ERRORS as error:
+        raise StoreLostError(f"{row.key}: {error!r}") from error
+
+
 async def remove_jobs(store: Store, job_ids: tuple[str, ...]) -> None:
     """Remove the rows of jobs and of their cancellations.
 
@@ -111,7 +142,10 @@
     """Return a stored job, or None if it does not exist."""
     key = job_row_key(job_id)
     result = await store.read(key.table, key.partition, job_id, job_id + "~")
-    return group_job_rows(result.rows).get(job_id)
+    jobs, unreadable = decode_job_rows(result.rows)
+    if job_id in unreadable:
+        raise StoreError(f"the row of job {job_id} cannot be decoded")
+    return jobs.get(job_id)
 
 
 async def read_state(store: Store, job_id: str) -> JobState | None:
@@ -124,7 +158,10 @@
         return None
     result = await store.read(PROGRESS_TABLE, LEADER_PARTITION, job_id, job_id + "~")
     for row in result.rows:
-        state = decode_progress(row.value).state
+        try:
+            state = decode_progress(row.value).state
+        except UNREADABLE_ROW_ERRORS as error:
+            raise StoreError(f"the progress of job {job_id}: {error!r}") from error
         if state.is_final:
             return state
         return JobState.CANCELLED if stored.is_cancelled else state
@@ -151,13 +188,21 @@
     job_rows: list[Row] = []
     for partition in partitions:
         job_rows.extend(partition.rows)
-    progress = {row.key.key: decode_progress(row.value) for row in progress_rows.rows}
+    jobs, unreadable = decode_job_rows(job_rows)
+    progress: dict[str, Progress] = {}
+    for row in progress_rows.rows:
+        try:
+            progress[row.key.key] = decode_progress(row.value)
+        except UNREADABLE_ROW_ERRORS:
+            # Without its progress, the job would run again from the start.
+            unreadable.add(row.key.key)
+            jobs.pop(row.key.key, None)
     roster: dict[str, RosterEntry] = {}
     for row in leader_rows.rows:
         if row.key == ROSTER_ROW_KEY:
             roster = decode_roster(row.value)
     version = min(partition.version for partition in partitions)
-    return StoredState(group_job_rows(job_rows), progress, roster, version)
+    return StoredState(jobs, progress, roster, version, frozenset(unreadable))
 
 
 async def _read_or_error(
@@ -184,15 +229,30 @@
 def group_job_rows(rows: tuple[Row, ...] | list[Row]) -> dict[str, StoredJob]:
     """Decode rows of the job table into jobs, keyed by job id.
 
-    A job is marked as cancelled if its cancellation is among the rows.
+    A job is marked as cancelled if its cancellation is among the rows. Rows that cannot
+    be decoded are omitted.
+    """
+    return decode_job_rows(rows)[0]
+
+
+def decode_job_rows(
+    rows: tuple[Row, ...] | list[Row],
+) -> tuple[dict[str, StoredJob], set[str]]:
+    """Decode rows of the job table as in `group_job_rows`.
+
+    Also return the ids of the jobs whose row cannot be decoded.
     """
     jobs: dict[str, StoredJob] = {}
+    unreadable: set[str] = set()
     cancelled = cancelled_jobs(rows)
     for row in rows:
         if row.value and not row.key.key.endswith(CANCEL_SUFFIX):
             job_id = row.key.key
-            jobs[job_id] = StoredJob(decode_job(row.value), job_id in cancelled)
-    return jobs
+            try:
+                jobs[job_id] = StoredJob(decode_job(row.value), job_id in cancelled)
+            except UNREADABLE_ROW_ERRORS:
+                unreadable.add(job_id)
+    return jobs, unreadable
 
 
 def cancelled_jobs(rows: tuple[Row, ...] | list[Row]) -> set[str]:
--- a/packages/node/src/marigoldpath_node/http/__init__.py
+++ b/packages/node/src/marigoldpath_node/http/__init__.py
@@ -2,7 +2,13 @@
 
 from ._client import HttpClient, HttpClientSettings
 from ._errors import HttpError, NotSentError, ReplyLostError
-from ._messages import HttpRequest, HttpResponse, Traffic, json_response
+from ._messages import (
+    HttpRequest,
+    HttpResponse,
+    Traffic,
+    decode_json,
+    json_response,
+)
 from ._server import HttpServer, HttpServerSettings
 
 __all__ = [
@@ -16,5 +22,6 @@
     "NotSentError",
     "ReplyLostError",
     "Traffic",
+    "decode_json",
     "json_response",
 ]
--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -70,13 +70,18 @@
         complete response does not arrive within `reply_s` seconds.
         """
         body = b"" if value is None else _encode_json(value)
+        try:
+            head = _request_head(method, address, target, body, headers)
+        except (ValueError, h11.ProtocolError) as error:
+            # Addresses and header values can come from other processes.
+            raise NotSentError(f"invalid request to {address}: {error!r}") from error
         connection = await self._connect(address, pool, reuse_only)
         try:
             response = await curio.timeout_after(
                 self._settings.reply_s if reply_s is None else reply_s,
                 self._exchange,
                 connection,
-                _request_head(method, address, target, body, headers),
+                head,
                 body,
             )
         except (OSError, h11.ProtocolError, curio.TaskTimeout) as error:
@@ -127,7 +132,7 @@
             connection = await curio.timeout_after(
                 self._settings.connect_s, _open_connection, address
             )
-        except (OSError, ValueError, curio.TaskTimeout) as error:
+        except (OSError, ValueError, OverflowError, curio.TaskTimeout) as error:
             raise NotSentError(f"no connection to {address}: {error!r}") from error
         connection.raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return connection
--- a/packages/node/src/marigoldpath_node/http/_messages.py
+++ b/packages/node/src/marigoldpath_node/http/_messages.py
@@ -43,7 +43,18 @@
 
     def json(self) -> Any:
         """Return the decoded body; raises ValueError if it is not JSON."""
-        return json.loads(self.body)
+        return decode_json(self.body)
+
+
+def decode_json(value: bytes) -> Any:
+    """Decode JSON of another process.
+
+    Raises ValueError if it is not JSON, or nested too deeply to be decoded.
+    """
+    try:
+        return json.loads(value)
+    except RecursionError as error:
+        raise ValueError("the JSON is nested too deeply") from error
 
 
 def json_response(
