Tell the successor of a released row, and forward jobs to the leader elected meanwhile

Change: a much smaller host waits as if the process had not restarted; the leader that releases its row tells the successor at once; a host whose call to the leader failed sends the job again to the leader that is elected meanwhile, instead of leaving it to the next read of the job table.

--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -170,6 +170,9 @@
             delay_s += settings.slow_store_factor * read_s
         is_smaller = settings.cores * settings.larger_host_factor <= row.cores
         if is_smaller and not row.released:
+            # A larger host that found the leader's process down, and not restarted,
+            # waits this long itself.
+            delay_s = max(delay_s, settings.refused_leader_timeout_s)
             delay_s += settings.smaller_host_delay_s
         return delay_s
 
--- a/packages/node/src/marigoldpath_node/cell/_followers.py
+++ b/packages/node/src/marigoldpath_node/cell/_followers.py
@@ -96,6 +96,17 @@
         best = max(candidates, key=lambda each: (each.status.cores, each.started_s))
         return best.status.address
 
+    async def notify_successor(self, address: str) -> None:
+        """Make the successor check the leader's row now, not at its next report."""
+        if not address:
+            return
+        try:
+            await self._peers.request_check(address)
+        except PeerError as error:
+            self._log.info(
+                "successor_not_notified", address=address, reason=repr(error)
+            )
+
     def find_larger_host(self) -> str:
         """Return the address of a much larger follower, or an empty string.
 
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -30,6 +30,9 @@
 )
 from ._settings import CellSettings
 
+# A stored job is sent to the leader at most this often, a check interval apart.
+FORWARD_ATTEMPTS = 4
+
 
 class UnavailableError(Exception):
     """The request cannot be served now; the caller may retry it."""
@@ -227,15 +230,23 @@
             return None
 
     async def _forward_job(self, job: AcceptedJob) -> None:
-        try:
-            if self._leader is not None:
-                await self._leader.add_job(job)
-            elif self._election.leader is not None:
-                await self._peers.send_job(self._election.leader.address, job)
-        except PeerError as error:
-            # The leader finds the job when it next reads the changes of the job table.
-            self._log.info("job_not_told", job=job.spec.job_id, reason=repr(error))
-            await self._election.recheck()
+        """Send a stored job to the leader, also if another host is elected meanwhile.
+
+        If that fails, the leader finds the job when it next reads the changes of the
+        job table.
+        """
+        for _ in range(FORWARD_ATTEMPTS):
+            try:
+                if self._leader is not None:
+                    await self._leader.add_job(job)
+                    return
+                if self._election.leader is not None:
+                    await self._peers.send_job(self._election.leader.address, job)
+                    return
+            except PeerError as error:
+                self._log.info("job_not_told", job=job.spec.job_id, reason=repr(error))
+                await self._election.recheck()
+            await curio.sleep(self._settings.check_interval_s)
 
     async def _forward_cancellation(self, job_id: str) -> None:
         try:
@@ -269,6 +280,11 @@
             self._followers.record_status(decode_status(FollowerStatus, data))
         return dict(self._own_status()._asdict())
 
+    @peer_routes.register("check")
+    async def _serve_check(self, _data: dict) -> dict | None:
+        await self._election.recheck()
+        return {}
+
     @peer_routes.register("job")
     async def _serve_job(self, data: dict) -> dict | None:
         if self._leader is None:
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -145,6 +145,7 @@
         self._log.info("leadership_released", epoch=self.epoch, successor=successor)
         if self._committer is not None:
             await self._committer.release(successor)
+            await self._followers.notify_successor(successor)
         await self._term_ended.set()
 
     async def add_job(self, job: AcceptedJob) -> None:
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -105,6 +105,10 @@
         """Send a stored job to the leader."""
         await self._call(address, "job", {"job": encode_job(job).decode()})
 
+    async def request_check(self, address: str) -> None:
+        """Request that the host at `address` checks its leader at once."""
+        await self._call(address, "check", {})
+
     async def send_cancellation(self, address: str, job_id: str) -> None:
         """Send a stored cancellation to the leader."""
         await self._call(address, "cancel", {"job": job_id})
--- a/tests/node/test_cell_election.py
+++ b/tests/node/test_cell_election.py
@@ -143,6 +143,23 @@
         self.settings = FAST_SETTINGS._replace(smaller_host_delay_s=5.0)
         self.assertIsNone(self.run_with_leader_row(refused, cores=1.5))
 
+    def test_a_much_smaller_host_waits_also_if_the_process_was_restarted(self):
+        """Guards against two failovers in a row.
+
+        A larger host that found the process down waits for a while itself, and takes
+        the leadership from a smaller one as soon as it can.
+        """
+        self.settings = FAST_SETTINGS._replace(
+            cores=0.5, smaller_host_delay_s=0.1, refused_leader_timeout_s=5.0
+        )
+        restarted = LeaderStatus(0, "a later incarnation", 0.0, {})
+        self.assertIsNone(
+            self.run_with_leader_row(FakePeers(exchange_status=restarted), cores=2.0)
+        )
+        self.assertIsNotNone(
+            self.run_with_leader_row(FakePeers(exchange_status=restarted), cores=0.5)
+        )
+
     def test_the_row_of_an_earlier_incarnation_is_acquired_at_once(self):
         term = self.run_with_leader_row(FakePeers(), address=FAST_SETTINGS.address)
         self.assertEqual(term.row.epoch, 4)
@@ -351,6 +368,19 @@
             set(chosen), {f"10.0.0.{number}:1" for number in (0, 2, 4, 6)}
         )
 
+    def test_the_successor_is_told_of_the_released_row(self):
+        """Guards against a successor that waits for its next status report."""
+        log = RecordingLogger()
+        dependencies = CellDependencies(None, None, None, None, log, None)
+        peers = FakePeers(request_check=None)
+        followers = Followers(SETTINGS, dependencies, peers)
+        curio.run(followers.notify_successor, "")
+        curio.run(followers.notify_successor, "10.0.0.2:1")
+        self.assertEqual(peers.calls, [("request_check", ("10.0.0.2:1",))])
+        peers.results.clear()
+        curio.run(followers.notify_successor, "10.0.0.2:1")
+        self.assertEqual(log.events(), ["successor_not_notified"])
+
     def test_slow_advice_requests_go_to_followers_and_quick_ones_do_not(self):
         dependencies = CellDependencies(None, None, None, None, RecordingLogger(), None)
         followers = Followers(FAST_SETTINGS, dependencies, FakePeers())
--- a/tests/node/test_cell_submission.py
+++ b/tests/node/test_cell_submission.py
@@ -264,6 +264,35 @@
         self.assertEqual(self.serve(is_store_up=False), (None, False))
 
 
+class ForwardingTests(unittest.TestCase):
+    """Guards against a job that waits for the leader's next read of the job table.
+
+    A host may still follow a leader that was replaced a moment ago.
+    """
+
+    def test_a_job_is_sent_to_the_leader_that_is_elected_meanwhile(self):
+        class ReplacedLeader(StoringPeers):
+            async def send_job(self, address, job):
+                self.requested.append(address)
+                if len(self.requested) == 1:
+                    raise NotLeadingError("replaced")
+
+        peers = ReplacedLeader(LeaderStatus(3, "other", 0.0, {}), {})
+
+        async def run():
+            store = MemoryStore()
+            row = LeaderRow(3, "10.0.0.2:1", "other")
+            await store.commit({}, {LEADER_ROW_KEY: encode_leader(row)})
+            host = entry_host(store, peers)
+            await curio.spawn(host.run, daemon=True)
+            await curio.sleep(0.05)
+            await host.submit(SPEC, QUEUE, 0.3)
+            await curio.sleep(0.1)
+
+        curio.run(run)
+        self.assertEqual(peers.requested, ["10.0.0.2:1"] * 2)
+
+
 class StateTests(unittest.TestCase):
     def test_the_state_is_read_from_the_store_if_no_leader_replies(self):
         store = MemoryStore()
