Limit the starts and the advice of a leader that lags

A leader without enough processor time sends starts that expire on the way, sends them again and falls further behind; its successors inherit more.

Ruled out: elections as the cause.

Change: the leader's lag is how late its tick runs. Starts in flight are limited by additive increase and multiplicative decrease. While the limit is lowered, advice is requested for the most urgent steps only, up to four times the limit. Followers report less often to a leader with fewer cores.

--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -21,14 +21,19 @@
     pools = current_pools(fleet)
     waiting = [step for step in fleet.open_steps.values() if step.waiting_tasks]
     waiting.sort(key=lambda step: _dispatch_priority(fleet, step))
+    # The waiting tasks of more urgent steps that do not lack capacity.
+    queued_tasks = 0
     for step in waiting[: fleet.settings.max_steps_per_pass]:
         if fleet.is_blocked(step):
             continue
-        if step.spec.gang:
-            _place_gang(fleet, pools, step)
-        else:
-            _place_tasks(fleet, pools, step)
+        if fleet.start_limit.is_queue_full(queued_tasks):
+            # Advice for less urgent steps would expire before they can start.
+            break
+        if not fleet.start_limit.is_reached:
+            _place(fleet, pools, step)
         _advice.request_if_needed(fleet, pools, step)
+        if step.is_request_in_flight or fleet.start_limit.is_reached:
+            queued_tasks += step.waiting_tasks
     _advice.prefetch(fleet, pools)
 
 
@@ -40,6 +45,13 @@
     return (job.queue.priority, late, job.due_ms)
 
 
+def _place(fleet: Fleet, pools: Pools, step: Step) -> None:
+    if step.spec.gang:
+        _place_gang(fleet, pools, step)
+    else:
+        _place_tasks(fleet, pools, step)
+
+
 def _place_tasks(fleet: Fleet, pools: Pools, step: Step) -> None:
     candidates = find_candidates(fleet, pools, step)
     if not candidates.workers:
@@ -48,6 +60,9 @@
     waiting = step.waiting
     placed = 0
     for task in waiting:
+        if fleet.start_limit.is_reached:
+            # The tasks that are left do not lack capacity.
+            return
         worker = choose(fleet, step, task, candidates)
         if worker is None and task.avoided_workers:
             _allow_avoided_if_exhausted(candidates, task)
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -175,11 +175,13 @@
 class Tick(NamedTuple):
     """Time has passed; `wall_ms` is milliseconds since the Unix epoch.
 
-    `advice_hosts` is the number of hosts that may send slow advice requests.
+    `advice_hosts` is the number of hosts that may send slow advice requests. `lag_ms`
+    is how much later than planned the leader's process handles this event.
     """
 
     wall_ms: int
     advice_hosts: int = 1
+    lag_ms: float = 0.0
 
 
 Event = (
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -272,10 +272,20 @@
         return counts
 
 
+def _adjust_start_limit(fleet: Fleet, lag_ms: float) -> None:
+    limit = fleet.start_limit
+    was_lowest = limit.limit == fleet.settings.min_starts_in_flight
+    limit.adjust(lag_ms)
+    is_lowest = limit.limit == fleet.settings.min_starts_in_flight
+    if is_lowest is not was_lowest:
+        fleet.log("starts_limited", is_lowest=is_lowest, lag_ms=round(lag_ms))
+
+
 @handlers.register(Tick)
 def _handle_tick(fleet: Fleet, event: Tick) -> None:
     fleet.wall_ms = event.wall_ms
     fleet.advice_hosts = event.advice_hosts
+    _adjust_start_limit(fleet, event.lag_ms)
     _jobs.begin_due_occurrences(fleet)
     _reports.expire_leases(fleet)
     update_roster(fleet)
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -21,6 +21,12 @@
     some of the workers.
     An advice request is slow if it is expected to take `slow_advice_ms` or more. At
     most `slow_advice_share` of the hosts send slow requests at the same time.
+    The leader's process lags if a timer fires more than `max_lag_ms` late. Between
+    `min_starts_in_flight` and `max_starts_in_flight` starts may then wait for a reply:
+    the limit is multiplied by `start_limit_decrease` at each Tick with a lag, and
+    raised by `start_limit_increase` at each one with less than half of it. While it is
+    lowered, advice is requested for the most urgent steps only, until their waiting
+    tasks are `start_queue_factor` times the limit.
     `longest_lease_ms` is the longest lease that a worker grants. The state of a final
     job can be queried for `final_job_retention_ms`.
     """
@@ -56,4 +62,10 @@
     throttle_release_ms: int = 3_000
     throttle_release_ratio: float = 0.6
     max_steps_per_pass: int = 60
+    max_lag_ms: float = 80.0
+    min_starts_in_flight: int = 8
+    max_starts_in_flight: int = 512
+    start_limit_increase: float = 8.0
+    start_limit_decrease: float = 0.7
+    start_queue_factor: int = 4
     final_job_retention_ms: int = 150_000
--- /dev/null
+++ b/packages/core/src/marigoldpath_core/fleet/_start_limit.py
@@ -0,0 +1,67 @@
+"""Limits the starts in flight while the leader's process lags behind.
+
+A worker refuses a start that arrives after its time limit. A leader that decides more
+than its process can send in that time would send the same starts again and again, and
+with each repetition fall further behind.
+"""
+
+from marigoldpath_core.jobs import TaskKey
+
+from ._settings import FleetSettings
+
+
+class StartLimit:
+    """The starts without a reply, and how many there may be.
+
+    The limit grows by a constant while the process keeps up and shrinks by a factor
+    while it lags, so that it settles at what the process can send.
+    """
+
+    def __init__(self, settings: FleetSettings) -> None:
+        self._settings = settings
+        self._limit = float(settings.max_starts_in_flight)
+        self._in_flight: set[tuple[TaskKey, int]] = set()
+
+    @property
+    def limit(self) -> int:
+        """The number of starts that may be in flight."""
+        return int(self._limit)
+
+    @property
+    def is_reached(self) -> bool:
+        """Whether no further start may be sent now."""
+        return len(self._in_flight) >= self.limit
+
+    @property
+    def is_lagging(self) -> bool:
+        """Whether the process has not kept up lately, so that the limit is lowered."""
+        return self._limit < self._settings.max_starts_in_flight
+
+    def is_queue_full(self, queued_tasks: int) -> bool:
+        """Return whether this many waiting tasks will use the limit for a while.
+
+        Some tasks have to be prepared ahead, because advice takes longer than a start.
+        """
+        if not self.is_lagging:
+            return False
+        return queued_tasks >= self._settings.start_queue_factor * self.limit
+
+    def adjust(self, lag_ms: float) -> None:
+        """Adapt the limit to the lag of the process since the last Tick."""
+        settings = self._settings
+        if lag_ms > settings.max_lag_ms:
+            self._limit *= settings.start_limit_decrease
+        elif lag_ms < settings.max_lag_ms / 2:
+            self._limit += settings.start_limit_increase
+        self._limit = min(
+            max(self._limit, settings.min_starts_in_flight),
+            settings.max_starts_in_flight,
+        )
+
+    def record_start(self, task: TaskKey, run: int) -> None:
+        """Record that a start was sent."""
+        self._in_flight.add((task, run))
+
+    def record_reply(self, task: TaskKey, run: int) -> None:
+        """Record the reply to a start, or that there will be none."""
+        self._in_flight.discard((task, run))
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -27,6 +27,7 @@
     task.run = run
     task.number = number
     worker.add(run)
+    fleet.start_limit.record_start(task.key, number)
     ticket = step.tickets.get(worker.worker_id)
     fleet.emit(
         StartRun(
@@ -55,6 +56,9 @@
 @handlers.register(StartReplied)
 def apply_start_reply(fleet: Fleet, event: StartReplied) -> None:
     """Apply the result of a start."""
+    if fleet.start_limit.is_reached:
+        fleet.needs_dispatch = True
+    fleet.start_limit.record_reply(event.task, event.run)
     worker = fleet.workers.get(event.worker_id)
     run = worker.runs.get(event.task) if worker is not None else None
     if worker is None or run is None or run.number != event.run:
--- a/packages/node/src/marigoldpath_node/cell/_followers.py
+++ b/packages/node/src/marigoldpath_node/cell/_followers.py
@@ -74,7 +74,8 @@
         self._outstanding_ms.setdefault(status.address, 0.0)
         self._status_interval_s = max(
             self._settings.check_interval_s,
-            len(self._followers) / self._settings.max_status_rate,
+            len(self._followers)
+            / (self._settings.max_status_rate * self._settings.cores),
         )
         if received_s - self._pruned_s > self._timeout_s:
             self._pruned_s = received_s
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -358,8 +358,11 @@
 
     async def _tick_loop(self) -> None:
         while True:
+            due_s = now_s() + self._settings.tick_interval_s
             await curio.sleep(self._settings.tick_interval_s)
-            await self.handle(Tick(wall_ms(), self._advice_host_count()))
+            # A process without enough processor time runs its timers late.
+            lag_ms = 1_000 * max(0.0, now_s() - due_s)
+            await self.handle(Tick(wall_ms(), self._advice_host_count(), lag_ms))
 
     def _advice_host_count(self) -> int:
         """Return the number of hosts that may send slow advice requests.
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -40,7 +40,8 @@
     failed load up to `max_load_page_timeout_s`, because a link may be slow.
 
     Followers report their status to the leader every `check_interval_s`, or less often
-    if they are so many that they would send more than `max_status_rate` a second.
+    if they are so many that they would send more than `max_status_rate` a second for
+    each of its `cores`.
 
     A host that does not reach the store requests the leader, and after it at most
     `max_writers` followers, to store a job. Each submission earns `retry_budget_ratio`
