Send the commands of a lagging leader through relays

Ruled out: a leader for each service or group of racks (docs/platform.md, Relays), as each needs a protocol between leaders. Relays at all times: a batch adds 40 to 100 ms to each start.

Change: a leader whose limit of starts has fallen below half sends polls, starts, stops and throttling in batches through the largest followers, one for 32 workers. Epochs, absolute leases and the time limits of starts are unchanged, so a relay decides nothing. A failed relay says nothing about its workers; a start without a reply stays unknown. Messages that a paused relay reads late are not sent, and old replies are not used. The limit of commands to a worker counts where the commands leave. A start that expired lowers the limit of starts, as a relay can lag too. The count of pending jobs is reused for 0.3 s.

--- a/packages/core/src/marigoldpath_core/fleet/__init__.py
+++ b/packages/core/src/marigoldpath_core/fleet/__init__.py
@@ -30,6 +30,7 @@
     WorkersListed,
     WorkerUnresponsive,
 )
+from ._relay_assignment import choose_relays, find_relay
 from ._scheduler import FleetScheduler, WorkerPoll
 from ._settings import FleetSettings
 
@@ -62,4 +63,6 @@
     "WorkerReport",
     "WorkerUnresponsive",
     "WorkersListed",
+    "choose_relays",
+    "find_relay",
 ]
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -74,6 +74,11 @@
         """Whether there are changes to store."""
         return self._fleet.needs_commit
 
+    @property
+    def needs_relays(self) -> bool:
+        """Whether other hosts should send the commands of this leader."""
+        return self._fleet.start_limit.needs_relays
+
     @property
     def workers(self) -> tuple[str, ...]:
         """The ids of the workers to poll."""
--- a/packages/core/src/marigoldpath_core/fleet/_start_limit.py
+++ b/packages/core/src/marigoldpath_core/fleet/_start_limit.py
@@ -21,6 +21,8 @@
         self._settings = settings
         self._limit = float(settings.max_starts_in_flight)
         self._in_flight: set[tuple[TaskKey, int]] = set()
+        # Whether a start expired on its way since the last adjustment.
+        self._has_expired = False
 
     @property
     def limit(self) -> int:
@@ -37,6 +39,12 @@
         """Whether the process has not kept up lately, so that the limit is lowered."""
         return self._limit < self._settings.max_starts_in_flight
 
+    @property
+    def needs_relays(self) -> bool:
+        """Whether the process lags so much that others should send its commands."""
+        settings = self._settings
+        return self._limit < settings.relay_limit_share * settings.max_starts_in_flight
+
     def is_queue_full(self, queued_tasks: int) -> bool:
         """Return whether this many waiting tasks will use the limit for a while.
 
@@ -47,9 +55,13 @@
         return queued_tasks >= self._settings.start_queue_factor * self.limit
 
     def adjust(self, lag_ms: float) -> None:
-        """Adapt the limit to the lag of the process since the last Tick."""
+        """Adapt the limit to the lag of the process since the last Tick.
+
+        A start that expired shows that a relay or a link lags, as the process may not.
+        """
         settings = self._settings
-        if lag_ms > settings.max_lag_ms:
+        has_expired, self._has_expired = self._has_expired, False
+        if lag_ms > settings.max_lag_ms or has_expired:
             self._limit *= settings.start_limit_decrease
         elif lag_ms < settings.max_lag_ms / 2:
             self._limit += settings.start_limit_increase
@@ -62,6 +74,10 @@
         """Record that a start was sent."""
         self._in_flight.add((task, run))
 
+    def record_expired(self) -> None:
+        """Record that a worker refused a start because it arrived too late."""
+        self._has_expired = True
+
     def record_reply(self, task: TaskKey, run: int) -> None:
         """Record the reply to a start, or that there will be none."""
         self._in_flight.discard((task, run))
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -116,8 +116,13 @@
     """Do nothing: the worker's next report shows whether the run exists."""
 
 
-@result_handlers.register(StartResult.STALE_RUN)
 @result_handlers.register(StartResult.EXPIRED)
+def _on_expired(fleet: Fleet, _worker: Worker, run: Run, _event: object) -> None:
+    fleet.start_limit.record_expired()
+    fleet.abandon(run)
+
+
+@result_handlers.register(StartResult.STALE_RUN)
 @result_handlers.register(StartResult.NO_FREE_CAPACITY)
 def _on_not_started(fleet: Fleet, _worker: Worker, run: Run, _event: object) -> None:
     fleet.abandon(run)
--- a/packages/node/src/marigoldpath_node/cell/_effect_runner.py
+++ b/packages/node/src/marigoldpath_node/cell/_effect_runner.py
@@ -2,8 +2,6 @@
 
 from typing import Any, Protocol
 
-import curio
-
 from marigoldpath_core.fleet import (
     AdviceReplied,
     Effect,
@@ -20,7 +18,6 @@
 from ._clock import now_s
 from ._followers import Followers
 from ._ports import CellDependencies, FencedError, WorkerFailedError
-from ._settings import CellSettings
 
 effect_handlers: Registry = Registry("fleet effect")
 
@@ -47,22 +44,19 @@
 
 
 class EffectRunner:
-    """Executes effects, with a bounded number of commands in flight to each worker."""
+    """Executes effects without waiting for the replies to them."""
 
     def __init__(
         self,
-        settings: CellSettings,
         dependencies: CellDependencies,
         followers: Followers,
         term: LeadershipTerm,
     ) -> None:
-        self._settings = settings
         self._workers = dependencies.workers
         self._metrics = dependencies.metrics
         self._log = dependencies.log
         self._followers = followers
         self._term = term
-        self._command_limits: dict[str, curio.Semaphore] = {}
 
     async def execute(self, effect: Effect) -> None:
         """Start to execute an effect; do not wait for replies."""
@@ -95,28 +89,15 @@
             self._metrics.count_termination(str(log_event.fields["kind"]))
         self._log.info(log_event.event, **log_event.fields)
 
-    def forget(self, worker_id: str) -> None:
-        """Drop the command limit of a removed worker."""
-        self._command_limits.pop(worker_id, None)
-
-    def _command_limit(self, worker_id: str) -> curio.Semaphore:
-        limit = self._command_limits.get(worker_id)
-        if limit is None:
-            limit = curio.Semaphore(self._settings.max_commands_per_worker)
-            self._command_limits[worker_id] = limit
-        return limit
-
     async def _send_start(self, command: StartRun) -> None:
-        async with self._command_limit(command.worker_id):
-            started_s = now_s()
-            reply = await self._workers.start(command, self._term.epoch)
+        started_s = now_s()
+        reply = await self._workers.start(command, self._term.epoch)
         self._metrics.observe_call("start", now_s() - started_s)
         await self._term.handle(reply)
 
     async def _send_command(self, worker_id: str, call: Any, command: Any) -> None:
         try:
-            async with self._command_limit(worker_id):
-                reply = await call(command, self._term.epoch)
+            reply = await call(command, self._term.epoch)
             if reply is not None:
                 await self._term.handle(reply)
         except FencedError:
--- a/packages/node/src/marigoldpath_node/cell/_followers.py
+++ b/packages/node/src/marigoldpath_node/cell/_followers.py
@@ -57,6 +57,16 @@
         """The interval in seconds at which each follower reports its status."""
         return self._status_interval_s
 
+    def relay_candidates(self) -> dict[str, float]:
+        """Return the cores of each follower that can relay commands, by address."""
+        return {
+            each.status.address: each.status.cores for each in self._recent_followers()
+        }
+
+    def remove(self, address: str) -> None:
+        """Use a follower for nothing until its next status arrives."""
+        self._followers.pop(address, None)
+
     def choose_writers(self) -> tuple[str, ...]:
         """Return followers that can store jobs for hosts that do not reach the store.
 
@@ -134,7 +144,7 @@
             return await self._peers.request_advice(address, step, workers, cost_ms)
         except PeerError as error:
             self._log.info("helper_failed", address=address, reason=repr(error))
-            self._followers.pop(address, None)
+            self.remove(address)
             return None
         finally:
             self._outstanding_ms[address] -= cost_ms
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -28,6 +28,7 @@
     read_job,
     read_state,
 )
+from ._relay_server import RelayServer
 from ._settings import CellSettings
 
 # A stored job is sent to the leader at most this often, a check interval apart.
@@ -58,6 +59,9 @@
         self._leader: Leader | None = None
         self._followers: Followers | None = None
         self._configuration: Configuration | None = None
+        self._relay_server = RelayServer(
+            settings, dependencies.workers, dependencies.log
+        )
         self._is_stopping = False
 
     @property
@@ -106,7 +110,9 @@
         term = await self._election.run_until_elected()
         self._dependencies.metrics.set_epoch(term.row.epoch)
         self._followers = Followers(self._settings, self._dependencies, self._peers)
-        self._leader = Leader(self._settings, self._dependencies, self._followers, term)
+        self._leader = Leader(
+            self._settings, self._dependencies, self._followers, self._peers, term
+        )
         if self._configuration is not None:
             await self._leader.set_queues(self._configuration.queues)
         try:
@@ -325,6 +331,14 @@
             return None
         return {"pending": self._leader.pending()}
 
+    @peer_routes.register("relay")
+    async def _serve_relay(self, data: dict) -> dict | None:
+        return await self._relay_server.accept_commands(data)
+
+    @peer_routes.register("replies")
+    async def _serve_replies(self, data: dict) -> dict | None:
+        return await self._relay_server.take_replies(data)
+
     @peer_routes.register("advice")
     async def _serve_advice(self, data: dict) -> dict | None:
         step = TaskKey(*data["step"])
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -1,5 +1,6 @@
 """Runs the scheduler of the cell while this process is the leader."""
 
+import math
 from typing import Any
 
 import curio
@@ -22,10 +23,12 @@
 from ._commits import Committer
 from ._effect_runner import EffectRunner
 from ._followers import Followers
+from ._peers import PeerClient
 from ._ports import (
     CellDependencies,
     FencedError,
     HistoryGoneError,
+    RelayFailedError,
     StoreError,
     WorkerFailedError,
 )
@@ -37,8 +40,12 @@
     read_leader,
     remove_jobs,
 )
+from ._relayed_workers import RelayedWorkerClient
 from ._settings import CellSettings
 
+# A count of pending jobs is reused for this time.
+PENDING_LIFETIME_S = 0.3
+
 
 class Leader:
     """One term of leadership.
@@ -51,12 +58,16 @@
         settings: CellSettings,
         dependencies: CellDependencies,
         followers: Followers,
+        peers: PeerClient,
         term: Term,
     ) -> None:
         self._settings = settings
+        self._workers = RelayedWorkerClient(
+            settings, dependencies, followers, peers, term.row.epoch
+        )
+        dependencies = dependencies._replace(workers=self._workers)
         self._dependencies = dependencies
         self._store = dependencies.store
-        self._workers = dependencies.workers
         self._directory = dependencies.directory
         self._log = dependencies.log
         self._followers = followers
@@ -64,10 +75,12 @@
         self._scheduler: FleetScheduler | None = None
         self._committer: Committer | None = None
         self._queues: dict[str, Queue] = {}
+        self._pending: dict[str, int] = {}
+        self._pending_counted_s = -math.inf
         self._synced_version = 0
         self._term_start_s = now_s()
         self._polled_workers: set[str] = set()
-        self._effect_runner = EffectRunner(settings, dependencies, followers, self)
+        self._effect_runner = EffectRunner(dependencies, followers, self)
         self._dispatch_event = curio.Event()
         self._term_ended = curio.Event()
         self._tasks: set[curio.Task] = set()
@@ -110,9 +123,15 @@
     def pending(self) -> dict[str, int]:
         """Return the number of jobs that have not started, keyed by queue.
 
-        The result is empty until the stored state has been loaded.
+        The result is empty until the stored state has been loaded, and up to
+        `PENDING_LIFETIME_S` old, because counting examines every job.
         """
-        return {} if self._scheduler is None else self._scheduler.pending()
+        if self._scheduler is None:
+            return {}
+        if now_s() - self._pending_counted_s >= PENDING_LIFETIME_S:
+            self._pending_counted_s = now_s()
+            self._pending = self._scheduler.pending()
+        return self._pending
 
     async def run(self) -> None:
         """Lead until the term ends."""
@@ -132,6 +151,7 @@
             )
             for loop in loops:
                 await self.spawn(loop)
+            await self.spawn(self._workers.run, self._count_workers)
             await self._term_ended.wait()
         finally:
             for task in list(self._tasks):
@@ -363,6 +383,8 @@
             # A process without enough processor time runs its timers late.
             lag_ms = 1_000 * max(0.0, now_s() - due_s)
             await self.handle(Tick(wall_ms(), self._advice_host_count(), lag_ms))
+            if self._scheduler is not None and self._scheduler.needs_relays:
+                self._workers.activate()
 
     def _advice_host_count(self) -> int:
         """Return the number of hosts that may send slow advice requests.
@@ -389,6 +411,9 @@
             pause_s = max(self._settings.min_dispatch_interval_s, pass_s)
             await self._run_effects()
 
+    def _count_workers(self) -> int:
+        return 0 if self._scheduler is None else len(self._scheduler.workers)
+
     async def _poll_new_workers(self) -> None:
         assert self._scheduler is not None
         for worker_id in self._scheduler.workers:
@@ -409,6 +434,9 @@
             except FencedError:
                 await self.end(f"worker {worker_id} has seen a later epoch")
                 break
+            except RelayFailedError as error:
+                self._log.debug("look_not_relayed", worker=worker_id, reason=str(error))
+                continue
             except WorkerFailedError as error:
                 self._log.debug("look_failed", worker=worker_id, reason=repr(error))
                 await self.handle(WorkerUnresponsive(worker_id))
@@ -428,7 +456,6 @@
             elif poll.until_clock_ms is not None:
                 await curio.sleep(self._settings.poll_interval_s)
         self._polled_workers.discard(worker_id)
-        self._effect_runner.forget(worker_id)
 
     async def spawn(self, function: Any, *arguments: Any) -> None:
         """Run a coroutine function as a curio task until the term ends.
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -150,6 +150,23 @@
             await self._call(address, "advice", data, reply_s), "tickets"
         )
 
+    async def relay_commands(self, address: str, data: dict[str, Any]) -> bool:
+        """Send commands for workers to a relay; return whether it executes them."""
+        return _require_field(await self._call(address, "relay", data), "accepted")
+
+    async def take_relayed_replies(
+        self, address: str, session: str, wait_s: float
+    ) -> list[list[Any]]:
+        """Return the replies to relayed commands, each as number, age in ms and reply.
+
+        The relay waits up to `wait_s` for a reply.
+        """
+        data = {"session": session, "wait_s": wait_s}
+        return _require_field(
+            await self._call(address, "replies", data, wait_s + self._reply_s),
+            "replies",
+        )
+
     async def _call(
         self, address: str, name: str, data: Any, reply_s: float | None = None
     ) -> Any:
--- a/packages/node/src/marigoldpath_node/cell/_ports.py
+++ b/packages/node/src/marigoldpath_node/cell/_ports.py
@@ -113,6 +113,10 @@
     """
 
 
+class RelayFailedError(WorkerFailedError):
+    """A relay failed, so it is not known whether the worker received the call."""
+
+
 class FencedError(Exception):
     """A worker refused a command because it has seen a later epoch."""
 
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -47,6 +47,17 @@
     `max_writers` followers, to store a job. Each submission earns `retry_budget_ratio`
     of such a further attempt, and `max_retry_budget` attempts can be saved up.
 
+    A leader that lags sends its commands to workers in batches through other hosts,
+    its relays. A channel to a relay exchanges a batch in each direction at most every
+    `min_relay_interval_s`, or less often, up to `max_relay_interval_s`, if the relays
+    are so many that all their calls would be more than `max_relay_call_rate` a second
+    for each of the leader's `cores`. A relay waits up to `max_relay_wait_s` for a
+    reply. Commands and replies that were delayed by more than `max_relay_delay_s` are
+    dropped. A relay has failed if a command has no reply `relay_timeout_s` after the
+    time that its worker may wait. A worker that its relay did not reach is called
+    directly for `relay_bypass_s`. The relays are chosen every
+    `relay_choice_interval_s`.
+
     A host that reaches no leader is not ready once its store calls have failed for
     `unready_timeout_s`.
     """
@@ -96,3 +107,11 @@
     max_writers: int = 2
     retry_budget_ratio: float = 0.2
     max_retry_budget: float = 10.0
+    min_relay_interval_s: float = 0.04
+    max_relay_interval_s: float = 0.1
+    max_relay_call_rate: float = 300.0
+    max_relay_wait_s: float = 0.3
+    max_relay_delay_s: float = 0.4
+    relay_timeout_s: float = 2.0
+    relay_bypass_s: float = 3.0
+    relay_choice_interval_s: float = 0.5
--- a/tests/core/test_fleet_start_limit.py
+++ b/tests/core/test_fleet_start_limit.py
@@ -37,6 +37,16 @@
             limit.adjust(0.0)
         self.assertEqual(limit.limit, SETTINGS.max_starts_in_flight)
 
+    def test_an_expired_start_lowers_the_limit(self):
+        # A relay or a link can lag while the leader's process keeps up.
+        limit = StartLimit(SETTINGS)
+        limit.record_expired()
+        limit.adjust(0.0)
+        lowered = limit.limit
+        self.assertLess(lowered, SETTINGS.max_starts_in_flight)
+        limit.adjust(0.0)
+        self.assertGreater(limit.limit, lowered)
+
     def test_a_reply_makes_room_for_one_more_start(self):
         limit = StartLimit(SETTINGS._replace(max_starts_in_flight=1))
         limit.record_start(task(0), 1)
