Keep a leader that loads over a slow link, and let no row authorize after a long load

Its log: the leader released its row at 32.1 s to a host that was being stopped itself; a host with a link of 5 to 20 Mbit/s won. Its load filled the link: a page of jobs took over 1 s, calls of its peers timed out, and after 1.5 s the next host of that size replaced it and loaded as slowly; seven terms in 14 s loaded nothing.

Ruled out: renewing the row alone.

Also found on the way: a leader took its authority from the end of its load instead of the time at which its row was written. One that is suspended during the load and replaced meanwhile would have sent commands for up to 2 s.

Change: a slow link gets pages of 0.1 s and two reads at a time; a failed load reads only what is missing; the row is renewed while the load progresses; the authority counts from the last write of the row; a host that is stopping reports that it cannot lead.

--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -45,6 +45,10 @@
         or not step.waiting_tasks
     ):
         return
+    if fleet.start_limit.is_lagging and _has_valid_ticket(fleet, step):
+        # Each request takes the processor time of a start. The tickets that are left
+        # suffice for the few starts that a lagging leader sends.
+        return
     to_renew = _workers_to_renew(fleet, pools, step) if step.tickets else []
     selected = [*to_renew, *_workers_to_add(fleet, pools, step)]
     if selected:
@@ -122,6 +126,10 @@
     )
 
 
+def _has_valid_ticket(fleet: Fleet, step: Step) -> bool:
+    return any(ticket.until_ms > fleet.now_ms for ticket in step.tickets.values())
+
+
 def _may_request(fleet: Fleet, step: Step) -> bool:
     if step.is_request_in_flight or fleet.now_ms - step.requested_ms < ADVICE_RETRY_MS:
         return False
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -46,7 +46,11 @@
 
 
 class FleetScheduler:
-    """The scheduler of one leader; `now_ms` is a monotonic clock in milliseconds."""
+    """The scheduler of one leader; `now_ms` is a monotonic clock in milliseconds.
+
+    `row_confirmed_ms` is the time at which the write of the leader's row was sent, by
+    default the time of creation.
+    """
 
     def __init__(
         self,
@@ -54,10 +58,13 @@
         epoch: int,
         roster: dict[str, RosterEntry],
         now_ms: float,
+        row_confirmed_ms: float | None = None,
     ) -> None:
         self._settings = settings
         self._fleet = Fleet(settings, epoch, roster, now_ms)
-        self._row_confirmed_ms = now_ms
+        self._row_confirmed_ms = (
+            now_ms if row_confirmed_ms is None else row_confirmed_ms
+        )
 
     @property
     def is_superseded(self) -> bool:
@@ -77,7 +84,10 @@
     @property
     def needs_relays(self) -> bool:
         """Whether other hosts should send the commands of this leader."""
-        return self._fleet.start_limit.needs_relays
+        fleet = self._fleet
+        if len(fleet.workers) > self._settings.max_direct_workers:
+            return True
+        return fleet.start_limit.needs_relays
 
     @property
     def workers(self) -> tuple[str, ...]:
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -27,8 +27,9 @@
     raised by `start_limit_increase` at each one with less than half of it. While it is
     lowered, advice is requested for the most urgent steps only, until their waiting
     tasks are `start_queue_factor` times the limit.
-    A leader whose limit has fallen below `relay_limit_share` of the highest one uses
-    relays, one for each `workers_per_relay` workers and at most `max_relays`.
+    A leader whose limit has fallen below `relay_limit_share` of the highest one, or
+    that has more than `max_direct_workers` workers, uses relays: one for each
+    `workers_per_relay` workers and at most `max_relays`.
     `longest_lease_ms` is the longest lease that a worker grants. The state of a final
     job can be queried for `final_job_retention_ms`.
     """
@@ -71,6 +72,7 @@
     start_limit_decrease: float = 0.7
     start_queue_factor: int = 4
     relay_limit_share: float = 0.5
+    max_direct_workers: int = 480
     workers_per_relay: int = 32
     max_relays: int = 16
     final_job_retention_ms: int = 150_000
--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -62,10 +62,15 @@
 
 
 class Term(NamedTuple):
-    """A term of leadership: the leader's row and its version in the store."""
+    """A term of leadership: the leader's row and its version in the store.
+
+    `written_s` is the time on this host's clock at which the write of the row was sent,
+    or 0 if it is not known.
+    """
 
     row: LeaderRow
     version: int
+    written_s: float = 0.0
 
 
 def encode_job(job: AcceptedJob) -> bytes:
--- a/packages/node/src/marigoldpath_node/cell/_commits.py
+++ b/packages/node/src/marigoldpath_node/cell/_commits.py
@@ -17,10 +17,15 @@
 from ._records import LEADER_ROW_KEY, commit_rows, progress_row_key
 from ._settings import CellSettings
 
+NOTHING_TO_STORE = Commit({}, {}, None, ())
+
 
 class Committer:
     """Commits the scheduler's decisions together with the leader's row.
 
+    Without a scheduler, as long as the stored state is being loaded, it writes the row
+    alone.
+
     A transaction is applied only if the leader's row still has the version of the last
     commit. A transaction whose outcome is unknown is retried unchanged until the
     outcome is known: each transaction stores a new value of the row's `beat`, which
@@ -31,26 +36,39 @@
         self,
         settings: CellSettings,
         dependencies: CellDependencies,
-        scheduler: FleetScheduler,
         term: Term,
+        scheduler: FleetScheduler | None = None,
     ) -> None:
         self._settings = settings
         self._store = dependencies.store
         self._metrics = dependencies.metrics
         self._scheduler = scheduler
-        self._row, self._version = term
+        self._row, self._version, self._committed_s = term
         self._log = dependencies.log
         self._wake_event = curio.Event()
         self._commit_done = curio.Event()
-        self._committed_s = now_s()
         self._is_failing = False
         self._lock = curio.Lock()
 
+    @property
+    def committed_s(self) -> float:
+        """The time at which the last successful write of the row was sent."""
+        return self._committed_s
+
     @property
     def commit_age_s(self) -> float:
         """Seconds since the last successful commit was sent."""
         return now_s() - self._committed_s
 
+    def use_scheduler(self, scheduler: FleetScheduler) -> None:
+        """Store the decisions of a scheduler from now on."""
+        self._scheduler = scheduler
+
+    async def renew(self) -> bool:
+        """Write the leader's row; return whether it still belongs to this leader."""
+        async with self._lock:
+            return await self._commit(released=False)
+
     async def wake(self) -> None:
         """Start the next commit without waiting for the end of the commit interval."""
         await self._wake_event.set()
@@ -88,7 +106,10 @@
 
     async def _commit(self, *, released: bool, successor: str = "") -> bool:
         """Commit and return whether the leader's row still belongs to this leader."""
-        commit = self._scheduler.begin_commit(self._settings.max_jobs_per_commit)
+        scheduler = self._scheduler
+        commit = NOTHING_TO_STORE
+        if scheduler is not None:
+            commit = scheduler.begin_commit(self._settings.max_jobs_per_commit)
         row = self._row._replace(
             beat=self._row.beat + 1, released=released, successor=successor
         )
@@ -103,12 +124,17 @@
                 await curio.sleep(self._settings.commit_retry_s)
         except StoreConflictError as error:
             self._log.warning("commit_fenced", reason=str(error), epoch=row.epoch)
-            self._scheduler.commit_failed(commit)
+            if scheduler is not None:
+                scheduler.commit_failed(commit)
             return False
         self._row, self._version = row, version
         self._metrics.observe_call("commit", now_s() - sent_s)
         self._committed_s = sent_s
-        await self._record_success(commit, sent_s)
+        if self._is_failing:
+            self._log.info("store_regained", epoch=self._row.epoch)
+        self._is_failing = False
+        if scheduler is not None:
+            await self._record_success(scheduler, commit, sent_s)
         return True
 
     async def _write(
@@ -138,14 +164,13 @@
             self._is_failing = True
             return None
 
-    async def _record_success(self, commit: Commit, sent_s: float) -> None:
-        if self._is_failing:
-            self._log.info("store_regained", epoch=self._row.epoch)
-        self._is_failing = False
-        self._scheduler.commit_succeeded(commit, sent_s * 1000, now_ms())
+    async def _record_success(
+        self, scheduler: FleetScheduler, commit: Commit, sent_s: float
+    ) -> None:
+        scheduler.commit_succeeded(commit, sent_s * 1000, now_ms())
         commit_done, self._commit_done = self._commit_done, curio.Event()
         await commit_done.set()
-        if self._scheduler.needs_commit:
+        if scheduler.needs_commit:
             await self.wake()
 
 
--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -216,9 +216,10 @@
     async def _exchange_status(self, address: str) -> LeaderStatus:
         settings = self._settings
         started_s = now_s() - self._started_s
-        has_store = not self._store_health.is_store_unresponsive
+        # A host that is stopping must not be named as the successor of a leader.
+        can_lead = not self._store_health.is_store_unresponsive and not self._is_stopped
         own_status = FollowerStatus(
-            settings.address, started_s, settings.cores, has_store
+            settings.address, started_s, settings.cores, can_lead
         )
         return await self._peers.exchange_status(address, own_status)
 
@@ -238,6 +239,7 @@
         own_row = LeaderRow(
             epoch, settings.address, settings.token, cores=settings.cores
         )
+        sent_s = now_s()
         try:
             new_version = await self._store.commit(
                 {LEADER_ROW_KEY: version}, {LEADER_ROW_KEY: encode_leader(own_row)}
@@ -248,7 +250,7 @@
             # If the write was applied, the next read returns the row of this host.
             self._log.info("takeover_failed", epoch=epoch, reason=repr(error))
             return None
-        return self._begin_term(own_row, new_version)
+        return self._begin_term(own_row, new_version, sent_s)
 
     def _term_from_conflict(
         self, error: StoreConflictError, own_row: LeaderRow
@@ -258,11 +260,12 @@
                 stored_row = decode_leader(row.value)
                 self.record_epoch(stored_row.epoch)
                 if stored_row == own_row:
-                    return self._begin_term(own_row, row.version)
+                    # An earlier write, whose reply was lost, was applied.
+                    return self._begin_term(own_row, row.version, 0.0)
         return None
 
-    def _begin_term(self, row: LeaderRow, version: int) -> Term:
+    def _begin_term(self, row: LeaderRow, version: int, written_s: float) -> Term:
         self._leader = None
         self.record_epoch(row.epoch)
         self._log.info("leadership_won", epoch=row.epoch, version=version)
-        return Term(row, version)
+        return Term(row, version, written_s)
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -34,8 +34,11 @@
 )
 from ._records import (
     JOBS_TABLE,
+    StateReader,
+    StoredState,
     cancelled_jobs,
     group_job_rows,
+    plan_load,
     read_all,
     read_leader,
     remove_jobs,
@@ -73,7 +76,9 @@
         self._followers = followers
         self._term = term
         self._scheduler: FleetScheduler | None = None
-        self._committer: Committer | None = None
+        self._committer = Committer(settings, dependencies, term)
+        self._load_plan = plan_load(settings.link_mbps)
+        self._state_reader = StateReader(dependencies.store, self._load_plan)
         self._queues: dict[str, Queue] = {}
         self._pending: dict[str, int] = {}
         self._pending_counted_s = -math.inf
@@ -99,12 +104,13 @@
     def store_age_s(self) -> float:
         """Seconds since the last successful commit was sent.
 
-        While the stored state is still being loaded, the seconds by which the load has
-        exceeded `load_timeout_s`, or 0.
+        While the stored state is still being loaded, the seconds by which the time
+        without progress has exceeded `load_timeout_s`, or 0.
         """
-        if self._committer is not None:
+        if self._scheduler is not None:
             return self._committer.commit_age_s
-        return max(0.0, now_s() - self._term_start_s - self._settings.load_timeout_s)
+        load_age_s = self._state_reader.progress_age_s
+        return max(0.0, load_age_s - self._settings.load_timeout_s)
 
     @property
     def may_send_commands(self) -> bool:
@@ -136,6 +142,7 @@
     async def run(self) -> None:
         """Lead until the term ends."""
         try:
+            await self.spawn(self._renew_loop)
             await self._load_state()
             if self._term_ended.is_set():
                 return
@@ -163,9 +170,8 @@
 
     async def _transfer_leadership(self, successor: str) -> None:
         self._log.info("leadership_released", epoch=self.epoch, successor=successor)
-        if self._committer is not None:
-            await self._committer.release(successor)
-            await self._followers.notify_successor(successor)
+        await self._committer.release(successor)
+        await self._followers.notify_successor(successor)
         await self._term_ended.set()
 
     async def add_job(self, job: AcceptedJob) -> None:
@@ -206,7 +212,7 @@
             await self.end("a later epoch was found")
         if scheduler.needs_dispatch:
             await self._dispatch_event.set()
-        if scheduler.needs_commit and self._committer is not None:
+        if scheduler.needs_commit:
             await self._committer.wake()
 
     async def end(self, reason: str) -> None:
@@ -220,7 +226,7 @@
         reply_s = self._settings.load_page_timeout_s
         while True:
             try:
-                stored = await read_all(self._store, reply_s)
+                stored = await self._state_reader.read(reply_s)
                 entries = await self._directory.list_workers()
                 break
             except StoreError as error:
@@ -232,8 +238,27 @@
                 return
             reply_s = min(2 * reply_s, self._settings.max_load_page_timeout_s)
             await curio.sleep(self._settings.commit_retry_s)
+        self._scheduler = self._create_scheduler(stored)
+        self._committer.use_scheduler(self._scheduler)
+        self._log.info(
+            "leader_loaded",
+            epoch=self.epoch,
+            jobs=len(stored.jobs),
+            roster=len(stored.roster),
+            workers=len(entries),
+            took_ms=round(now_ms() - load_start_ms),
+        )
+        await self.handle(WorkersListed(entries))
+        await self._poll_new_workers()
+
+    def _create_scheduler(self, stored: StoredState) -> FleetScheduler:
+        # The load may have taken so long that the row written before it proves nothing.
         scheduler = FleetScheduler(
-            self._settings.fleet, self.epoch, stored.roster, now_ms()
+            self._settings.fleet,
+            self.epoch,
+            stored.roster,
+            now_ms(),
+            row_confirmed_ms=1_000 * self._committer.committed_s,
         )
         self._synced_version = stored.version
         scheduler.handle(QueuesChanged(self._queues), now_ms())
@@ -250,20 +275,26 @@
                 scheduler.handle(JobCancelled(job_id), now_ms())
             progress = stored.progress.get(job_id)
             scheduler.handle(JobAccepted(stored_job.job, progress), now_ms())
-        self._scheduler = scheduler
-        self._committer = Committer(
-            self._settings, self._dependencies, scheduler, self._term
-        )
-        self._log.info(
-            "leader_loaded",
-            epoch=self.epoch,
-            jobs=len(stored.jobs),
-            roster=len(stored.roster),
-            workers=len(entries),
-            took_ms=round(now_ms() - load_start_ms),
-        )
-        await self.handle(WorkersListed(entries))
-        await self._poll_new_workers()
+        return scheduler
+
+    async def _renew_loop(self) -> None:
+        """Renew the leader's row while the stored state is being loaded.
+
+        The messages of a host with a slow link are late during the load. Others would
+        replace it, and load as slowly. The loop stops renewing if the load does not
+        progress, so that a host that can load replaces this one.
+        """
+        settings = self._settings
+        deadline_s = self._term_start_s + settings.max_load_s
+        while True:
+            await curio.sleep(settings.commit_interval_s)
+            if self._scheduler is not None or now_s() > deadline_s:
+                return
+            if self._state_reader.progress_age_s > settings.load_progress_timeout_s:
+                continue
+            if not await self._committer.renew():
+                await self.end("the leader's row was replaced")
+                return
 
     async def _is_superseded(self) -> bool:
         """Return whether the leader's row belongs to another term or is missing.
@@ -279,7 +310,6 @@
         return row is None or (row.epoch, row.token) != (own_row.epoch, own_row.token)
 
     async def _commit_loop(self) -> None:
-        assert self._committer is not None
         await self._committer.run()
         await self.end("the leader's row was replaced")
 
@@ -315,7 +345,7 @@
     async def _resync_all(self) -> None:
         read_start_ms = now_ms()
         try:
-            stored = await read_all(self._store)
+            stored = await read_all(self._store, self._load_plan)
         except StoreError as error:
             self._log.warning("sweep_failed", reason=repr(error))
             return
@@ -334,7 +364,7 @@
 
     async def _cleanup_loop(self) -> None:
         """Remove the rows of jobs whose retention has expired."""
-        assert self._scheduler is not None and self._committer is not None
+        assert self._scheduler is not None
         while True:
             await curio.sleep(self._settings.cleanup_interval_s)
             expired_jobs = self._scheduler.expired_jobs(
@@ -423,7 +453,7 @@
 
     async def _poll_loop(self, worker_id: str) -> None:
         """Poll one worker until it is removed; a poll can renew the worker's lease."""
-        assert self._scheduler is not None and self._committer is not None
+        assert self._scheduler is not None
         failures = 0
         while True:
             poll = self._scheduler.next_poll(worker_id, now_ms())
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -62,7 +62,7 @@
     The leader can send advice requests through the follower or transfer the leadership
     to it. `started_s` is the number of seconds since the host's process started, and
     `cores` is the processor capacity of the host. A host without `has_store` does not
-    reach the store: it can send advice requests but cannot lead.
+    reach the store or is stopping: it can send advice requests but cannot lead.
     """
 
     address: str
--- a/packages/node/src/marigoldpath_node/cell/_ports.py
+++ b/packages/node/src/marigoldpath_node/cell/_ports.py
@@ -88,12 +88,15 @@
         partition: str,
         first: str = "",
         last: str = "",
+        *,
         reply_s: float | None = None,
+        page_rows: int | None = None,
     ) -> VersionedRows:
         """Return the rows of a partition with keys from `first`, and before `last`.
 
         The range has no upper bound if `last` is empty.
-        `reply_s` is the timeout for each page of rows. Raises StoreError.
+        `reply_s` is the timeout for each page of rows, and `page_rows` the number of
+        rows of a page. Raises StoreError.
         """
         ...
 
--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -7,6 +7,7 @@
 from marigoldpath_core.fleet import Commit, RosterEntry
 from marigoldpath_core.jobs import AcceptedJob, JobState, Progress
 
+from ._clock import now_s
 from ._codec import (
     LeaderRow,
     decode_job,
@@ -42,6 +43,18 @@
 CANCEL_SUFFIX = ".cancel"
 # Opening many connections at once overflows the accept queue of the store's listener.
 MAX_CONCURRENT_READS = 5
+SLOW_LINK_CONCURRENT_READS = 2
+# The limits of a page of the stored state. At the higher one, a transfer takes so short
+# that further reads at the same time delay nothing.
+MIN_LOAD_PAGE_ROWS = 20
+MAX_LOAD_PAGE_ROWS = 500
+MAX_PAGE_TRANSFER_S = 0.1
+TYPICAL_JOB_ROW_BYTES = 2_000
+STATE_LOCATIONS = (
+    *((JOBS_TABLE, str(partition)) for partition in range(JOB_PARTITIONS)),
+    (PROGRESS_TABLE, LEADER_PARTITION),
+    (LEADER_TABLE, LEADER_PARTITION),
+)
 # What the decoders raise for a row that was damaged or written by a later version.
 UNREADABLE_ROW_ERRORS = (
     AttributeError,
@@ -168,25 +181,93 @@
     return JobState.CANCELLED if stored.is_cancelled else JobState.QUEUED
 
 
-async def read_all(store: Store, reply_s: float | None = None) -> StoredState:
-    """Return all jobs, their progress and the roster.
+class LoadPlan(NamedTuple):
+    """How the stored state is read: the rows of a page and the reads at a time."""
+
+    page_rows: int
+    concurrent_reads: int
+
+
+def plan_load(link_mbps: float) -> LoadPlan:
+    """Return how a host with a link of `link_mbps` megabits a second loads the state.
+
+    The pages that a slow link is carrying delay the messages of peers and the replies
+    to the renewals of the leader's row. So a slow link gets small pages.
+    """
+    page_bytes = MAX_PAGE_TRANSFER_S * link_mbps * 1_000_000 / 8
+    page_rows = int(page_bytes / TYPICAL_JOB_ROW_BYTES)
+    if page_rows >= MAX_LOAD_PAGE_ROWS:
+        return LoadPlan(MAX_LOAD_PAGE_ROWS, MAX_CONCURRENT_READS)
+    return LoadPlan(max(MIN_LOAD_PAGE_ROWS, page_rows), SLOW_LINK_CONCURRENT_READS)
+
+
+class StateReader:
+    """Reads all jobs, their progress and the roster.
 
-    `reply_s` is the timeout for each page of rows. Raises StoreError.
+    A failed read can be repeated: it then reads only the partitions that are missing,
+    one after the other, because a slow link may not carry several at a time. The
+    changes that are missed by that are read again as changes after `version`.
     """
-    locations = [(JOBS_TABLE, str(partition)) for partition in range(JOB_PARTITIONS)]
-    locations.append((PROGRESS_TABLE, LEADER_PARTITION))
-    locations.append((LEADER_TABLE, LEADER_PARTITION))
-    semaphore = curio.Semaphore(MAX_CONCURRENT_READS)
-    async with curio.TaskGroup(wait=all) as group:
-        reads = [
-            await group.spawn(_read_or_error, semaphore, store, *each, reply_s)
-            for each in locations
-        ]
-    *partitions, progress_rows, leader_rows = [
-        _require_rows(read.result) for read in reads
-    ]
+
+    def __init__(self, store: Store, plan: LoadPlan) -> None:
+        self._store = store
+        self._page_rows = plan.page_rows
+        self._partitions: dict[tuple[str, str], VersionedRows] = {}
+        self._concurrent_reads = plan.concurrent_reads
+        self._progress_s = now_s()
+
+    @property
+    def progress_age_s(self) -> float:
+        """Seconds since the reader was created or a partition was read."""
+        return now_s() - self._progress_s
+
+    async def read(self, reply_s: float | None = None) -> StoredState:
+        """Return the stored state.
+
+        `reply_s` is the timeout for each page of rows. Raises StoreError.
+        """
+        semaphore = curio.Semaphore(self._concurrent_reads)
+        self._concurrent_reads = 1
+        missing = [each for each in STATE_LOCATIONS if each not in self._partitions]
+        async with curio.TaskGroup(wait=all) as group:
+            reads = [
+                await group.spawn(self._read_partition, semaphore, each, reply_s)
+                for each in missing
+            ]
+        for read in reads:
+            if read.result is not None:
+                raise read.result
+        return _decode_state([self._partitions[each] for each in STATE_LOCATIONS])
+
+    async def _read_partition(
+        self,
+        semaphore: curio.Semaphore,
+        location: tuple[str, str],
+        reply_s: float | None,
+    ) -> StoreError | None:
+        # The error is returned because a task group cancels all other tasks if one
+        # raises.
+        async with semaphore:
+            try:
+                rows = await self._store.read(
+                    *location, reply_s=reply_s, page_rows=self._page_rows
+                )
+            except StoreError as error:
+                return error
+        self._partitions[location] = rows
+        self._progress_s = now_s()
+        return None
+
+
+async def read_all(store: Store, plan: LoadPlan) -> StoredState:
+    """Return all jobs, their progress and the roster; raises StoreError."""
+    return await StateReader(store, plan).read()
+
+
+def _decode_state(partitions: list[VersionedRows]) -> StoredState:
+    *job_partitions, progress_rows, leader_rows = partitions
     job_rows: list[Row] = []
-    for partition in partitions:
+    for partition in job_partitions:
         job_rows.extend(partition.rows)
     jobs, unreadable = decode_job_rows(job_rows)
     progress: dict[str, Progress] = {}
@@ -201,31 +282,10 @@
     for row in leader_rows.rows:
         if row.key == ROSTER_ROW_KEY:
             roster = decode_roster(row.value)
-    version = min(partition.version for partition in partitions)
+    version = min(partition.version for partition in job_partitions)
     return StoredState(jobs, progress, roster, version, frozenset(unreadable))
 
 
-async def _read_or_error(
-    semaphore: curio.Semaphore,
-    store: Store,
-    table: str,
-    partition: str,
-    reply_s: float | None,
-) -> VersionedRows | StoreError:
-    # The error is returned because a task group cancels all other tasks if one raises.
-    async with semaphore:
-        try:
-            return await store.read(table, partition, reply_s=reply_s)
-        except StoreError as error:
-            return error
-
-
-def _require_rows(result: VersionedRows | StoreError) -> VersionedRows:
-    if isinstance(result, StoreError):
-        raise result
-    return result
-
-
 def group_job_rows(rows: tuple[Row, ...] | list[Row]) -> dict[str, StoredJob]:
     """Decode rows of the job table into jobs, keyed by job id.
 
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -9,7 +9,8 @@
     """The settings of one entry host; all times are in seconds.
 
     `host` is the name of the process and `address` is where peers reach it. `cores` is
-    the processor capacity of its host.
+    the processor capacity of its host, and `link_mbps` the bandwidth of its link in
+    megabits a second.
 
     Commits and election:
 
@@ -34,8 +35,10 @@
     followers sends them itself, at the earliest `follower_discovery_s` after the start
     of its term.
 
-    After `load_timeout_s`, a leader that is still loading the stored state reports a
-    rising `store_age_s`, like a leader without access to the store. The read of a page
+    While a leader loads the stored state it renews its row, for at most `max_load_s`
+    and unless nothing was read for `load_progress_timeout_s`. If nothing was read for
+    `load_timeout_s`, it reports a rising `store_age_s`, like a leader without access to
+    the store. The read of a page
     of that state times out after `load_page_timeout_s`; the timeout doubles after each
     failed load up to `max_load_page_timeout_s`, because a link may be slow.
 
@@ -67,6 +70,7 @@
     availability_zone: str
     token: str
     cores: float = 1.0
+    link_mbps: float = 1_000.0
     fleet: FleetSettings = FleetSettings()
     commit_interval_s: float = 0.5
     refused_leader_timeout_s: float = 0.7
@@ -79,6 +83,8 @@
     follower_discovery_s: float = 1.5
     workers_unreachable_timeout_s: float = 4.0
     load_timeout_s: float = 3.0
+    load_progress_timeout_s: float = 2.0
+    max_load_s: float = 15.0
     load_page_timeout_s: float = 1.0
     max_load_page_timeout_s: float = 8.0
     slow_store_factor: float = 4.0
--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -40,7 +40,12 @@
     PeerClient,
     PeerError,
 )
-from marigoldpath_node.cell._records import job_row_key, read_all, read_state
+from marigoldpath_node.cell._records import (
+    job_row_key,
+    plan_load,
+    read_all,
+    read_state,
+)
 from marigoldpath_node.http import (
     HttpClient,
     HttpClientSettings,
@@ -330,7 +335,7 @@
         for progress in (None, b"[]", DEEP_JSON[:60_000], b'{"state":"gone"}'):
             with self.subTest(progress=progress and progress[:20]):
                 store, other = self.store(progress)
-                stored = curio.run(read_all, store)
+                stored = curio.run(read_all, store, plan_load(1_000.0))
                 self.assertEqual(set(stored.jobs), {JOB_ID})
                 self.assertEqual(stored.unreadable, {other})
 
--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -55,6 +55,8 @@
                 store=self.store.address,
                 advice="",
                 cores=self.cores[number],
+                link_mbps=1_000.0,
+                descriptors=4_096,
                 row_bytes=65_536,
                 bounds={"hold-max-ms": 6_000},
             )
--- a/tests/core/test_fleet_relays.py
+++ b/tests/core/test_fleet_relays.py
@@ -55,6 +55,14 @@
         self.harness.handle(Tick(0, 1, 0.0))
         self.assertFalse(self.scheduler.needs_relays)
 
+    def test_more_workers_than_the_host_has_connections_for_need_them(self):
+        # Each worker takes several connections, and descriptors are limited.
+        settings = FleetSettings(max_direct_workers=2)
+        harness = FleetHarness(entry("a"), entry("b"), settings=settings)
+        self.assertFalse(harness.scheduler.needs_relays)
+        harness = FleetHarness(entry("a"), entry("b"), entry("c"), settings=settings)
+        self.assertTrue(harness.scheduler.needs_relays)
+
     def test_a_single_delay_is_no_reason(self):
         # A host that was suspended once is not overloaded.
         self.harness.handle(Tick(0, 1, 5_000.0))
--- a/tests/core/test_fleet_start_limit.py
+++ b/tests/core/test_fleet_start_limit.py
@@ -23,6 +23,11 @@
 LAGGING_MS = 2 * SETTINGS.max_lag_ms
 
 
+def requests(harness):
+    """Run a scheduling pass and return its advice requests."""
+    return [each for each in harness.dispatch() if isinstance(each, RequestAdvice)]
+
+
 class StartLimitTests(unittest.TestCase):
     """Guards against a leader that collapses under a load it cannot send."""
 
@@ -107,17 +112,28 @@
         for job_id in self.jobs:
             accepted = job(step(width=4), queue=ADVISED, job_id=job_id)
             self.harness.accept(accepted)
-        return [
-            each.job_id
-            for each in self.harness.dispatch()
-            if isinstance(each, RequestAdvice)
-        ]
+        return [each.job_id for each in requests(self.harness)]
 
     def test_a_lagging_leader_requests_advice_for_the_first_steps_only(self):
         for _ in range(50):
             self.harness.handle(Tick(0, 10, LAGGING_MS))
         self.assertEqual(self.requested_jobs(), self.jobs[:2])
 
+    def test_a_lagging_leader_uses_the_tickets_that_are_left(self):
+        harness = FleetHarness(entry("a", cpu=100_000), entry("b", cpu=100_000))
+        harness.report_all()
+        harness.accept(job(step(width=300), queue=ADVISED))
+        (request,) = requests(harness)
+        harness.reply_with_advice(request, {"a": "ticket"})
+        harness.report_all()
+        harness.now_ms += 1_740
+        harness.handle(Tick(0, 10, LAGGING_MS))
+        self.assertEqual(requests(harness), [])
+        harness.now_ms += 300
+        harness.report_all()
+        harness.handle(Tick(0, 10, LAGGING_MS))
+        self.assertEqual(len(requests(harness)), 1)
+
     def test_a_leader_that_keeps_up_requests_advice_for_all_steps(self):
         self.harness.handle(Tick(0, 10, 0.0))
         self.assertEqual(self.requested_jobs(), self.jobs)
--- a/tests/node/cell_fakes.py
+++ b/tests/node/cell_fakes.py
@@ -78,7 +78,9 @@
         self._delayed_writes.clear()
         return applied
 
-    async def read(self, table, partition, first="", last="", reply_s=None):
+    async def read(
+        self, table, partition, first="", last="", *, reply_s=None, page_rows=None
+    ):
         self.read_timeouts.append(reply_s)
         if self.is_down:
             raise StoreRefusedError("down")
--- a/tests/node/test_cell_commits.py
+++ b/tests/node/test_cell_commits.py
@@ -44,6 +44,7 @@
 from marigoldpath_node.cell._commits import Committer
 from marigoldpath_node.cell._records import (
     LEADER_ROW_KEY,
+    plan_load,
     progress_row_key,
     read_all,
     remove_jobs,
@@ -117,7 +118,7 @@
                 spec = SPEC._replace(job_id=f"{number:x}{'0' * 15}")
                 await host.submit(spec, QUEUE, 0.3)
             await host.cancel("f" + "0" * 15)
-            return await read_all(store)
+            return await read_all(store, plan_load(1_000.0))
 
         stored = curio.run(run)
         self.assertEqual(len(stored.jobs), 16)
@@ -139,7 +140,7 @@
         dependencies = CellDependencies(
             self.store, None, None, None, self.log, CellMetrics()
         )
-        return Committer(FAST_SETTINGS, dependencies, self.scheduler, term)
+        return Committer(FAST_SETTINGS, dependencies, term, self.scheduler)
 
     def commit(self, write_outcomes, before=None):
         async def run():
@@ -204,7 +205,7 @@
             await host.submit(SPEC, QUEUE, 0.3)
             await host.cancel(JOB_ID)
             await remove_jobs(store, (JOB_ID, "f" * 16))
-            return await read_all(store)
+            return await read_all(store, plan_load(1_000.0))
 
         self.assertEqual(curio.run(run).jobs, {})
 
--- a/tests/node/test_cell_election.py
+++ b/tests/node/test_cell_election.py
@@ -113,6 +113,24 @@
         )
         self.assertEqual(term.row.epoch, 4)
 
+    def test_a_stopping_host_reports_that_it_cannot_lead(self):
+        # A leader that stopped named a host as its successor that was stopping too, so
+        # no host acquired the row at once.
+        peers = FakePeers(exchange_status=LeaderStatus(3, "other", 0.0, {}))
+
+        async def run():
+            dependencies = CellDependencies(
+                self.store, None, None, None, self.log, CellMetrics()
+            )
+            election = Election(self.settings, dependencies, peers, FakeStoreHealth())
+            before = await election._exchange_status("10.0.0.2:1")
+            election.stop()
+            return before, await election._exchange_status("10.0.0.2:1")
+
+        curio.run(run)
+        reported = [arguments[1].has_store for _, arguments in peers.calls]
+        self.assertEqual(reported, [True, False])
+
     def test_a_released_row_without_a_successor_is_acquired_at_once(self):
         term = self.run_with_leader_row(
             FakePeers(exchange_status=self.leader_status()), released=True
