Store the roster in several rows, so that it may exceed the size of one

The encoded roster of 1,500 workers has 77,341 bytes, and a row may have 65,536: the store refuses each commit, and no worker may be used before it is on a stored roster.

Change: 16 rows by a hash of the worker's id, all in the transaction that wrote one row before. The first has the key of the old row, so the roster of an earlier build is read and replaced.

Result: RosterTests in tests/node/test_cell_commits.py; at 4,111 workers each row is below the limit.

--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -1,6 +1,7 @@
 """Keys of a cell's rows in the store, and functions that read and write the rows."""
 
 from typing import NamedTuple
+from zlib import crc32
 
 import curio
 
@@ -36,7 +37,13 @@
 # the condition on the leader's row.
 LEADER_PARTITION = "leader"
 LEADER_ROW_KEY = RowKey(LEADER_TABLE, LEADER_PARTITION, "leader")
-ROSTER_ROW_KEY = RowKey(LEADER_TABLE, LEADER_PARTITION, "roster")
+# The roster is stored in several rows, because the size of a row is limited. The first
+# row has the key under which earlier builds stored all entries.
+ROSTER_ROWS = 16
+ROSTER_ROW_KEYS = tuple(
+    RowKey(LEADER_TABLE, LEADER_PARTITION, f"roster-{number}" if number else "roster")
+    for number in range(ROSTER_ROWS)
+)
 # The store runs the transactions of one partition serially, so jobs are spread over
 # several partitions.
 JOB_PARTITIONS = 8
@@ -280,8 +287,8 @@
             jobs.pop(row.key.key, None)
     roster: dict[str, RosterEntry] = {}
     for row in leader_rows.rows:
-        if row.key == ROSTER_ROW_KEY:
-            roster = decode_roster(row.value)
+        if row.key in ROSTER_ROW_KEYS:
+            roster.update(decode_roster(row.value))
     version = min(partition.version for partition in job_partitions)
     return StoredState(jobs, progress, roster, version, frozenset(unreadable))
 
@@ -330,5 +337,13 @@
     for job_id, progress in commit.progress.items():
         rows[progress_row_key(job_id)] = encode_progress(progress)
     if commit.roster is not None:
-        rows[ROSTER_ROW_KEY] = encode_roster(commit.roster)
+        rows.update(_roster_rows(commit.roster))
     return rows
+
+
+def _roster_rows(roster: dict[str, RosterEntry]) -> dict[RowKey, bytes]:
+    """Return all rows of the roster, of which each holds some of the workers."""
+    parts: list[dict[str, RosterEntry]] = [{} for _ in ROSTER_ROW_KEYS]
+    for worker_id, entry in roster.items():
+        parts[crc32(worker_id.encode()) % ROSTER_ROWS][worker_id] = entry
+    return {key: encode_roster(part) for key, part in zip(ROSTER_ROW_KEYS, parts)}
--- a/tests/node/test_cell_commits.py
+++ b/tests/node/test_cell_commits.py
@@ -44,6 +44,8 @@
 from marigoldpath_node.cell._commits import Committer
 from marigoldpath_node.cell._records import (
     LEADER_ROW_KEY,
+    ROSTER_ROW_KEYS,
+    commit_rows,
     plan_load,
     progress_row_key,
     read_all,
@@ -196,6 +198,53 @@
         )
 
 
+class RosterTests(unittest.TestCase):
+    """Guards against a cell that starts nothing because its roster is too large.
+
+    At 1,500 workers the roster exceeded the limit of a row, every commit was refused,
+    and no worker of a roster that is not stored may be used.
+    """
+
+    MAX_ROW_BYTES = 65_536
+    MAX_TRANSACTION_ROWS = 100
+
+    def rows(self, workers, jobs=()):
+        roster = {
+            f"i-{number:010x}": RosterEntry("10.200.255.255:8588", None, "zone-name")
+            for number in range(workers)
+        }
+        progress = {job_id: Progress(JobState.DONE) for job_id in jobs}
+        return roster, commit_rows(
+            LeaderRow(1, "10.0.0.1:1", "token"), Commit(progress, {}, roster, ())
+        )
+
+    def test_each_row_of_a_large_roster_is_within_the_limit(self):
+        roster, rows = self.rows(4_111)
+        self.assertLess(max(map(len, rows.values())), self.MAX_ROW_BYTES)
+        self.assertEqual(self.load(rows), roster)
+
+    def test_a_commit_with_the_roster_fits_into_one_transaction(self):
+        jobs = [f"{n:016x}" for n in range(FAST_SETTINGS.max_jobs_per_commit)]
+        _, rows = self.rows(1, jobs)
+        self.assertLessEqual(len(rows), self.MAX_TRANSACTION_ROWS)
+
+    def test_the_roster_of_an_earlier_build_is_read_and_replaced(self):
+        old, _ = self.rows(3)
+        rows = {ROSTER_ROW_KEYS[0]: encode_roster(old)}
+        self.assertEqual(self.load(rows), old)
+        new, new_rows = self.rows(1)
+        self.assertEqual(self.load({**rows, **new_rows}), new)
+
+    def load(self, rows):
+        store = MemoryStore()
+
+        async def run():
+            await store.commit({}, rows)
+            return await read_all(store, plan_load(1_000.0))
+
+        return curio.run(run).roster
+
+
 class RetentionTests(unittest.TestCase):
     def test_removed_jobs_are_not_read(self):
         store = MemoryStore()
