Count the age of a worker's reply from its poll, and stalls on the worker's clock

(1) A leader's authority by a majority counted from the time at which it read a reply. One that was suspended reads, when it resumes, replies from before; it then renewed leases and started tasks for another 1.5 s, on workers that its successor did not reach, beyond the time that the successor waits for. A worker may also check the epoch when a poll arrives and reply up to 1.2 s later. (2) The time without progress of a run was measured on the leader's clock, and for a task that is starting up without any report in between: after a pause of 3.5 s the leader stopped such tasks at its first tick.

Ruled out: dropping replies after a pause. A suspended process cannot tell a late reply from a fast one; the time at which the poll was sent can.

Change: a report carries the time of its poll, from which its age as a proof counts. The wait of polls falls to 0.5 s once the row is 0.8 s old, so that two of them fit into the window of 1.5 s; whether the workers can be reached at all has a longer window. Stalls count the worker's clock between reports, need three reports also for a task that starts up, and count anew after a worker was silent. The simulated cell can suspend a leader, at once or between a decision and its commands.

Result: SuspendedLeaderTests, SilentWorkerTests and PollWaitTests in tests/core/test_fleet_health.py; test_replies_from_before_prove_no_authority and test_a_suspended_leader_does_not_stop_a_task_that_is_starting_up fail with the former rules put back.

--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_search.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_search.py
@@ -16,6 +16,8 @@
 STALE_EPOCH_RATE = 0.2
 GANG_SHARE = 0.1
 ZONE_COUNT = 2
+SUSPENSION = "suspend a leader"
+MAX_SUSPENSION_MS = 15_000
 URGENT = Queue("urgent", "service", 0, 3, 1.5, 300)
 BACKGROUND = Queue("background", "service", 2, 3, 2.2, 1_200)
 
@@ -28,6 +30,8 @@
         seed: int,
         stale_epoch_rate: float = STALE_EPOCH_RATE,
         zones: int = ZONE_COUNT,
+        *,
+        with_suspensions: bool = True,
     ) -> None:
         self._random = Random(f"fleet {seed}")
         message_loss_rate = self._random.choice([0.0, 0.02, 0.1])
@@ -42,6 +46,9 @@
         )
         self._simulation = FleetSimulation(seed, settings)
         self._jobs = 0
+        self._faults = sorted(fault_injections)
+        if not with_suspensions:
+            self._faults.remove(SUSPENSION)
 
     @property
     def simulation(self) -> FleetSimulation:
@@ -57,7 +64,7 @@
             if self._random.random() < 0.5:
                 self._submit()
             if self._random.random() < 0.12:
-                name = self._random.choice(sorted(fault_injections))
+                name = self._random.choice(self._faults)
                 fault_injections.get(name)(self)
             if simulation.leader is None:
                 simulation.run(self._random.uniform(100, 6_000))
@@ -84,7 +91,8 @@
         )
         for leader in simulation.leaders:
             leader.partitioned_workers.clear()
-        simulation.run(3_000)
+        # By then, each superseded leader that was suspended has noticed its successor.
+        simulation.run(MAX_SUSPENSION_MS + 3_000)
         if simulation.leader is None:
             simulation.elect_leader()
         for _ in range(3):
@@ -99,6 +107,17 @@
     def _elect_second_leader(self) -> None:
         self._simulation.elect_leader()
 
+    @fault_injections.register(SUSPENSION)
+    def _suspend_leader(self) -> None:
+        alive = [each for each in self._simulation.leaders if each.is_alive]
+        if not alive:
+            return
+        self._simulation.suspend(
+            self._random.choice(alive),
+            self._random.uniform(1_000, MAX_SUSPENSION_MS),
+            before_sending=self._random.random() < 0.5,
+        )
+
     @fault_injections.register("restart a worker")
     def _restart_worker(self) -> None:
         worker = self._random.choice(list(self._simulation.workers.values()))
--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
@@ -7,6 +7,7 @@
 
 from marigoldpath_core.fleet import (
     Commit,
+    Effect,
     FleetScheduler,
     FleetSettings,
     JobAccepted,
@@ -61,6 +62,9 @@
         self.is_alive = True
         self.commit: Commit | None = None
         self.partitioned_workers: set[str] = set()
+        self.suspended_until_ms = 0.0
+        # How long the leader will be suspended before it sends its next commands.
+        self.next_suspension_ms = 0.0
 
 
 class FleetSimulation:
@@ -149,6 +153,23 @@
             if leader.is_alive:
                 self._send_to_leader(leader, JobCancelled(job_id))
 
+    def suspend(
+        self, leader: SimulatedLeader, for_ms: float, *, before_sending: bool
+    ) -> None:
+        """Suspend a leader, at once or between its next decision and the sending."""
+        if before_sending:
+            leader.next_suspension_ms = for_ms
+        else:
+            leader.suspended_until_ms = self.now_ms + for_ms
+
+    def _is_deferred(self, leader: SimulatedLeader, action: Callable[[], None]) -> bool:
+        """Schedule an action of a suspended leader for the time when it resumes."""
+        suspended_ms = leader.suspended_until_ms - self.now_ms
+        if suspended_ms <= 0:
+            return False
+        self._schedule(suspended_ms, action)
+        return True
+
     def run(self, for_ms: float) -> None:
         """Process the messages of the next `for_ms` milliseconds."""
         end_ms = self.now_ms + for_ms
@@ -182,19 +203,37 @@
     def _handle(self, leader: SimulatedLeader, event: object) -> None:
         if not leader.is_alive:
             return
+        if self._is_deferred(leader, lambda: self._handle(leader, event)):
+            return
         leader.scheduler.handle(event, self.now_ms)  # type: ignore[arg-type]
         self._execute_effects(leader)
 
     def _execute_effects(self, leader: SimulatedLeader) -> None:
-        for effect in leader.scheduler.take_effects():
-            if type(effect) in effect_handlers:
-                effect_handlers.get(type(effect))(self, leader, effect)
+        effects = [
+            each
+            for each in leader.scheduler.take_effects()
+            if type(each) in effect_handlers
+        ]
+        if effects and leader.next_suspension_ms:
+            self.suspend(leader, leader.next_suspension_ms, before_sending=False)
+            leader.next_suspension_ms = 0.0
+        self._send_effects(leader, effects)
+
+    def _send_effects(self, leader: SimulatedLeader, effects: list[Effect]) -> None:
+        if not leader.is_alive:
+            return
+        if self._is_deferred(leader, lambda: self._send_effects(leader, effects)):
+            return
+        for effect in effects:
+            effect_handlers.get(type(effect))(self, leader, effect)
         if leader.scheduler.is_superseded:
             leader.is_alive = False
 
     def _tick(self, leader: SimulatedLeader) -> None:
         if not leader.is_alive:
             return
+        if self._is_deferred(leader, lambda: self._tick(leader)):
+            return
         self._handle(leader, Tick(int(self.now_ms)))
         if leader.is_alive:
             leader.scheduler.dispatch(self.now_ms)
@@ -204,6 +243,8 @@
     def _list_workers(self, leader: SimulatedLeader) -> None:
         if not leader.is_alive:
             return
+        if self._is_deferred(leader, lambda: self._list_workers(leader)):
+            return
         entries = tuple(worker.entry for worker in self.workers.values())
         self._handle(leader, WorkersListed(entries))
         self._resynchronize(leader)
@@ -221,6 +262,8 @@
     def _commit(self, leader: SimulatedLeader) -> None:
         if not leader.is_alive:
             return
+        if self._is_deferred(leader, lambda: self._commit(leader)):
+            return
         self._schedule(80, lambda: self._commit(leader))
         if leader.commit is None:
             leader.commit = leader.scheduler.begin_commit(40)
@@ -240,7 +283,10 @@
     def _poll(self, leader: SimulatedLeader, worker_id: str) -> None:
         if not leader.is_alive:
             return
-        command = leader.scheduler.next_poll(worker_id, self.now_ms)
+        if self._is_deferred(leader, lambda: self._poll(leader, worker_id)):
+            return
+        polled_ms = self.now_ms
+        command = leader.scheduler.next_poll(worker_id, polled_ms)
         if command is None:
             self._schedule(500, lambda: self._poll(leader, worker_id))
             return
@@ -250,7 +296,9 @@
         incarnation = self.workers[worker_id].incarnation_count
         self._schedule(
             self._delay_ms(),
-            lambda: self._execute_poll(leader, worker_id, command, incarnation),
+            lambda: self._execute_poll(
+                leader, worker_id, command, incarnation, polled_ms
+            ),
         )
 
     def _fail_poll(self, leader: SimulatedLeader, worker_id: str) -> None:
@@ -263,6 +311,7 @@
         worker_id: str,
         command: WorkerPoll,
         incarnation: int,
+        polled_ms: float,
     ) -> None:
         if self.workers[worker_id].incarnation_count != incarnation:
             # The pooled connection closed when the worker restarted.
@@ -275,7 +324,7 @@
         if self._is_lost():
             self._schedule(700, lambda: self._fail_poll(leader, worker_id))
             return
-        self._send_to_leader(leader, report)
+        self._send_to_leader(leader, report._replace(polled_ms=polled_ms))
         self._schedule(
             self.random.uniform(20, 300), lambda: self._poll(leader, worker_id)
         )
--- a/packages/bench/src/marigoldpath_bench/scheduler_bench.py
+++ b/packages/bench/src/marigoldpath_bench/scheduler_bench.py
@@ -216,7 +216,10 @@
         )
         ended = tuple(self._ended[worker_id])
         self._ended[worker_id] = []
-        self._handle(WorkerReport(worker_id, int(self._now_ms), 1_000, running, ended))
+        clock_ms = int(self._now_ms)
+        self._handle(
+            WorkerReport(worker_id, clock_ms, 1_000, running, ended, self._now_ms)
+        )
 
     def _percent(self, task: TaskKey, sent_ms: float) -> int:
         return min(99, int(100 * (self._now_ms - sent_ms) / _estimate_ms(task)))
--- a/packages/core/src/marigoldpath_core/fleet/_health.py
+++ b/packages/core/src/marigoldpath_core/fleet/_health.py
@@ -57,7 +57,7 @@
         if worker.is_unresponsive:
             continue
         for run in list(worker.runs.values()):
-            if _is_stalled(fleet, run):
+            if _is_stalled(fleet, worker, run):
                 run.task.avoided_workers.add(worker.worker_id)
                 worker.stall_count += 1
                 fleet.stop(run, f"no progress at {run.percent} percent")
@@ -65,7 +65,12 @@
                     quarantine(fleet, worker, "runs make no progress")
 
 
-def _is_stalled(fleet: Fleet, run: Run) -> bool:
+def _is_stalled(fleet: Fleet, worker: Worker, run: Run) -> bool:
+    """Return whether the reports of a worker show a run without progress.
+
+    The time between the reports is measured on the worker's clock, so a leader that
+    was suspended or gets reports late does not take that for a stall.
+    """
     settings = fleet.settings
     spec = run.task.step.spec
     if (
@@ -73,13 +78,12 @@
         or spec.fills
         or spec.gang
         or run.speed_percent < 100
+        or run.unchanged_reports < settings.stall_reports
     ):
         return False
-    stalled_ms = fleet.now_ms - run.last_progress_ms
+    stalled_ms = worker.clock_ms - run.progress_clock_ms
     if spec.long_running:
         return run.percent < 100 and stalled_ms > settings.long_running_startup_ms
-    if run.unchanged_reports < settings.stall_reports:
-        return False
     # The percentage of a long task rises slowly even without a stall.
     return stalled_ms > settings.stall_ms + spec.estimate_ms / 20
 
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -120,13 +120,18 @@
 
 
 class WorkerReport(NamedTuple):
-    """A worker's reply to a poll; `clock_ms` is on the worker's clock."""
+    """A worker's reply to a poll; `clock_ms` is on the worker's clock.
+
+    The leader sent the poll at `polled_ms` of its monotonic clock. A leader that was
+    suspended reads replies late, so only that time shows how old the reply can be.
+    """
 
     worker_id: str
     clock_ms: int
     incarnation: int
     running: tuple[RunningTask, ...]
     ended: tuple[TerminatedRun, ...]
+    polled_ms: float = 0.0
 
 
 class WorkerUnresponsive(NamedTuple):
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -52,13 +52,15 @@
         return
     if event.incarnation > worker.incarnation:
         _begin_incarnation(fleet, worker, event.incarnation)
-    if worker.is_unresponsive or worker.last_report_ms is None:
+    if worker.is_unresponsive or worker.last_polled_ms is None:
         fleet.needs_dispatch = fleet.pools_outdated = True
-    if worker.last_report_ms is None:
+    if worker.is_unresponsive:
+        _restart_stall_checks(worker, event.clock_ms)
+    if worker.last_polled_ms is None:
         # A previous leader could have renewed the lease until this leader's poll made
         # the worker refuse commands of earlier epochs.
         worker.extend_lease(fleet.settings, fleet.settings.lease_ms, fleet.now_ms)
-    worker.last_report_ms = fleet.now_ms
+    worker.last_polled_ms = max(event.polled_ms, worker.last_polled_ms or 0.0)
     worker.is_unresponsive = False
     fleet.unreported_workers.pop(event.worker_id, None)
     _record_majority(fleet)
@@ -122,12 +124,21 @@
     fleet.record_unknown_jobs(worker, set())
 
 
+def _restart_stall_checks(worker: Worker, clock_ms: int) -> None:
+    """Count the time without progress anew for a worker that was silent.
+
+    Its machine may have stood still meanwhile, together with its runs.
+    """
+    for run in worker.runs.values():
+        run.restart_stall_check(clock_ms)
+
+
 def _record_majority(fleet: Fleet) -> None:
     """Record the time when a majority of the listed workers has reported."""
     if fleet.majority_reported_ms is not None:
         return
     listed = [each for each in fleet.workers.values() if each.is_listed]
-    reported = sum(1 for each in listed if each.last_report_ms is not None)
+    reported = sum(1 for each in listed if each.last_polled_ms is not None)
     if reported * 2 > len(listed):
         fleet.majority_reported_ms = fleet.now_ms
         fleet.log(
@@ -237,7 +248,7 @@
     task = fleet.task(row.task)
     is_open = task is not None and not task.step.job.state.is_final
     if task is not None and is_open and not task.done and task.run is None:
-        run = Run(task, row.run, worker.worker_id, task.step.need, fleet.now_ms)
+        run = Run(task, row.run, worker.worker_id, task.step.need, worker.clock_ms)
         run.state = RunState.RUNNING
         task.run = run
         task.number = max(task.number, row.run)
@@ -266,13 +277,10 @@
     run.load = row.load
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
-    if row.percent > run.percent:
-        run.last_progress_ms = fleet.now_ms
-        run.unchanged_reports = 0
-    else:
+    if row.percent == run.percent:
         run.unchanged_reports += 1
-        if row.percent < run.percent:
-            run.last_progress_ms = fleet.now_ms
+    else:
+        run.restart_stall_check(clock_ms)
     run.percent = row.percent
     if row.checkpoint:
         task.checkpoint = row.checkpoint
--- a/packages/core/src/marigoldpath_core/fleet/_roster.py
+++ b/packages/core/src/marigoldpath_core/fleet/_roster.py
@@ -17,7 +17,7 @@
     the jobs that could still be running there, and is removed if there are none.
     """
     for worker in fleet.workers.values():
-        if worker.last_report_ms is None:
+        if worker.last_polled_ms is None:
             # Until the worker reports, only the entry of the previous leader states
             # which jobs could be running there.
             continue
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -119,16 +119,26 @@
         """
         if now_ms - self._row_confirmed_ms < self._settings.row_authority_ms:
             return True
-        return self.is_majority_reachable(now_ms)
+        return self._has_majority(now_ms - self._settings.majority_window_ms)
 
     def is_majority_reachable(self, now_ms: float) -> bool:
         """Return whether a majority of the workers replied to this epoch recently."""
+        settings = self._settings
+        return self._has_majority(
+            now_ms - settings.majority_window_ms - settings.poll_wait_ms
+        )
+
+    def _has_majority(self, oldest_ms: float) -> bool:
+        """Return whether most workers replied to polls sent at `oldest_ms` or later.
+
+        A worker may check the epoch of a poll when it arrives, and reply later. So the
+        age of a reply counts from the time at which its poll was sent.
+        """
         workers = [each for each in self._fleet.workers.values() if each.is_listed]
-        oldest_ms = now_ms - self._settings.majority_window_ms
         reachable = sum(
             1
             for each in workers
-            if each.last_report_ms and each.last_report_ms >= oldest_ms
+            if each.last_polled_ms is not None and each.last_polled_ms >= oldest_ms
         )
         return reachable * 2 > len(workers)
 
@@ -142,7 +152,7 @@
         if worker is None:
             return None
         address = worker.entry.address
-        if worker.is_unresponsive or worker.last_report_ms is None:
+        if worker.is_unresponsive or worker.last_polled_ms is None:
             # The worker could have restarted. Its new incarnation numbers terminations
             # anew, so an acknowledgement meant for the previous one would remove
             # terminations that this leader has not read.
@@ -164,10 +174,11 @@
         A termination ends the wait. Only loads and progress have to be polled for.
         """
         settings = self._settings
-        if worker.has_fillers:
+        row_age_ms = now_ms - self._row_confirmed_ms
+        if worker.has_fillers or row_age_ms > settings.row_age_for_short_polls_ms:
             return settings.watched_poll_wait_ms
-        oldest_ms = now_ms - settings.stall_ms / 2
-        if any(run.last_progress_ms < oldest_ms for run in worker.runs.values()):
+        oldest_ms = worker.estimated_clock_ms(now_ms) - settings.stall_ms / 2
+        if any(run.progress_clock_ms < oldest_ms for run in worker.runs.values()):
             return settings.watched_poll_wait_ms
         return settings.poll_wait_ms
 
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -11,11 +11,12 @@
     A worker executes a start at most `start_window_ms` late if it is the incarnation
     whose clock is known, and at most `max_command_delay_ms` late otherwise.
     A leader may send commands for `row_authority_ms` after it stored its row, and while
-    a majority of the workers has replied within `majority_window_ms`.
+    a majority of the workers has replied to polls sent within `majority_window_ms`.
     A worker may delay its reply to a poll by `poll_wait_ms`, until a run terminates.
-    That is less than `majority_window_ms`, so an idle majority still proves authority.
     It is `watched_poll_wait_ms` for a worker whose runs have to be observed: fillers,
-    and runs without recent progress.
+    and runs without recent progress. It is that for all workers if the row was not
+    stored within `row_age_for_short_polls_ms`, because the majority must then reply
+    often enough to prove the leader's authority.
     A new job may leave its zone at once if the width of one of its steps is more than
     `home_zone_fraction` of the tasks that fit there, because the advice service refuses
     some of the workers.
@@ -42,6 +43,7 @@
     max_command_delay_ms: int = 12_000
     row_authority_ms: int = 2_000
     majority_window_ms: int = 1_500
+    row_age_for_short_polls_ms: int = 800
     poll_wait_ms: int = 1_200
     watched_poll_wait_ms: int = 500
     urgent_reserve_fraction: float = 0.15
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -21,8 +21,9 @@
     step = task.step
     now_ms = fleet.now_ms
     settings = fleet.settings
-    run = Run(task, number, worker.worker_id, step.need, now_ms)
-    run.until_clock_ms = worker.estimated_clock_ms(now_ms) + settings.start_window_ms
+    clock_ms = worker.estimated_clock_ms(now_ms)
+    run = Run(task, number, worker.worker_id, step.need, clock_ms)
+    run.until_clock_ms = clock_ms + settings.start_window_ms
     worker.extend_lease(settings, settings.start_window_ms, now_ms)
     task.run = run
     task.number = number
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -25,20 +25,21 @@
 class Run:
     """One start of a task on a worker; times in milliseconds.
 
-    `until_clock_ms` and `confirmed_clock_ms` are on the worker's clock. The worker
+    Times whose names contain `clock` are on the worker's clock. The worker
     refuses the start after `until_clock_ms`; 0 means that this leader has sent no start
     command for the run, and None that the time limit cannot be relied on, because the
     worker has restarted. A report from after
-    `confirmed_clock_ms` shows whether the run exists.
+    `confirmed_clock_ms` shows whether the run exists. No report from before
+    `progress_clock_ms` counts for the check whether the run makes progress.
     """
 
     __slots__ = (
         "confirmed_clock_ms",
-        "last_progress_ms",
         "load",
         "need",
         "number",
         "percent",
+        "progress_clock_ms",
         "speed_percent",
         "state",
         "stop_sent_ms",
@@ -50,7 +51,7 @@
     )
 
     def __init__(
-        self, task: "Task", number: int, worker_id: str, need: Resources, now_ms: float
+        self, task: "Task", number: int, worker_id: str, need: Resources, clock_ms: int
     ) -> None:
         self.task = task
         self.number = number
@@ -61,12 +62,17 @@
         self.was_reported = False
         self.confirmed_clock_ms: int | None = None
         self.percent = 0
-        self.last_progress_ms = now_ms
+        self.progress_clock_ms = clock_ms
         self.unchanged_reports = 0
         self.stop_sent_ms = 0.0
         self.load = 0
         self.speed_percent = 100
 
+    def restart_stall_check(self, clock_ms: int) -> None:
+        """Count the time without progress from `clock_ms` on."""
+        self.progress_clock_ms = clock_ms
+        self.unchanged_reports = 0
+
 
 class Task:
     """A task of one occurrence of a step."""
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -27,7 +27,8 @@
         self.incarnation = 0
         self.clock_ms = 0
         self.clock_read_ms = 0.0
-        self.last_report_ms: float | None = None
+        # When the poll was sent whose reply is the newest report.
+        self.last_polled_ms: float | None = None
         self.is_unresponsive = False
         self.lease_expiry_ms = 0.0
         self.last_applied_termination = 0
@@ -128,7 +129,7 @@
         """Return whether new runs may be placed on the worker."""
         return (
             self.is_listed
-            and self.last_report_ms is not None
+            and self.last_polled_ms is not None
             and not self.is_unresponsive
             and not self._entry.draining
             # The resources of orphaned runs are not recorded as allocated, so another
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -456,7 +456,8 @@
         assert self._scheduler is not None
         failures = 0
         while True:
-            poll = self._scheduler.next_poll(worker_id, now_ms())
+            polled_ms = now_ms()
+            poll = self._scheduler.next_poll(worker_id, polled_ms)
             if poll is None:
                 break
             try:
@@ -480,7 +481,7 @@
                 await curio.sleep(pause_s)
                 continue
             failures = 0
-            await self.handle(report)
+            await self.handle(report._replace(polled_ms=polled_ms))
             if self._scheduler.has_unstored_terminations(worker_id):
                 await self._committer.wait_for_commit()
             elif poll.until_clock_ms is not None:
--- a/tests/bench/test_fleet_simulation.py
+++ b/tests/bench/test_fleet_simulation.py
@@ -43,8 +43,11 @@
         }
         for seed, cause in causes.items():
             with self.subTest(seed=seed, cause=cause):
-                # These were found before the search had zones and stale epochs.
-                violations = FleetSearch(seed, stale_epoch_rate=0.0, zones=1).run(STEPS)
+                # These were found before the search had zones, stale epochs and
+                # suspended leaders.
+                violations = FleetSearch(
+                    seed, stale_epoch_rate=0.0, zones=1, with_suspensions=False
+                ).run(STEPS)
                 self.assertEqual(violations, [])
 
 
--- a/tests/core/fleet_fixture.py
+++ b/tests/core/fleet_fixture.py
@@ -93,10 +93,27 @@
         for each in self.entries:
             self.report(each.worker_id)
 
-    def report(self, worker_id, running=(), ended=(), incarnation=1_000, clock_ms=None):
+    def report(
+        self,
+        worker_id,
+        running=(),
+        ended=(),
+        *,
+        incarnation=1_000,
+        clock_ms=None,
+        polled_ms=None,
+    ):
         clock_ms = int(self.now_ms) if clock_ms is None else clock_ms
+        polled_ms = self.now_ms if polled_ms is None else polled_ms
         return self.handle(
-            WorkerReport(worker_id, clock_ms, incarnation, tuple(running), tuple(ended))
+            WorkerReport(
+                worker_id,
+                clock_ms,
+                incarnation,
+                tuple(running),
+                tuple(ended),
+                polled_ms,
+            )
         )
 
     def accept(self, accepted, progress: Progress | None = None):
--- a/tests/core/test_fleet_health.py
+++ b/tests/core/test_fleet_health.py
@@ -63,12 +63,63 @@
         self.start(fills=True)
         self.assertEqual(self.wait_ms(), self.settings.watched_poll_wait_ms)
 
-    def test_an_idle_majority_still_proves_the_authority_of_the_leader(self):
+    def test_without_a_recent_row_every_worker_is_polled_more_often(self):
         """Guards against a leader that loses its authority in an outage of the store.
 
-        Each worker replies at least once in `majority_window_ms`.
+        The age of a proof counts from the time at which its poll was sent. It is the
+        reply to the last poll until the next one returns, so two waits have to fit into
+        the window.
         """
-        self.assertLess(self.settings.poll_wait_ms, self.settings.majority_window_ms)
+        self.harness.commit()
+        self.harness.now_ms += self.settings.row_age_for_short_polls_ms + 1
+        poll = self.harness.scheduler.next_poll("a", self.harness.now_ms)
+        self.assertEqual(poll.wait_ms, self.settings.watched_poll_wait_ms)
+        self.assertLess(2 * poll.wait_ms, self.settings.majority_window_ms)
+        # Polls with a long wait have returned when the row no longer proves authority.
+        self.assertLessEqual(
+            self.settings.row_age_for_short_polls_ms + self.settings.poll_wait_ms,
+            self.settings.row_authority_ms,
+        )
+
+    def test_an_idle_majority_counts_as_reachable(self):
+        """Guards against a leader that gives up because idle workers reply late."""
+        self.harness.commit()
+        sent_ms = self.harness.now_ms
+        wait_ms = self.wait_ms()
+        self.harness.now_ms += 2 * wait_ms
+        self.harness.report("a", polled_ms=sent_ms)
+        self.assertTrue(
+            self.harness.scheduler.is_majority_reachable(self.harness.now_ms)
+        )
+
+
+class SuspendedLeaderTests(unittest.TestCase):
+    """Guards against a leader that acts on a permission that ran out meanwhile.
+
+    The replies that arrived while a leader was suspended say nothing about the time at
+    which it reads them: another leader may have been elected since.
+    """
+
+    def setUp(self):
+        self.harness = FleetHarness(entry("a"), entry("b"))
+        self.harness.commit()
+        self.harness.report_all()
+        self.suspended_ms = self.harness.now_ms
+        self.harness.now_ms += 5_000
+
+    def test_replies_from_before_prove_no_authority(self):
+        for each in self.harness.entries:
+            self.harness.report(each.worker_id, polled_ms=self.suspended_ms)
+        scheduler = self.harness.scheduler
+        self.assertFalse(scheduler.may_send_commands(self.harness.now_ms))
+        poll = scheduler.next_poll("a", self.harness.now_ms)
+        self.assertIsNone(poll.until_clock_ms)
+        self.harness.accept(job(step()))
+        self.assertEqual(self.harness.dispatch_starts(), [])
+
+    def test_replies_to_new_polls_prove_it_again(self):
+        self.harness.report_all()
+        self.assertTrue(self.harness.scheduler.may_send_commands(self.harness.now_ms))
 
 
 class UnresponsiveWorkerTests(unittest.TestCase):
@@ -178,6 +229,46 @@
         self.assertEqual(stopped[0].task, command.task)
 
 
+class SilentWorkerTests(unittest.TestCase):
+    """Guards against healthy runs that are stopped because reports were late."""
+
+    def setUp(self):
+        self.harness = FleetHarness(entry("a"))
+        self.harness.report_all()
+        self.harness.accept(job(step(long_running=True), queue=LONG_RUNNING))
+        (self.command,) = self.harness.dispatch_starts()
+        self.harness.confirm_start(self.command)
+
+    def report(self, percent, **fields):
+        self.harness.report("a", [running(self.command, percent)], **fields)
+        return stops(self.harness.advance(0))
+
+    def test_a_suspended_leader_does_not_stop_a_task_that_is_starting_up(self):
+        read_ms = int(self.harness.now_ms)
+        self.harness.now_ms += 5_000
+        self.assertEqual(stops(self.harness.advance(0)), [])
+        # These replies arrived while the leader was suspended.
+        for late_ms in (100, 200, 300, 400):
+            self.assertEqual(self.report(0, clock_ms=read_ms + late_ms), [])
+
+    def test_a_worker_that_was_silent_keeps_its_runs(self):
+        for _ in range(4):
+            self.harness.now_ms += 100
+            self.report(50)
+        self.harness.handle(WorkerUnresponsive("a"))
+        self.harness.now_ms += 4_400
+        for _ in range(4):
+            self.harness.now_ms += 100
+            self.assertEqual(self.report(50), [])
+
+    def test_a_task_that_does_not_start_up_is_stopped(self):
+        stopped = []
+        for _ in range(9):
+            self.harness.now_ms += 500
+            stopped += self.report(0)
+        self.assertEqual([each.task for each in stopped], [self.command.task])
+
+
 class DrainingTests(unittest.TestCase):
     """Guards against the loss of work when a draining worker is removed.
 
--- a/tests/core/test_fleet_pools.py
+++ b/tests/core/test_fleet_pools.py
@@ -107,7 +107,7 @@
         (waiting,) = harness.open_steps()
         for _ in range(200):
             task = random.choice(waiting.tasks)
-            task.run = random.choice([None, Run(task, 1, "a", step().need, 0.0)])
+            task.run = random.choice([None, Run(task, 1, "a", step().need, 0)])
             task.done = random.random() < 0.3
             self.assertEqual(waiting.waiting_tasks, len(waiting.waiting))
 
