--- a/packages/bench/src/marigoldpath_bench/demo/__main__.py
+++ b/packages/bench/src/marigoldpath_bench/demo/__main__.py
@@ -33,7 +33,7 @@
 
     Parameters
     ----------
-    deployment: skala or sfax.
+    deployment: skala, sfax or hanbit.
     daemon_python: the Python interpreter for the daemons.
     seed: the seed of the trace.
     seconds: the duration of the trace.
--- a/packages/bench/src/marigoldpath_bench/fleet/__main__.py
+++ b/packages/bench/src/marigoldpath_bench/fleet/__main__.py
@@ -33,7 +33,7 @@
 
     Parameters
     ----------
-    deployment: skala or sfax.
+    deployment: skala, sfax or hanbit.
     daemon_python: the Python interpreter for the daemons.
     """
     signal.signal(signal.SIGTERM, _exit_on_signal)
--- a/tests/bench/test_deployment.py
+++ b/tests/bench/test_deployment.py
@@ -39,6 +39,14 @@
             self.assertEqual(set(racks.values()), {in_rack})
             self.assertEqual({w.capacity.cpu_millis for w in workers}, {cores * 1_000})
 
+    def test_hanbit_has_a_service_with_and_one_without_accelerators(self) -> None:
+        deployment = load("hanbit")
+        self.assertEqual(len(deployment.entry_hosts), 8)
+        accelerators = Counter(
+            worker.capacity.accelerators for worker in deployment.workers()
+        )
+        self.assertEqual(accelerators, {0: 19, 8: 8})
+
     def test_every_process_of_a_run_has_a_unique_address(self) -> None:
         deployment = load("sfax")
         plan = plan_run(deployment, 20_000, Path("run"))
@@ -59,12 +67,12 @@
 
 class TraceTests(unittest.TestCase):
     def test_the_committed_traces_are_those_of_seed_1(self) -> None:
-        for name in ("skala", "sfax"):
+        for name in ("skala", "sfax", "hanbit"):
             committed = read_trace(find_deployment(name) / "trace.jsonl")
             self.assertEqual(committed, generate_trace(load(name), TraceSettings(1)))
 
     def test_every_request_is_valid_and_all_kinds_occur(self) -> None:
-        for name in ("skala", "sfax"):
+        for name in ("skala", "sfax", "hanbit"):
             deployment = load(name)
             trace = generate_trace(deployment, TraceSettings(7))
             self.assertTrue(all(parse_request(item.request).is_ok() for item in trace))
--- a/tests/core/test_sheet.py
+++ b/tests/core/test_sheet.py
@@ -20,7 +20,7 @@
 )
 
 ROOT = Path(__file__).resolve().parents[2]
-DEPLOYMENTS = ("skala", "sfax")
+DEPLOYMENTS = ("skala", "sfax", "hanbit")
 HEADER = (
     "row,name,floor,ceiling,standing,id,team,availability zone,kind,"
     "cpu cores,memory GB,count,accelerators,slots,connections\n"
