Cache the heads of HTTP messages, and return replies with the commands of a relay

A channel to a relay made two calls for each batch: one for the commands, one for the replies.

Ruled out: the scheduling pass.

Change: heads of requests and responses are kept, as most repeat an earlier one; the client reads before it asks h11 for an event; the reply to a batch of commands carries the replies to earlier ones, and a call for replies alone is made only if no batch was sent for a while.

--- a/packages/node/src/marigoldpath_node/cell/_relay_channel.py
+++ b/packages/node/src/marigoldpath_node/cell/_relay_channel.py
@@ -18,6 +18,10 @@
 )
 from ._settings import CellSettings
 
+# Replies also come with the reply to each batch of commands. So a call for replies
+# alone is made only after this number of intervals without a batch.
+TAKE_INTERVALS = 1.5
+
 
 class RelayTarget(NamedTuple):
     """The relay of a channel, and the term of leadership whose commands it sends."""
@@ -60,6 +64,8 @@
         self._has_commands = curio.Event()
         self._has_failed = curio.Event()
         self._is_open = False
+        # When replies were last received from the relay.
+        self._exchanged_s = 0.0
 
     @property
     def is_usable(self) -> bool:
@@ -135,7 +141,10 @@
             "sent_s": now_s(),
             **encode_commands(commands),
         }
-        if await self._peers.relay_commands(self._target.address, data):
+        accepted, replies = await self._peers.relay_commands(self._target.address, data)
+        self._exchanged_s = now_s()
+        await self._apply_replies(replies)
+        if accepted:
             return
         # The relay has not sent these commands, because they reached it too late.
         for number, _ in commands:
@@ -143,20 +152,34 @@
 
     async def _take_loop(self) -> None:
         while True:
+            await self._wait_for_exchange()
             replies = await self._peers.take_relayed_replies(
                 self._target.address,
                 self._target.session,
                 self._settings.max_relay_wait_s,
             )
-            for number, age_ms, encoded in replies:
-                await self._apply_reply(number, age_ms, encoded)
-            time_s = now_s()
-            overdue = sum(
-                1 for call in self._pending.values() if call.deadline_s < time_s
-            )
-            if overdue:
-                raise PeerError(f"{overdue} commands without a reply")
-            await curio.sleep(self._interval_s)
+            self._exchanged_s = now_s()
+            await self._apply_replies(replies)
+            self._check_deadlines()
+
+    async def _wait_for_exchange(self) -> None:
+        """Wait until no replies have come with the last commands for a while."""
+        while True:
+            self._check_deadlines()
+            due_s = self._exchanged_s + TAKE_INTERVALS * self._interval_s
+            if now_s() >= due_s:
+                return
+            await curio.sleep(due_s - now_s())
+
+    def _check_deadlines(self) -> None:
+        time_s = now_s()
+        overdue = sum(1 for call in self._pending.values() if call.deadline_s < time_s)
+        if overdue:
+            raise PeerError(f"{overdue} commands without a reply")
+
+    async def _apply_replies(self, replies: list[list[Any]]) -> None:
+        for number, age_ms, encoded in replies:
+            await self._apply_reply(number, age_ms, encoded)
 
     async def _apply_reply(self, number: int, age_ms: float, encoded: Any) -> None:
         call = self._pending.get(number)
--- a/packages/node/src/marigoldpath_node/cell/_relay_server.py
+++ b/packages/node/src/marigoldpath_node/cell/_relay_server.py
@@ -89,8 +89,9 @@
     async def accept_commands(self, data: dict[str, Any]) -> dict[str, Any]:
         """Start to execute the commands in a leader's message; do not wait for them.
 
-        Raises ValueError, KeyError or TypeError if the message is invalid. No command
-        of it is executed then.
+        Return whether they are executed, and the replies to earlier ones. Raises
+        ValueError, KeyError or TypeError if the message is invalid. No command of it is
+        executed then.
         """
         commands = decode_commands(data)
         epoch = int(data["epoch"])
@@ -103,12 +104,12 @@
                 commands=len(commands),
                 delay_ms=round(1_000 * delay_s),
             )
-            return {"accepted": False}
+            return {"accepted": False, "replies": session.take_replies()}
         for number, command in commands:
             await curio.spawn(
                 self._execute, session, number, command, epoch, daemon=True
             )
-        return {"accepted": True}
+        return {"accepted": True, "replies": session.take_replies()}
 
     async def take_replies(self, data: dict[str, Any]) -> dict[str, Any]:
         """Return the replies for a leader, after a wait if there are none.
--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import time
+from functools import lru_cache
 from typing import Any, NamedTuple
 
 import curio
@@ -12,6 +13,9 @@
 from ._messages import HttpResponse, Traffic
 
 READ_SIZE_BYTES = 65_536
+# Most requests repeat an earlier head, and validating one costs about as much as the
+# rest of the encoding.
+MAX_CACHED_HEADS = 1_024
 
 
 class HttpClientSettings(NamedTuple):
@@ -71,7 +75,8 @@
         """
         body = b"" if value is None else _encode_json(value)
         try:
-            head = _request_head(method, address, target, body, headers)
+            fields = tuple(headers.items()) if headers else ()
+            head = _request_head(method, address, target, len(body), fields)
         except (ValueError, h11.ProtocolError) as error:
             # Addresses and header values can come from other processes.
             raise NotSentError(f"invalid request to {address}: {error!r}") from error
@@ -160,15 +165,14 @@
         data = b"".join(part for part in parts if part)
         self._traffic.sent += len(data)
         await connection.socket.sendall(data)
+        await self._receive(connection)
         response: h11.Response | None = None
         chunks: list[bytes] = []
         size = 0
         while True:
             event = protocol.next_event()
             if event is h11.NEED_DATA:
-                received = await connection.socket.recv(READ_SIZE_BYTES)
-                self._traffic.received += len(received)
-                protocol.receive_data(received)
+                await self._receive(connection)
             elif isinstance(event, h11.Response):
                 response = event
             elif isinstance(event, h11.Data):
@@ -182,6 +186,11 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError("the peer closed the connection")
 
+    async def _receive(self, connection: _Connection) -> None:
+        data = await connection.socket.recv(READ_SIZE_BYTES)
+        self._traffic.received += len(data)
+        connection.protocol.receive_data(data)
+
 
 async def _open_connection(address: str) -> _Connection:
     # curio.open_connection starts a thread per call to resolve the name. Addresses
@@ -201,16 +210,17 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+@lru_cache(MAX_CACHED_HEADS)
 def _request_head(
     method: str,
     address: str,
     target: str,
-    body: bytes,
-    headers: dict[str, str] | None,
+    body_size: int,
+    headers: tuple[tuple[str, str], ...],
 ) -> h11.Request:
-    fields = [*{"host": address, **(headers or {})}.items()]
-    if body:
-        fields.append(("content-length", str(len(body))))
+    fields = [*{"host": address, **dict(headers)}.items()]
+    if body_size:
+        fields.append(("content-length", str(body_size)))
     return h11.Request(method=method, target=target, headers=fields)
 
 
--- a/packages/node/src/marigoldpath_node/http/_server.py
+++ b/packages/node/src/marigoldpath_node/http/_server.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Awaitable, Callable
+from functools import lru_cache
 from typing import NamedTuple
 
 import curio
@@ -11,6 +12,9 @@
 
 READ_SIZE_BYTES = 65_536
 ACCEPT_RETRY_S = 0.05
+# Most responses repeat an earlier head, and validating one costs about as much as the
+# rest of the encoding.
+MAX_CACHED_HEADS = 256
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -226,14 +230,14 @@
         connection: h11.Connection,
         response: HttpResponse,
     ) -> None:
-        headers = [
-            *response.headers.items(),
-            ("content-length", str(len(response.body))),
-        ]
-        if self._draining:
-            headers.append(("connection", "close"))
+        head = _response_head(
+            response.status,
+            len(response.body),
+            tuple(response.headers.items()),
+            closes=self._draining,
+        )
         parts = [
-            connection.send(h11.Response(status_code=response.status, headers=headers)),
+            connection.send(head),
             connection.send(h11.Data(data=response.body)),
             connection.send(h11.EndOfMessage()),
         ]
@@ -242,6 +246,16 @@
         await curio.timeout_after(self._settings.write_s, client.sendall, data)
 
 
+@lru_cache(MAX_CACHED_HEADS)
+def _response_head(
+    status: int, body_size: int, headers: tuple[tuple[str, str], ...], *, closes: bool
+) -> h11.Response:
+    fields = [*headers, ("content-length", str(body_size))]
+    if closes:
+        fields.append(("connection", "close"))
+    return h11.Response(status_code=status, headers=fields)
+
+
 def _make_request(head: h11.Request, body: bytes) -> HttpRequest:
     headers = {
         name.decode("ascii"): value.decode("latin-1") for name, value in head.headers
--- a/tests/node/test_cell_relays.py
+++ b/tests/node/test_cell_relays.py
@@ -117,15 +117,19 @@
         data["sent_s"] -= self.delay_s
         if self.error is not None:
             raise self.error
-        return (await self.server.accept_commands(data))["accepted"]
+        reply = json.loads(json.dumps(await self.server.accept_commands(data)))
+        return reply["accepted"], self._aged(reply["replies"])
 
     async def take_relayed_replies(self, _address, session, wait_s):
         if self.error is not None:
             raise self.error
         reply = await self.server.take_replies({"session": session, "wait_s": wait_s})
+        return self._aged(json.loads(json.dumps(reply))["replies"])
+
+    def _aged(self, replies):
         return [
             [number, age_ms + self.reply_age_ms, encoded]
-            for number, age_ms, encoded in json.loads(json.dumps(reply))["replies"]
+            for number, age_ms, encoded in replies
         ]
 
 
