Refuse jobs that would start too late, and answer counts from the leader's last status

A leader with too little processor time, or a flood beyond the workers' capacity, made every accepted job wait until it was late; the accepted work was started, lost and started again.

Ruled out: a bounded queue, as jobs differ by a factor of 100; the whole slack of a job as the limit, as a constant overload then makes each job a little late (10% of the capacity on time in the test of three times the load); refusing without a look at the store, as the repeat of a stored job, whose first reply was lost, would be told that it does not run.

Change: the leader estimates for each queue how long a new job would wait, and its status carries that to all hosts; a job that would start after half of its slack gets 429 and a time to retry from the same estimate, spread at random. Less urgent work never delays urgent jobs in it, and jobs that are late delay none. A job that is stored, or may be, is never refused. Hosts answer counts from a status of at most 1.5 s. Metrics for lag, limit, refusals by reason and attempts at other hosts.

--- a/packages/core/src/marigoldpath_core/fleet/__init__.py
+++ b/packages/core/src/marigoldpath_core/fleet/__init__.py
@@ -3,6 +3,7 @@
 A cell is the set of entry hosts and workers that share one leader.
 """
 
+from ._admission import Refusal, refuse_if_late
 from ._messages import (
     AdviceReplied,
     Commit,
@@ -46,6 +47,7 @@
     "JobsRead",
     "LogEvent",
     "QueuesChanged",
+    "Refusal",
     "RequestAdvice",
     "RosterEntry",
     "RunningTask",
@@ -65,4 +67,5 @@
     "WorkersListed",
     "choose_relays",
     "find_relay",
+    "refuse_if_late",
 ]
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -23,17 +23,21 @@
     waiting.sort(key=lambda step: _dispatch_priority(fleet, step))
     # The waiting tasks of more urgent steps that do not lack capacity.
     queued_tasks = 0
+    is_limited = False
     for step in waiting[: fleet.settings.max_steps_per_pass]:
         if fleet.is_blocked(step):
             continue
         if fleet.start_limit.is_queue_full(queued_tasks):
             # Advice for less urgent steps would expire before they can start.
+            is_limited = True
             break
         if not fleet.start_limit.is_reached:
             _place(fleet, pools, step)
         _advice.request_if_needed(fleet, pools, step)
         if step.is_request_in_flight or fleet.start_limit.is_reached:
             queued_tasks += step.waiting_tasks
+    if is_limited or (queued_tasks and fleet.start_limit.is_reached):
+        fleet.start_limit.record_limited(fleet.now_ms)
     _advice.prefetch(fleet, pools)
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -67,7 +67,7 @@
         self.advice_hosts = 0
         # The workers of the slow advice requests in flight, by step.
         self.slow_requests: dict[tuple[str, int, int], tuple[str, ...]] = {}
-        self.start_limit = StartLimit(settings)
+        self.start_limit = StartLimit(settings, now_ms)
         self.needs_dispatch = True
         self.needs_commit = False
         # The usable workers of each service when the pools were last built.
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -186,7 +186,7 @@
 
 
 def _allowed_ms(job: Job) -> float:
-    return job.queue.stretch * job.critical_path_ms() + job.queue.target_ms
+    return job.queue.allowed_ms(job.spec.critical_path_ms)
 
 
 def _age_ms(fleet: Fleet, job: Job) -> int:
--- a/packages/core/src/marigoldpath_core/fleet/_pools.py
+++ b/packages/core/src/marigoldpath_core/fleet/_pools.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from marigoldpath_core.jobs import Resources
+
 from ._fleet import Fleet
 from ._work import Step
 from ._worker import Worker
@@ -19,6 +21,7 @@
     content does not change. `by_free_cpu` and `by_free_accelerators` are the usable
     workers in the order of their free capacity when the pool was built, the one with
     the most first. `zones` are the workers of `by_free_cpu` by availability zone.
+    `capacity` is that of all usable workers together.
     """
 
     usable: dict[str, Worker]
@@ -27,6 +30,7 @@
     by_free_cpu: tuple[Worker, ...] = ()
     by_free_accelerators: tuple[Worker, ...] = ()
     zones: dict[str, list[Worker]] = {}  # noqa: RUF012
+    capacity: Resources = Resources()
 
 
 class Pools:
@@ -104,6 +108,7 @@
         tuple(by_free_cpu),
         tuple(by_free_accelerators),
         zones,
+        Resources(*map(sum, zip(*(each.entry.capacity for each in by_free_cpu)))),
     )
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -8,6 +8,7 @@
 from marigoldpath_core.jobs import JobState
 
 from . import (
+    _admission,
     _advice,
     _draining,
     _health,
@@ -297,6 +298,19 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
+    def start_delays_ms(self, now_ms: float) -> dict[str, int]:
+        """Return how long new jobs would wait for their first start, by queue.
+
+        Queues without a noticeable delay are omitted.
+        """
+        self._fleet.now_ms = now_ms
+        return _admission.start_delays_ms(self._fleet)
+
+    @property
+    def max_starts_in_flight(self) -> int:
+        """The number of starts without a reply that the leader's lag permits."""
+        return self._fleet.start_limit.limit
+
 
 def _adjust_start_limit(fleet: Fleet, lag_ms: float) -> None:
     limit = fleet.start_limit
--- a/packages/core/src/marigoldpath_core/fleet/_start_limit.py
+++ b/packages/core/src/marigoldpath_core/fleet/_start_limit.py
@@ -5,10 +5,18 @@
 with each repetition fall further behind.
 """
 
+import math
+
 from marigoldpath_core.jobs import TaskKey
 
+from ._rate import EventRate
 from ._settings import FleetSettings
 
+# The period over which the rate of starts is measured.
+RATE_PERIOD_MS = 1_000
+# The limit counts as the cause of a backlog for this time after it held back a task.
+LIMITED_MS = 1_000
+
 
 class StartLimit:
     """The starts without a reply, and how many there may be.
@@ -17,12 +25,14 @@
     while it lags, so that it settles at what the process can send.
     """
 
-    def __init__(self, settings: FleetSettings) -> None:
+    def __init__(self, settings: FleetSettings, now_ms: float) -> None:
         self._settings = settings
         self._limit = float(settings.max_starts_in_flight)
         self._in_flight: set[tuple[TaskKey, int]] = set()
         # Whether a start expired on its way since the last adjustment.
         self._has_expired = False
+        self._start_rate = EventRate(RATE_PERIOD_MS, now_ms)
+        self._limited_ms = -math.inf
 
     @property
     def limit(self) -> int:
@@ -78,6 +88,24 @@
         """Record that a worker refused a start because it arrived too late."""
         self._has_expired = True
 
+    def record_started(self, now_ms: float) -> None:
+        """Record that a worker executed a start."""
+        self._start_rate.record(now_ms)
+
+    def record_limited(self, now_ms: float) -> None:
+        """Record that tasks wait because the limit is reached."""
+        self._limited_ms = now_ms
+
+    def drain_ms(self, tasks: int, now_ms: float) -> float:
+        """Return how long the leader's process will take to start this many tasks.
+
+        The result is 0 unless the limit holds back tasks.
+        """
+        if now_ms - self._limited_ms > LIMITED_MS:
+            return 0.0
+        starts = tasks + len(self._in_flight)
+        return 1_000 * starts / max(1.0, self._start_rate.per_second(now_ms))
+
     def record_reply(self, task: TaskKey, run: int) -> None:
         """Record the reply to a start, or that there will be none."""
         self._in_flight.discard((task, run))
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -100,6 +100,7 @@
         run.until_clock_ms = None
         return
     run.confirmed_clock_ms = event.clock_ms
+    fleet.start_limit.record_started(fleet.now_ms)
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
     mark_started(run.task.step.job)
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -248,14 +248,6 @@
             for number in step.spec.after
         )
 
-    def critical_path_ms(self) -> int:
-        """Return the estimated duration of the longest chain of steps."""
-        lengths: list[int] = []
-        for step in self.spec.steps:
-            predecessors_ms = max((lengths[number] for number in step.after), default=0)
-            lengths.append(predecessors_ms + step.estimate_ms)
-        return max(lengths, default=0)
-
     def progress(self) -> Progress:
         """Return the progress to store."""
         done: dict[tuple[int, int], int] = {}
--- a/packages/core/src/marigoldpath_core/jobs/_model.py
+++ b/packages/core/src/marigoldpath_core/jobs/_model.py
@@ -47,6 +47,10 @@
     target_ms: float
     advice: AdvicePolicy | None = None
 
+    def allowed_ms(self, critical_path_ms: float) -> float:
+        """Return how long a job with this critical path may take to be on time."""
+        return self.stretch * critical_path_ms + self.target_ms
+
 
 class StepSpec(NamedTuple):
     """One step of a job, with `width` identical tasks.
@@ -87,6 +91,15 @@
     start_ms: int = 0
     interval_ms: int = 0
 
+    @property
+    def critical_path_ms(self) -> int:
+        """Return the estimated duration of the longest chain of steps."""
+        lengths: list[int] = []
+        for step in self.steps:
+            predecessors_ms = max((lengths[number] for number in step.after), default=0)
+            lengths.append(predecessors_ms + step.estimate_ms)
+        return max(lengths, default=0)
+
 
 class AcceptedJob(NamedTuple):
     """A stored job: its specification, its queue and when it was accepted.
--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -48,6 +48,7 @@
         self._store_health = store_health
         self._leader: LeaderRow | None = None
         self._leader_status: LeaderStatus | None = None
+        self._leader_status_s = 0.0
         self._is_stopped = False
         self._started_s = now_s()
         self._known_epoch = 0
@@ -64,6 +65,11 @@
         """The last status that a leader returned, or None before the first one."""
         return self._leader_status
 
+    @property
+    def leader_status_age_s(self) -> float:
+        """Seconds since the last status of a leader arrived."""
+        return now_s() - self._leader_status_s
+
     @property
     def known_epoch(self) -> int:
         """The highest epoch that this host has seen."""
@@ -225,6 +231,7 @@
 
     def _record_status(self, status: LeaderStatus) -> None:
         self._leader_status = status
+        self._leader_status_s = now_s()
         self.record_epoch(status.epoch)
 
     def _drop_leader(self, reason: str) -> None:
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -1,7 +1,10 @@
 """An entry host of a cell: accepts jobs, and runs the leader while it is elected."""
 
+from random import Random
+
 import curio
 
+from marigoldpath_core.fleet import Refusal, refuse_if_late
 from marigoldpath_core.jobs import AcceptedJob, JobSpec, JobState, Queue, TaskKey
 
 from ._clock import now_s, wall_ms
@@ -33,12 +36,25 @@
 
 # A stored job is sent to the leader at most this often, a check interval apart.
 FORWARD_ATTEMPTS = 4
+# A count of jobs that have not started may be this old when a caller receives it.
+MAX_PENDING_AGE_S = 1.5
 
 
 class UnavailableError(Exception):
     """The request cannot be served now; the caller may retry it."""
 
 
+class OverloadedError(Exception):
+    """The job was not accepted, because it would start too late to be done on time."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(
+            f"the job would start after {refusal.delay_ms} ms, "
+            f"and more than {refusal.limit_ms} ms is too late"
+        )
+        self.retry_after_s = refusal.retry_after_s
+
+
 class EntryHost:
     """Serves requests of callers and peers, and leads while this host is elected."""
 
@@ -63,6 +79,7 @@
             settings, dependencies.workers, dependencies.log
         )
         self._is_stopping = False
+        self._random = Random()
 
     @property
     def is_ready(self) -> bool:
@@ -149,8 +166,10 @@
 
         Unless its last store call failed, this host writes the job itself for at most
         `timeout_s`. If the job is not accepted, the leader and then other hosts are
-        requested to store it, which can take another `peer_timeout_s`.
+        requested to store it, which can take another `peer_timeout_s`. Raises
+        OverloadedError if the job would start too late.
         """
+        await self._refuse_if_late(spec, queue)
         started_s = now_s()
         # Jobs of priority 0 are confined to this zone, so that a network partition of
         # another zone cannot delay them. Other jobs may use the capacity of all zones.
@@ -162,6 +181,8 @@
             await curio.spawn(self._forward_job, stored, daemon=True)
         metrics = self._dependencies.metrics
         metrics.count_submission(outcome.value)
+        if outcome is SubmissionOutcome.NOT_RUN:
+            metrics.count_refusal("store_unavailable")
         metrics.observe_call("submit", now_s() - started_s)
         self._log.info(
             "job_submitted",
@@ -173,6 +194,41 @@
         )
         return outcome
 
+    async def _refuse_if_late(self, spec: JobSpec, queue: Queue) -> None:
+        """Raise OverloadedError if a new job would start too late.
+
+        A job that is stored, or may be, is never refused: the caller would be told that
+        it does not run.
+        """
+        delay_ms = self._start_delays_ms().get(queue.name, 0)
+        refusal = refuse_if_late(spec, queue, delay_ms, self._random.random())
+        if refusal is None or await self._may_be_stored(spec.job_id):
+            return
+        self._dependencies.metrics.count_submission("refused")
+        self._dependencies.metrics.count_refusal("overload")
+        self._log.info(
+            "job_refused", job=spec.job_id, queue=queue.name, **refusal._asdict()
+        )
+        raise OverloadedError(refusal)
+
+    def _start_delays_ms(self) -> dict[str, int]:
+        """Return the leader's estimates; they are empty while no leader is known."""
+        if self._leader is not None:
+            return self._leader.summary.start_delays_ms
+        status = self._election.leader_status
+        if self._election.leader is None or status is None:
+            return {}
+        return status.start_delays_ms
+
+    async def _may_be_stored(self, job_id: str) -> bool:
+        if self._job_writer.may_have_stored(job_id):
+            return True
+        try:
+            return await read_job(self._store, job_id) is not None
+        except StoreError as error:
+            self._log.info("job_not_looked_up", job=job_id, reason=repr(error))
+            return True
+
     async def state(self, job_id: str) -> JobState | None:
         """Return the state of a job, or None if it does not exist.
 
@@ -205,12 +261,16 @@
     async def pending(self, queue: str) -> int:
         """Return the number of a queue's jobs that have not started.
 
-        The number is estimated if no leader replies.
+        It may be as old as the leader's last status, if that is recent. The number is
+        estimated if no leader replies.
         """
         leader = self._election.leader
+        status = self._election.leader_status
         if self._leader is not None and self._leader.is_serving:
-            return self._leader.pending().get(queue, 0)
-        if leader is not None:
+            return self._leader.summary.pending.get(queue, 0)
+        if leader is not None and status is not None:
+            if self._election.leader_status_age_s <= MAX_PENDING_AGE_S:
+                return status.pending.get(queue, 0)
             try:
                 return (await self._peers.pending(leader.address)).get(queue, 0)
             except PeerError as error:
@@ -274,10 +334,11 @@
             self._leader.epoch,
             token,
             self._leader.store_age_s,
-            self._leader.pending(),
+            self._leader.summary.pending,
             self._leader.may_send_commands,
             self._followers.status_interval_s,
             self._followers.choose_writers(),
+            self._leader.summary.start_delays_ms,
         )
 
     @peer_routes.register("view")
@@ -329,7 +390,7 @@
     async def _serve_pending(self, _data: dict) -> dict | None:
         if self._leader is None or not self._leader.is_serving:
             return None
-        return {"pending": self._leader.pending()}
+        return {"pending": self._leader.summary.pending}
 
     @peer_routes.register("relay")
     async def _serve_relay(self, data: dict) -> dict | None:
--- a/packages/node/src/marigoldpath_node/cell/_job_writer.py
+++ b/packages/node/src/marigoldpath_node/cell/_job_writer.py
@@ -56,6 +56,7 @@
         self._settings = settings
         self._store = dependencies.store
         self._log = dependencies.log
+        self._metrics = dependencies.metrics
         self._peers = peers
         self._election: Election | None = None
         self._outage_since_s: float | None = None
@@ -77,6 +78,10 @@
             return 0.0
         return now_s() - self._outage_since_s
 
+    def may_have_stored(self, job_id: str) -> bool:
+        """Return whether a submission at this host stored a job, or may have."""
+        return job_id in self._outcomes
+
     def use_election(self, election: Election) -> None:
         """Set the election that finds the leader; its constructor needs this object."""
         self._election = election
@@ -208,6 +213,7 @@
             outcome, reason = SubmissionOutcome.UNKNOWN, repr(error)
         else:
             reason = ""
+        self._metrics.count_store_attempt(outcome.value)
         self._log.info(
             "job_passed_to_peer",
             job=job.spec.job_id,
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -1,7 +1,7 @@
 """Runs the scheduler of the cell while this process is the leader."""
 
 import math
-from typing import Any
+from typing import Any, NamedTuple
 
 import curio
 
@@ -46,8 +46,19 @@
 from ._relayed_workers import RelayedWorkerClient
 from ._settings import CellSettings
 
-# A count of pending jobs is reused for this time.
-PENDING_LIFETIME_S = 0.3
+# What is derived from all open jobs is reused for this time.
+SUMMARY_LIFETIME_S = 0.3
+
+
+class JobsSummary(NamedTuple):
+    """What a leader reports about its open jobs, by queue.
+
+    `pending` is the number of jobs that have not started, and `start_delays_ms` how
+    long a new job would wait for its first start, without queues that have no delay.
+    """
+
+    pending: dict[str, int] = {}  # noqa: RUF012
+    start_delays_ms: dict[str, int] = {}  # noqa: RUF012
 
 
 class Leader:
@@ -73,6 +84,7 @@
         self._store = dependencies.store
         self._directory = dependencies.directory
         self._log = dependencies.log
+        self._metrics = dependencies.metrics
         self._followers = followers
         self._term = term
         self._scheduler: FleetScheduler | None = None
@@ -80,8 +92,8 @@
         self._load_plan = plan_load(settings.link_mbps)
         self._state_reader = StateReader(dependencies.store, self._load_plan)
         self._queues: dict[str, Queue] = {}
-        self._pending: dict[str, int] = {}
-        self._pending_counted_s = -math.inf
+        self._summary = JobsSummary()
+        self._summarized_s = -math.inf
         self._synced_version = 0
         self._term_start_s = now_s()
         self._polled_workers: set[str] = set()
@@ -126,18 +138,22 @@
         """
         return None if self._scheduler is None else self._scheduler.job_state(job_id)
 
-    def pending(self) -> dict[str, int]:
-        """Return the number of jobs that have not started, keyed by queue.
+    @property
+    def summary(self) -> JobsSummary:
+        """The summary of the open jobs.
 
-        The result is empty until the stored state has been loaded, and up to
-        `PENDING_LIFETIME_S` old, because counting examines every job.
+        It is empty until the stored state has been loaded, and up to
+        `SUMMARY_LIFETIME_S` old, because it examines every job.
         """
-        if self._scheduler is None:
-            return {}
-        if now_s() - self._pending_counted_s >= PENDING_LIFETIME_S:
-            self._pending_counted_s = now_s()
-            self._pending = self._scheduler.pending()
-        return self._pending
+        scheduler = self._scheduler
+        if scheduler is not None:
+            summary_age_s = now_s() - self._summarized_s
+            if summary_age_s >= SUMMARY_LIFETIME_S:
+                self._summarized_s = now_s()
+                self._summary = JobsSummary(
+                    scheduler.pending(), scheduler.start_delays_ms(now_ms())
+                )
+        return self._summary
 
     async def run(self) -> None:
         """Lead until the term ends."""
@@ -413,8 +429,11 @@
             # A process without enough processor time runs its timers late.
             lag_ms = 1_000 * max(0.0, now_s() - due_s)
             await self.handle(Tick(wall_ms(), self._advice_host_count(), lag_ms))
-            if self._scheduler is not None and self._scheduler.needs_relays:
-                self._workers.activate()
+            scheduler = self._scheduler
+            if scheduler is not None:
+                self._metrics.set_lag(lag_ms / 1_000, scheduler.max_starts_in_flight)
+                if scheduler.needs_relays:
+                    self._workers.activate()
 
     def _advice_host_count(self) -> int:
         """Return the number of hosts that may send slow advice requests.
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -44,7 +44,8 @@
 
     A leader asks each follower to report its status every `status_interval_s`.
     `writers` are addresses of followers that reach the store and can store a job for a
-    host that does not.
+    host that does not. `start_delays_ms` is how long a new job would wait for its first
+    start, keyed by queue; queues without a delay are omitted.
     """
 
     epoch: int
@@ -54,6 +55,7 @@
     can_order: bool = True
     status_interval_s: float = 0.3
     writers: tuple[str, ...] = ()
+    start_delays_ms: dict[str, int] = {}  # noqa: RUF012
 
 
 class FollowerStatus(NamedTuple):
@@ -150,9 +152,17 @@
             await self._call(address, "advice", data, reply_s), "tickets"
         )
 
-    async def relay_commands(self, address: str, data: dict[str, Any]) -> bool:
-        """Send commands for workers to a relay; return whether it executes them."""
-        return _require_field(await self._call(address, "relay", data), "accepted")
+    async def relay_commands(
+        self, address: str, data: dict[str, Any]
+    ) -> tuple[bool, list[list[Any]]]:
+        """Send commands for workers to a relay.
+
+        Return whether it executes them, and the replies to earlier commands as from
+        `take_relayed_replies`.
+        """
+        reply = await self._call(address, "relay", data)
+        # A relay of an earlier build returns the replies only when they are taken.
+        return _require_field(reply, "accepted"), reply.get("replies", [])
 
     async def take_relayed_replies(
         self, address: str, session: str, wait_s: float
--- a/packages/node/src/marigoldpath_node/exposition/_metrics.py
+++ b/packages/node/src/marigoldpath_node/exposition/_metrics.py
@@ -22,6 +22,24 @@
         self._terminations = self._counter(
             "runs_ended", "Ends that workers told", "kind"
         )
+        self._refusals = self._counter(
+            "jobs_refused", "Jobs that were not accepted, by reason", "reason"
+        )
+        self._store_attempts = self._counter(
+            "store_attempts_at_peers",
+            "Requests to other hosts to store a job, by outcome",
+            "outcome",
+        )
+        self._lag = Gauge(
+            f"{PREFIX}_leader_lag_seconds",
+            "How late the leader's last timer fired",
+            registry=self._registry,
+        )
+        self._starts_in_flight = Gauge(
+            f"{PREFIX}_max_starts_in_flight",
+            "Starts without a reply that the leader's lag permits",
+            registry=self._registry,
+        )
         self._calls = Histogram(
             f"{PREFIX}_call_seconds",
             "Seconds until a call was settled",
@@ -49,6 +67,19 @@
         """Count a job submission, by its outcome."""
         self._jobs.labels(outcome).inc()
 
+    def count_refusal(self, reason: str) -> None:
+        """Count a job that was not accepted, by the reason."""
+        self._refusals.labels(reason).inc()
+
+    def count_store_attempt(self, outcome: str) -> None:
+        """Count a request to another host to store a job, by its outcome."""
+        self._store_attempts.labels(outcome).inc()
+
+    def set_lag(self, lag_s: float, max_starts_in_flight: int) -> None:
+        """Set the lag of this host as leader, and the resulting limit of starts."""
+        self._lag.set(lag_s)
+        self._starts_in_flight.set(max_starts_in_flight)
+
     def count_decision(self, event: str) -> None:
         """Count a decision of the leader, by its log event."""
         self._decisions.labels(event).inc()
--- a/tests/core/test_fleet_start_limit.py
+++ b/tests/core/test_fleet_start_limit.py
@@ -32,7 +32,7 @@
     """Guards against a leader that collapses under a load it cannot send."""
 
     def test_the_limit_shrinks_with_a_lag_and_recovers_without(self):
-        limit = StartLimit(SETTINGS)
+        limit = StartLimit(SETTINGS, 0.0)
         for _ in range(50):
             limit.adjust(LAGGING_MS)
         self.assertEqual(limit.limit, SETTINGS.min_starts_in_flight)
@@ -44,7 +44,7 @@
 
     def test_an_expired_start_lowers_the_limit(self):
         # A relay or a link can lag while the leader's process keeps up.
-        limit = StartLimit(SETTINGS)
+        limit = StartLimit(SETTINGS, 0.0)
         limit.record_expired()
         limit.adjust(0.0)
         lowered = limit.limit
@@ -53,7 +53,7 @@
         self.assertGreater(limit.limit, lowered)
 
     def test_a_reply_makes_room_for_one_more_start(self):
-        limit = StartLimit(SETTINGS._replace(max_starts_in_flight=1))
+        limit = StartLimit(SETTINGS._replace(max_starts_in_flight=1), 0.0)
         limit.record_start(task(0), 1)
         self.assertTrue(limit.is_reached)
         limit.record_reply(task(0), 2)
