Split the leader into loading, synchronization and summary

Change: StateLoader loads and renews the row meanwhile, create_scheduler builds the scheduler from the stored jobs, StateSync reads changes and removes expired jobs, JobsSummarizer keeps the summary. Ruled out: any change of behaviour.

--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -90,6 +90,11 @@
             return True
         return fleet.start_limit.needs_relays
 
+    @property
+    def max_starts_in_flight(self) -> int:
+        """The number of starts without a reply that the leader's lag permits."""
+        return self._fleet.start_limit.limit
+
     @property
     def workers(self) -> tuple[str, ...]:
         """The ids of the workers to poll."""
@@ -306,11 +311,6 @@
         self._fleet.now_ms = now_ms
         return _admission.start_delays_ms(self._fleet)
 
-    @property
-    def max_starts_in_flight(self) -> int:
-        """The number of starts without a reply that the leader's lag permits."""
-        return self._fleet.start_limit.limit
-
 
 def _adjust_start_limit(fleet: Fleet, lag_ms: float) -> None:
     limit = fleet.start_limit
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -1,7 +1,6 @@
 """Runs the scheduler of the cell while this process is the leader."""
 
-import math
-from typing import Any, NamedTuple
+from typing import Any
 
 import curio
 
@@ -10,7 +9,6 @@
     FleetScheduler,
     JobAccepted,
     JobCancelled,
-    JobsRead,
     QueuesChanged,
     Tick,
     WorkersListed,
@@ -27,38 +25,16 @@
 from ._ports import (
     CellDependencies,
     FencedError,
-    HistoryGoneError,
     RelayFailedError,
     StoreError,
     WorkerFailedError,
 )
-from ._records import (
-    JOBS_TABLE,
-    StateReader,
-    StoredState,
-    cancelled_jobs,
-    group_job_rows,
-    plan_load,
-    read_all,
-    read_leader,
-    remove_jobs,
-)
+from ._records import plan_load
 from ._relayed_workers import RelayedWorkerClient
 from ._settings import CellSettings
-
-# What is derived from all open jobs is reused for this time.
-SUMMARY_LIFETIME_S = 0.3
-
-
-class JobsSummary(NamedTuple):
-    """What a leader reports about its open jobs, by queue.
-
-    `pending` is the number of jobs that have not started, and `start_delays_ms` how
-    long a new job would wait for its first start, without queues that have no delay.
-    """
-
-    pending: dict[str, int] = {}  # noqa: RUF012
-    start_delays_ms: dict[str, int] = {}  # noqa: RUF012
+from ._state_loading import StateLoader, create_scheduler
+from ._state_sync import StateSync
+from ._summary import JobsSummarizer, JobsSummary
 
 
 class Leader:
@@ -90,11 +66,11 @@
         self._scheduler: FleetScheduler | None = None
         self._committer = Committer(settings, dependencies, term)
         self._load_plan = plan_load(settings.link_mbps)
-        self._state_reader = StateReader(dependencies.store, self._load_plan)
+        self._loader = StateLoader(
+            settings, dependencies, term, self._committer, self._load_plan
+        )
         self._queues: dict[str, Queue] = {}
-        self._summary = JobsSummary()
-        self._summarized_s = -math.inf
-        self._synced_version = 0
+        self._summarizer = JobsSummarizer()
         self._term_start_s = now_s()
         self._polled_workers: set[str] = set()
         self._effect_runner = EffectRunner(dependencies, followers, self)
@@ -121,8 +97,7 @@
         """
         if self._scheduler is not None:
             return self._committer.commit_age_s
-        load_age_s = self._state_reader.progress_age_s
-        return max(0.0, load_age_s - self._settings.load_timeout_s)
+        return self._loader.overdue_s
 
     @property
     def may_send_commands(self) -> bool:
@@ -140,35 +115,22 @@
 
     @property
     def summary(self) -> JobsSummary:
-        """The summary of the open jobs.
-
-        It is empty until the stored state has been loaded, and up to
-        `SUMMARY_LIFETIME_S` old, because it examines every job.
-        """
-        scheduler = self._scheduler
-        if scheduler is not None:
-            summary_age_s = now_s() - self._summarized_s
-            if summary_age_s >= SUMMARY_LIFETIME_S:
-                self._summarized_s = now_s()
-                self._summary = JobsSummary(
-                    scheduler.pending(), scheduler.start_delays_ms(now_ms())
-                )
-        return self._summary
+        """The summary of the open jobs, empty until the stored state was loaded."""
+        return self._summarizer.summarize(self._scheduler)
 
     async def run(self) -> None:
         """Lead until the term ends."""
         try:
             await self.spawn(self._renew_loop)
-            await self._load_state()
+            if not await self._load_state():
+                await self.end("another leader was elected while the state was loaded")
             if self._term_ended.is_set():
                 return
             loops = (
                 self._commit_loop,
                 self._directory_loop,
-                self._resync_loop,
                 self._tick_loop,
                 self._dispatch_loop,
-                self._cleanup_loop,
                 self._transfer_loop,
                 self._reachability_loop,
             )
@@ -237,93 +199,39 @@
             self._log.info("leadership_lost", epoch=self.epoch, reason=reason)
             await self._term_ended.set()
 
-    async def _load_state(self) -> None:
-        load_start_ms = now_ms()
-        reply_s = self._settings.load_page_timeout_s
-        while True:
-            try:
-                stored = await self._state_reader.read(reply_s)
-                entries = await self._directory.list_workers()
-                break
-            except StoreError as error:
-                self._log.warning(
-                    "leader_load_failed", reason=repr(error), reply_s=reply_s
-                )
-            if await self._is_superseded():
-                await self.end("another leader was elected while the state was loaded")
-                return
-            reply_s = min(2 * reply_s, self._settings.max_load_page_timeout_s)
-            await curio.sleep(self._settings.commit_retry_s)
-        self._scheduler = self._create_scheduler(stored)
-        self._committer.use_scheduler(self._scheduler)
-        self._log.info(
-            "leader_loaded",
-            epoch=self.epoch,
-            jobs=len(stored.jobs),
-            roster=len(stored.roster),
-            workers=len(entries),
-            took_ms=round(now_ms() - load_start_ms),
-        )
-        await self.handle(WorkersListed(entries))
-        await self._poll_new_workers()
-
-    def _create_scheduler(self, stored: StoredState) -> FleetScheduler:
-        # The load may have taken so long that the row written before it proves nothing.
-        scheduler = FleetScheduler(
-            self._settings.fleet,
-            self.epoch,
-            stored.roster,
-            now_ms(),
-            row_confirmed_ms=1_000 * self._committer.committed_s,
-        )
-        self._synced_version = stored.version
-        scheduler.handle(QueuesChanged(self._queues), now_ms())
-        scheduler.handle(Tick(wall_ms()), now_ms())
+    async def _load_state(self) -> bool:
+        """Create the scheduler; return whether this is still the newest leader."""
+        loaded = await self._loader.load()
+        if loaded is None:
+            return False
+        stored = loaded.stored
         if stored.unreadable:
             self._log.error("rows_unreadable", jobs=sorted(stored.unreadable))
-        # The previous leader may have terminated after it removed a job's row and
-        # before it removed the job's progress.
-        scheduler.forget(
-            tuple(set(stored.progress) - set(stored.jobs) - stored.unreadable)
+        scheduler = create_scheduler(
+            self._settings,
+            self.epoch,
+            self._committer.committed_s,
+            stored,
+            self._queues,
+        )
+        self._scheduler = scheduler
+        self._committer.use_scheduler(scheduler)
+        await self.handle(WorkersListed(loaded.entries))
+        await self._poll_new_workers()
+        sync = StateSync(
+            self._settings,
+            self._dependencies,
+            self._load_plan,
+            stored.version,
+            self.handle,
         )
-        for job_id, stored_job in stored.jobs.items():
-            if stored_job.is_cancelled:
-                scheduler.handle(JobCancelled(job_id), now_ms())
-            progress = stored.progress.get(job_id)
-            scheduler.handle(JobAccepted(stored_job.job, progress), now_ms())
-        return scheduler
+        await self.spawn(sync.resync)
+        await self.spawn(sync.clean_up, scheduler, self._committer)
+        return True
 
     async def _renew_loop(self) -> None:
-        """Renew the leader's row while the stored state is being loaded.
-
-        The messages of a host with a slow link are late during the load. Others would
-        replace it, and load as slowly. The loop stops renewing if the load does not
-        progress, so that a host that can load replaces this one.
-        """
-        settings = self._settings
-        deadline_s = self._term_start_s + settings.max_load_s
-        while True:
-            await curio.sleep(settings.commit_interval_s)
-            if self._scheduler is not None or now_s() > deadline_s:
-                return
-            if self._state_reader.progress_age_s > settings.load_progress_timeout_s:
-                continue
-            if not await self._committer.renew():
-                await self.end("the leader's row was replaced")
-                return
-
-    async def _is_superseded(self) -> bool:
-        """Return whether the leader's row belongs to another term or is missing.
-
-        The result is False if the row cannot be read.
-        """
-        try:
-            row, _ = await read_leader(self._store)
-        except StoreError as error:
-            self._log.info("leader_row_unread", reason=repr(error))
-            return False
-        own_row = self._term.row
-        return row is None or (row.epoch, row.token) != (own_row.epoch, own_row.token)
+        if not await self._loader.renew_row():
+            await self.end("the leader's row was replaced")
 
     async def _commit_loop(self) -> None:
         await self._committer.run()
@@ -340,62 +248,6 @@
             await self.handle(WorkersListed(entries))
             await self._poll_new_workers()
 
-    async def _resync_loop(self) -> None:
-        """Read the changed job rows, because messages from other hosts may be lost."""
-        while True:
-            await curio.sleep(self._settings.resync_interval_s)
-            read_start_ms = now_ms()
-            try:
-                changed = await self._store.changes(JOBS_TABLE, self._synced_version, 0)
-            except HistoryGoneError:
-                self._log.info("sweep_history_gone", after=self._synced_version)
-                await self._resync_all()
-                continue
-            except StoreError as error:
-                self._log.warning("sweep_failed", reason=repr(error))
-                continue
-            await self._apply_rows(changed.rows)
-            self._synced_version = max(self._synced_version, changed.version)
-            await self.handle(JobsRead(read_start_ms))
-
-    async def _resync_all(self) -> None:
-        read_start_ms = now_ms()
-        try:
-            stored = await read_all(self._store, self._load_plan)
-        except StoreError as error:
-            self._log.warning("sweep_failed", reason=repr(error))
-            return
-        for job_id, stored_job in stored.jobs.items():
-            if stored_job.is_cancelled:
-                await self.handle(JobCancelled(job_id))
-            await self.handle(JobAccepted(stored_job.job, stored.progress.get(job_id)))
-        self._synced_version = stored.version
-        await self.handle(JobsRead(read_start_ms))
-
-    async def _apply_rows(self, rows: tuple) -> None:
-        for job_id in cancelled_jobs(rows):
-            await self.handle(JobCancelled(job_id))
-        for stored_job in group_job_rows(rows).values():
-            await self.handle(JobAccepted(stored_job.job))
-
-    async def _cleanup_loop(self) -> None:
-        """Remove the rows of jobs whose retention has expired."""
-        assert self._scheduler is not None
-        while True:
-            await curio.sleep(self._settings.cleanup_interval_s)
-            expired_jobs = self._scheduler.expired_jobs(
-                now_ms(), self._settings.max_jobs_per_commit // 2
-            )
-            if not expired_jobs:
-                continue
-            try:
-                await remove_jobs(self._store, expired_jobs)
-            except StoreError as error:
-                self._log.info("jobs_not_removed", reason=repr(error))
-                continue
-            self._scheduler.forget(expired_jobs)
-            await self._committer.wake()
-
     async def _transfer_loop(self) -> None:
         """Transfer the leadership once a follower with a much larger host is found."""
         larger_host = ""
--- /dev/null
+++ b/packages/node/src/marigoldpath_node/cell/_summary.py
@@ -0,0 +1,39 @@
+"""Summarizes a leader's open jobs for its own callers and for the other hosts."""
+
+import math
+from typing import NamedTuple
+
+from marigoldpath_core.fleet import FleetScheduler
+
+from ._clock import now_ms, now_s
+
+# A summary is reused for this time, because it examines every job.
+SUMMARY_LIFETIME_S = 0.3
+
+
+class JobsSummary(NamedTuple):
+    """What a leader reports about its open jobs, by queue.
+
+    `pending` is the number of jobs that have not started, and `start_delays_ms` how
+    long a new job would wait for its first start, without queues that have no delay.
+    """
+
+    pending: dict[str, int] = {}  # noqa: RUF012
+    start_delays_ms: dict[str, int] = {}  # noqa: RUF012
+
+
+class JobsSummarizer:
+    """Keeps the last summary for `SUMMARY_LIFETIME_S`."""
+
+    def __init__(self) -> None:
+        self._summary = JobsSummary()
+        self._summarized_s = -math.inf
+
+    def summarize(self, scheduler: FleetScheduler | None) -> JobsSummary:
+        """Return a summary of the scheduler's jobs, which is empty without one."""
+        if scheduler is not None and now_s() - self._summarized_s >= SUMMARY_LIFETIME_S:
+            self._summarized_s = now_s()
+            self._summary = JobsSummary(
+                scheduler.pending(), scheduler.start_delays_ms(now_ms())
+            )
+        return self._summary
