Stop the commands of a leader before it releases its row

Cause: operators of similar systems saw two processes act around a hand-over. A leader that releases its row names a successor, which may act as soon as the row is stored; the former leader went on to start tasks and renew leases while it told the successor, for up to 0.6 s. Workers refuse its epoch once the successor has polled them, so nothing ran twice, but until then both gave orders. Found on the way: without authority a leader polled each worker again at once, without a pause.

Ruled out: ending the term before the release. The release stores the last decisions, for which the scheduler is needed.

Change: the scheduler retires before the release: no dispatch, no lease, no further poll.

--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -66,6 +66,7 @@
         self._row_confirmed_ms = (
             now_ms if row_confirmed_ms is None else row_confirmed_ms
         )
+        self._is_retired = False
 
     @property
     def is_superseded(self) -> bool:
@@ -117,12 +118,21 @@
         self._fleet.effects = []
         return effects
 
+    def retire(self) -> None:
+        """Send no more commands, because the leadership is being released.
+
+        The successor may act as soon as the released row is stored.
+        """
+        self._is_retired = True
+
     def may_send_commands(self, now_ms: float) -> bool:
         """Return whether this leader may send commands to workers.
 
         It may if it stored its row recently, or if a majority of the workers replied to
         its epoch recently. In both cases no later leader can have started a task yet.
         """
+        if self._is_retired:
+            return False
         if now_ms - self._row_confirmed_ms < self._settings.row_authority_ms:
             return True
         return self._has_majority(now_ms - self._settings.majority_window_ms)
@@ -149,13 +159,14 @@
         return reachable * 2 > len(workers)
 
     def next_poll(self, worker_id: str, now_ms: float) -> WorkerPoll | None:
-        """Return the parameters of a poll of the worker, None if it was removed.
+        """Return the parameters of a poll of the worker.
 
+        None means that the worker was removed or that the leader has retired.
         A poll of an unresponsive worker grants no lease, because a new lease would
         delay the time from which its tasks may run on other workers.
         """
         worker = self._fleet.workers.get(worker_id)
-        if worker is None:
+        if worker is None or self._is_retired:
             return None
         address = worker.entry.address
         if worker.is_unresponsive or worker.last_polled_ms is None:
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -147,6 +147,8 @@
         await self._transfer_leadership(self._followers.choose_successor())
 
     async def _transfer_leadership(self, successor: str) -> None:
+        if self._scheduler is not None:
+            self._scheduler.retire()
         self._log.info("leadership_released", epoch=self.epoch, successor=successor)
         await self._committer.release(successor)
         await self._followers.notify_successor(successor)
@@ -357,6 +359,9 @@
                 await self._committer.wait_for_commit()
             elif poll.until_clock_ms is not None:
                 await curio.sleep(self._settings.poll_interval_s)
+            elif not self.may_send_commands:
+                # Without authority, polls grant no lease and do not wait.
+                await curio.sleep(self._settings.poll_retry_s)
         self._polled_workers.discard(worker_id)
 
     async def spawn(self, function: Any, *arguments: Any) -> None:
--- a/tests/core/test_fleet_health.py
+++ b/tests/core/test_fleet_health.py
@@ -269,6 +269,32 @@
         self.assertEqual([each.task for each in stopped], [self.command.task])
 
 
+class RetiredLeaderTests(unittest.TestCase):
+    """Guards against commands of two leaders around a hand-over.
+
+    The successor may act as soon as the released row is stored, while the process of
+    the former leader still runs.
+    """
+
+    def test_a_leader_that_releases_its_row_sends_nothing_more(self):
+        harness = FleetHarness(entry("a"))
+        harness.report_all()
+        harness.commit()
+        harness.accept(job(step()))
+        harness.scheduler.retire()
+        self.assertEqual(harness.dispatch_starts(), [])
+        self.assertFalse(harness.scheduler.may_send_commands(harness.now_ms))
+        self.assertIsNone(harness.scheduler.next_poll("a", harness.now_ms))
+
+    def test_its_last_commit_does_not_revive_it(self):
+        harness = FleetHarness(entry("a"))
+        harness.report_all()
+        harness.scheduler.retire()
+        harness.commit()
+        harness.accept(job(step()))
+        self.assertEqual(harness.dispatch_starts(), [])
+
+
 class DrainingTests(unittest.TestCase):
     """Guards against the loss of work when a draining worker is removed.
 
