Refuse jobs for work ahead of them only if they would be of no use

A leader that has just been elected also measured its rate of starts over its first moments.

Ruled out: no estimate of work at all; a job that would be done after three times its allowed time is known to be of no use.

Change: the leader reports two backlogs for each queue. That of starts, whose rate is measured, refuses jobs that are likely to be late, and only after the limit has held back tasks for 2 s. That of work refuses jobs that would be of no use.

--- a/packages/core/src/marigoldpath_core/fleet/__init__.py
+++ b/packages/core/src/marigoldpath_core/fleet/__init__.py
@@ -3,7 +3,7 @@
 A cell is the set of entry hosts and workers that share one leader.
 """
 
-from ._admission import Refusal, refuse_if_late
+from ._admission import Backlog, Refusal, refuse_if_late
 from ._messages import (
     AdviceReplied,
     Commit,
@@ -37,6 +37,7 @@
 
 __all__ = [
     "AdviceReplied",
+    "Backlog",
     "Commit",
     "Effect",
     "Event",
--- a/packages/core/src/marigoldpath_core/fleet/_admission.py
+++ b/packages/core/src/marigoldpath_core/fleet/_admission.py
@@ -1,4 +1,4 @@
-"""Estimates when new jobs would start, and refuses those that would be late.
+"""Measures what new jobs have to wait for, and refuses those that would be too late.
 
 This answers more submissions than the workers have capacity for, or than the leader's
 process can start, such as a flood or a leader with little processor time. Without it,
@@ -15,21 +15,37 @@
 from ._pools import current_pools
 from ._work import Step
 
-# A delay below this is not reported to the other hosts; it makes no job late.
-MIN_DELAY_MS = 100
-# The rest of a job's slack is for its later steps, and for the age of the estimate.
-# Without it a constant overload would make each job a little late.
+# A shorter backlog is not reported to the other hosts; it makes no job late.
+MIN_BACKLOG_MS = 100
+# The part of a job's slack that its first start may use. The rest is for its later
+# steps, and for the age of the estimate. Without it a constant overload would make each
+# job a little late.
 USABLE_SLACK_FRACTION = 0.5
+# A job that takes more than this multiple of the allowed time is of no use any more.
+USELESS_FACTOR = 3.0
+
+
+class Backlog(NamedTuple):
+    """What a new job has to wait for, by queue; queues without a backlog are omitted.
+
+    `starts_ms` is the time until the leader's process has sent the starts that come
+    first; it is 0 unless the process lags. `work_ms` is the time that the workers take
+    for the work that comes first, if they do nothing else.
+    """
+
+    starts_ms: dict[str, int] = {}  # noqa: RUF012
+    work_ms: dict[str, int] = {}  # noqa: RUF012
 
 
 class Refusal(NamedTuple):
     """The reason why a job is refused, and when to submit it again.
 
-    A job that was accepted now would start after `delay_ms`, and is likely to be late
-    if it starts after `limit_ms`.
+    The first tasks of a job that was accepted now would wait for `backlog_ms`, of
+    starts or of work as `cause` states. More than `limit_ms` is too late.
     """
 
-    delay_ms: int
+    cause: str
+    backlog_ms: int
     limit_ms: int
     retry_after_s: int
 
@@ -48,41 +64,55 @@
 
 
 def refuse_if_late(
-    spec: JobSpec, queue: Queue, delay_ms: float, spread: float
+    spec: JobSpec, queue: Queue, backlog: Backlog, spread: float
 ) -> Refusal | None:
-    """Return a refusal if a job that starts after `delay_ms` would be late.
+    """Return a refusal if a job would start too late.
 
-    `spread` is a random number between 0 and 1. It distributes the retries of callers
-    that are refused at the same time.
+    The rate of starts is measured, so a job is refused if it is likely to be late. The
+    duration of work is the callers' estimate, so a job is refused for it only if the
+    job would be of no use. `spread` is a random number between 0 and 1, which
+    distributes the retries of callers that are refused at the same time.
     """
     critical_path_ms = spec.critical_path_ms
-    slack_ms = max(0.0, queue.allowed_ms(critical_path_ms) - critical_path_ms)
-    limit_ms = USABLE_SLACK_FRACTION * slack_ms
-    if delay_ms <= limit_ms:
-        return None
-    retry_after_s = math.ceil((delay_ms - limit_ms) / 1_000 * (1 + spread))
-    return Refusal(round(delay_ms), round(limit_ms), retry_after_s)
+    allowed_ms = queue.allowed_ms(critical_path_ms)
+    waits = (
+        (
+            "starts",
+            backlog.starts_ms.get(queue.name, 0),
+            USABLE_SLACK_FRACTION * max(0.0, allowed_ms - critical_path_ms),
+        ),
+        (
+            "work",
+            backlog.work_ms.get(queue.name, 0),
+            USELESS_FACTOR * allowed_ms - critical_path_ms,
+        ),
+    )
+    for cause, backlog_ms, limit_ms in waits:
+        if backlog_ms > limit_ms:
+            retry_after_s = math.ceil((backlog_ms - limit_ms) / 1_000 * (1 + spread))
+            return Refusal(cause, backlog_ms, round(limit_ms), retry_after_s)
+    return None
 
 
-def start_delays_ms(fleet: Fleet) -> dict[str, int]:
-    """Return how long a new job of each queue would wait for its first start.
+def measure_backlog(fleet: Fleet) -> Backlog:
+    """Return what a new job of each queue has to wait for.
 
-    Queues without a noticeable delay are omitted. The estimate is a lower bound: it
-    counts the tasks that wait now and are more urgent, not those that run.
+    Both times are lower bounds: they count the tasks that wait now and are more urgent,
+    not those that run.
     """
     pending = list(_pending_work(fleet))
     if not pending:
-        return {}
-    delays: dict[tuple[str, int], float] = {}
+        return Backlog()
+    backlog = Backlog({}, {})
+    times: dict[tuple[str, int], tuple[float, float]] = {}
     for queue in fleet.queues.values():
         key = (queue.service, queue.priority)
-        if key not in delays:
-            delays[key] = _delay_ms(fleet, pending, *key)
-    return {
-        queue.name: round(delays[queue.service, queue.priority])
-        for queue in fleet.queues.values()
-        if delays[queue.service, queue.priority] >= MIN_DELAY_MS
-    }
+        if key not in times:
+            times[key] = _times_ms(fleet, pending, *key)
+        for by_queue, time_ms in zip(backlog, times[key]):
+            if time_ms >= MIN_BACKLOG_MS:
+                by_queue[queue.name] = round(time_ms)
+    return backlog
 
 
 def _pending_work(fleet: Fleet) -> Iterator[PendingWork]:
@@ -107,21 +137,21 @@
     return Resources(*(task_ms * amount for amount in step.need))
 
 
-def _delay_ms(
+def _times_ms(
     fleet: Fleet, pending: list[PendingWork], service: str, priority: int
-) -> float:
-    """Return the delay of a new job that is on time."""
+) -> tuple[float, float]:
+    """Return the times of starts and of work before those of a new job on time."""
     ahead = [
         each
         for each in pending
         if each.priority < priority or (each.priority == priority and not each.is_late)
     ]
-    drain_ms = fleet.start_limit.drain_ms(
+    starts_ms = fleet.start_limit.drain_ms(
         sum(each.tasks for each in ahead), fleet.now_ms
     )
     works = [each.work for each in ahead if each.service == service]
     capacity = current_pools(fleet).get(service).capacity
-    return max(drain_ms, _processing_ms(works, capacity))
+    return starts_ms, _processing_ms(works, capacity)
 
 
 def _processing_ms(works: list[Resources], capacity: Resources) -> float:
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -18,6 +18,7 @@
     _terminations,
     _throttling,
 )
+from ._admission import Backlog
 from ._dispatch import dispatch
 from ._fleet import Fleet, handlers
 from ._messages import Commit, Effect, Event, RosterEntry, Tick
@@ -314,13 +315,10 @@
                 counts[name] = counts.get(name, 0) + 1
         return counts
 
-    def start_delays_ms(self, now_ms: float) -> dict[str, int]:
-        """Return how long new jobs would wait for their first start, by queue.
-
-        Queues without a noticeable delay are omitted.
-        """
+    def backlog(self, now_ms: float) -> Backlog:
+        """Return what a new job of each queue has to wait for."""
         self._fleet.now_ms = now_ms
-        return _admission.start_delays_ms(self._fleet)
+        return _admission.measure_backlog(self._fleet)
 
 
 def _adjust_start_limit(fleet: Fleet, lag_ms: float) -> None:
--- a/packages/core/src/marigoldpath_core/fleet/_start_limit.py
+++ b/packages/core/src/marigoldpath_core/fleet/_start_limit.py
@@ -32,6 +32,8 @@
         # Whether a start expired on its way since the last adjustment.
         self._has_expired = False
         self._start_rate = EventRate(RATE_PERIOD_MS, now_ms)
+        # When tasks first and last waited because of the limit, without a pause.
+        self._limited_since_ms = math.inf
         self._limited_ms = -math.inf
 
     @property
@@ -94,15 +96,20 @@
 
     def record_limited(self, now_ms: float) -> None:
         """Record that tasks wait because the limit is reached."""
+        if now_ms - self._limited_ms > LIMITED_MS:
+            self._limited_since_ms = now_ms
         self._limited_ms = now_ms
 
     def drain_ms(self, tasks: int, now_ms: float) -> float:
         """Return how long the leader's process will take to start this many tasks.
 
-        The result is 0 unless the limit holds back tasks.
+        The result is 0 unless the limit has held back tasks for so long that the rate
+        of starts is known, so that a new leader refuses nothing while it catches up.
         """
         if now_ms - self._limited_ms > LIMITED_MS:
             return 0.0
+        if now_ms - self._limited_since_ms < 2 * RATE_PERIOD_MS:
+            return 0.0
         starts = tasks + len(self._in_flight)
         return 1_000 * starts / max(1.0, self._start_rate.per_second(now_ms))
 
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from marigoldpath_core.fleet import Refusal, refuse_if_late
+from marigoldpath_core.fleet import Backlog, Refusal, refuse_if_late
 from marigoldpath_core.jobs import AcceptedJob, JobSpec, JobState, Queue, TaskKey
 
 from ._clock import now_s, wall_ms
@@ -49,7 +49,7 @@
 
     def __init__(self, refusal: Refusal) -> None:
         super().__init__(
-            f"the job would start after {refusal.delay_ms} ms, "
+            f"the {refusal.cause} ahead of the job will take {refusal.backlog_ms} ms, "
             f"and more than {refusal.limit_ms} ms is too late"
         )
         self.retry_after_s = refusal.retry_after_s
@@ -200,8 +200,7 @@
         A job that is stored, or may be, is never refused: the caller would be told that
         it does not run.
         """
-        delay_ms = self._start_delays_ms().get(queue.name, 0)
-        refusal = refuse_if_late(spec, queue, delay_ms, self._random.random())
+        refusal = refuse_if_late(spec, queue, self._backlog(), self._random.random())
         if refusal is None or await self._may_be_stored(spec.job_id):
             return
         self._dependencies.metrics.count_submission("refused")
@@ -211,14 +210,14 @@
         )
         raise OverloadedError(refusal)
 
-    def _start_delays_ms(self) -> dict[str, int]:
-        """Return the leader's estimates; they are empty while no leader is known."""
+    def _backlog(self) -> Backlog:
+        """Return the leader's backlog, which is empty while no leader is known."""
         if self._leader is not None:
-            return self._leader.summary.start_delays_ms
+            return self._leader.summary.backlog
         status = self._election.leader_status
         if self._election.leader is None or status is None:
-            return {}
-        return status.start_delays_ms
+            return Backlog()
+        return Backlog(status.starts_backlog_ms, status.work_backlog_ms)
 
     async def _may_be_stored(self, job_id: str) -> bool:
         if self._job_writer.may_have_stored(job_id):
@@ -338,7 +337,7 @@
             self._leader.may_send_commands,
             self._followers.status_interval_s,
             self._followers.choose_writers(),
-            self._leader.summary.start_delays_ms,
+            *self._leader.summary.backlog,
         )
 
     @peer_routes.register("view")
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -44,8 +44,8 @@
 
     A leader asks each follower to report its status every `status_interval_s`.
     `writers` are addresses of followers that reach the store and can store a job for a
-    host that does not. `start_delays_ms` is how long a new job would wait for its first
-    start, keyed by queue; queues without a delay are omitted.
+    host that does not. `starts_backlog_ms` and `work_backlog_ms` are the fields of the
+    leader's `Backlog`.
     """
 
     epoch: int
@@ -55,7 +55,8 @@
     can_order: bool = True
     status_interval_s: float = 0.3
     writers: tuple[str, ...] = ()
-    start_delays_ms: dict[str, int] = {}  # noqa: RUF012
+    starts_backlog_ms: dict[str, int] = {}  # noqa: RUF012
+    work_backlog_ms: dict[str, int] = {}  # noqa: RUF012
 
 
 class FollowerStatus(NamedTuple):
--- a/packages/node/src/marigoldpath_node/cell/_summary.py
+++ b/packages/node/src/marigoldpath_node/cell/_summary.py
@@ -3,7 +3,7 @@
 import math
 from typing import NamedTuple
 
-from marigoldpath_core.fleet import FleetScheduler
+from marigoldpath_core.fleet import Backlog, FleetScheduler
 
 from ._clock import now_ms, now_s
 
@@ -12,14 +12,13 @@
 
 
 class JobsSummary(NamedTuple):
-    """What a leader reports about its open jobs, by queue.
+    """What a leader reports about its open jobs.
 
-    `pending` is the number of jobs that have not started, and `start_delays_ms` how
-    long a new job would wait for its first start, without queues that have no delay.
+    `pending` is the number of jobs that have not started, by queue.
     """
 
     pending: dict[str, int] = {}  # noqa: RUF012
-    start_delays_ms: dict[str, int] = {}  # noqa: RUF012
+    backlog: Backlog = Backlog()
 
 
 class JobsSummarizer:
@@ -34,6 +33,6 @@
         if scheduler is not None and now_s() - self._summarized_s >= SUMMARY_LIFETIME_S:
             self._summarized_s = now_s()
             self._summary = JobsSummary(
-                scheduler.pending(), scheduler.start_delays_ms(now_ms())
+                scheduler.pending(), scheduler.backlog(now_ms())
             )
         return self._summary
--- a/tests/core/test_fleet_admission.py
+++ b/tests/core/test_fleet_admission.py
@@ -3,6 +3,7 @@
 import unittest
 
 from marigoldpath_core.fleet import (
+    Backlog,
     FleetSettings,
     QueuesChanged,
     StartResult,
@@ -10,6 +11,7 @@
     refuse_if_late,
 )
 from marigoldpath_core.fleet._rate import EventRate
+from marigoldpath_core.fleet._start_limit import StartLimit
 from marigoldpath_core.jobs import JobSpec
 from tests.core.fleet_fixture import (
     BACKGROUND,
@@ -30,9 +32,10 @@
 class RefusalTests(unittest.TestCase):
     """Guards against jobs that wait although they can only be late."""
 
-    def refuse(self, delay_ms, spread=0.0, queue=URGENT):
+    def refuse(self, starts_ms, spread=0.0, queue=URGENT, work_ms=0):
         spec = JobSpec("00000000000000aa", "", (step(estimate_ms=1_000),))
-        return refuse_if_late(spec, queue, delay_ms, spread)
+        backlog = Backlog({queue.name: starts_ms}, {queue.name: work_ms})
+        return refuse_if_late(spec, queue, backlog, spread)
 
     def test_a_job_that_can_be_on_time_is_accepted(self):
         # The queue allows 1.5 times the duration and 300 ms more. Half of that is for
@@ -41,9 +44,15 @@
 
     def test_a_job_that_would_be_late_is_refused(self):
         refusal = self.refuse(401)
-        self.assertEqual((refusal.delay_ms, refusal.limit_ms), (401, 400))
+        self.assertEqual(refusal[:3], ("starts", 401, 400))
         self.assertEqual(refusal.retry_after_s, 1)
 
+    def test_work_ahead_refuses_only_jobs_that_would_be_of_no_use(self):
+        """The durations are estimates, and a late job is still of some use."""
+        # Three times the 1,800 ms that the queue allows, without the job's own time.
+        self.assertIsNone(self.refuse(0, work_ms=4_400))
+        self.assertEqual(self.refuse(0, work_ms=4_401)[:3], ("work", 4_401, 4_400))
+
     def test_the_retry_follows_the_time_that_the_backlog_takes(self):
         self.assertEqual(self.refuse(4_300).retry_after_s, 4)
 
@@ -55,7 +64,7 @@
         self.assertIsNone(self.refuse(1_200, queue=BACKGROUND))
 
 
-class DelayTests(unittest.TestCase):
+class BacklogTests(unittest.TestCase):
     """Guards against estimates that refuse jobs which could start."""
 
     def setUp(self):
@@ -63,8 +72,8 @@
         self.harness.handle(QueuesChanged(QUEUES))
         self.harness.report_all()
 
-    def delays(self):
-        return self.harness.scheduler.start_delays_ms(self.harness.now_ms)
+    def work_ms(self):
+        return self.harness.scheduler.backlog(self.harness.now_ms).work_ms
 
     def add_job(self, number, queue, width=4, estimate_ms=1_000):
         job_id = f"{number:016x}"
@@ -72,30 +81,30 @@
             job(step(width, estimate_ms=estimate_ms), queue=queue, job_id=job_id)
         )
 
-    def test_without_waiting_tasks_there_is_no_delay(self):
+    def test_without_waiting_tasks_there_is_none(self):
         self.add_job(1, URGENT)
         self.harness.dispatch()
-        self.assertEqual(self.delays(), {})
+        self.assertEqual(self.work_ms(), {})
 
-    def test_the_delay_is_the_work_ahead_over_the_capacity(self):
+    def test_the_time_is_that_of_the_work_ahead_on_all_workers(self):
         for number in range(1, 4):
             self.add_job(number, URGENT)
         self.harness.dispatch()
         # One job runs; the other two need 8 s of one processor, of which there are 4.
-        self.assertEqual(self.delays()["urgent"], 2_000)
+        self.assertEqual(self.work_ms()["urgent"], 2_000)
 
     def test_less_urgent_work_delays_no_urgent_job(self):
         """Guards against a flood of one kind of work that starves the others."""
         for number in range(1, 10):
             self.add_job(number, BACKGROUND)
         self.harness.dispatch()
-        self.assertEqual(set(self.delays()), {"background"})
+        self.assertEqual(set(self.work_ms()), {"background"})
 
     def test_urgent_work_delays_less_urgent_jobs(self):
         for number in range(1, 4):
             self.add_job(number, URGENT)
         self.harness.dispatch()
-        self.assertEqual(self.delays()["background"], 2_000)
+        self.assertEqual(self.work_ms()["background"], 2_000)
 
     def test_work_that_is_late_delays_no_new_job_of_its_priority(self):
         """A scheduling pass places late jobs after those that can be on time."""
@@ -103,7 +112,7 @@
             self.add_job(number, URGENT)
         self.harness.dispatch()
         self.harness.now_ms += 60_000
-        self.assertNotIn("urgent", self.delays())
+        self.assertNotIn("urgent", self.work_ms())
 
     def test_work_that_waits_for_an_earlier_leader_counts_as_no_load(self):
         harness = FleetHarness(entry("a"), entry("b"), epoch=2)
@@ -114,7 +123,7 @@
                 job(step(9, estimate_ms=9_000), job_id=f"{number:016x}", epoch=1)
             )
         harness.dispatch()
-        self.assertEqual(harness.scheduler.start_delays_ms(harness.now_ms), {})
+        self.assertEqual(harness.scheduler.backlog(harness.now_ms), Backlog())
 
 
 class LaggingLeaderTests(unittest.TestCase):
@@ -155,10 +164,8 @@
 
     def submit(self, number, refuses):
         accepted = job(step(estimate_ms=1_000), job_id=f"{number:016x}")
-        delay_ms = self.harness.scheduler.start_delays_ms(self.harness.now_ms)
-        refusal = refuse_if_late(
-            accepted.spec, URGENT, delay_ms.get(URGENT.name, 0), 0.5
-        )
+        backlog = self.harness.scheduler.backlog(self.harness.now_ms)
+        refusal = refuse_if_late(accepted.spec, URGENT, backlog, 0.5)
         if refusal is None or not refuses:
             self.accepted_ms[accepted.spec.job_id] = self.harness.now_ms
             self.harness.accept(accepted)
@@ -189,6 +196,32 @@
         self.assertLess(self.on_time(), 0.5 * capacity)
 
 
+class CatchingUpTests(unittest.TestCase):
+    """Guards against a new leader that refuses jobs while it starts the waiting ones.
+
+    Its rate of starts is not known yet.
+    """
+
+    def setUp(self):
+        self.limit = StartLimit(FleetSettings(), 0.0)
+
+    def limited_until(self, end_ms):
+        for now_ms in range(0, end_ms + 1, 100):
+            self.limit.record_limited(now_ms)
+        return self.limit.drain_ms(100, end_ms)
+
+    def test_a_short_backlog_causes_no_estimate(self):
+        self.assertEqual(self.limited_until(1_500), 0.0)
+
+    def test_a_lasting_backlog_does(self):
+        self.assertGreater(self.limited_until(2_500), 0.0)
+
+    def test_the_time_counts_anew_after_a_pause(self):
+        self.limited_until(2_500)
+        self.limit.record_limited(6_000)
+        self.assertEqual(self.limit.drain_ms(100, 6_000), 0.0)
+
+
 class EventRateTests(unittest.TestCase):
     def test_the_rate_covers_up_to_two_periods(self):
         rate = EventRate(1_000, 0.0)
--- a/tests/node/test_cell_overload.py
+++ b/tests/node/test_cell_overload.py
@@ -22,7 +22,7 @@
 )
 
 # Far more than a job of the queue may wait to be on time.
-DELAY_MS = 9_000
+BACKLOG_MS = 9_000
 CONFIGURATION = b"""{"version": 1, "routes": [{"name": "queue", "host": "a.example",
     "prefix": "/q/", "service": "service", "stretch": 1.5,
     "target-duration-ms": 300}]}"""
@@ -30,7 +30,7 @@
 
 
 class OverloadTestCase(unittest.TestCase):
-    """A host whose leader reports a delay for the queue."""
+    """A host whose leader reports a backlog for the queue."""
 
     def setUp(self):
         self.store = MemoryStore()
@@ -40,7 +40,7 @@
             0.0,
             {"queue": 7},
             status_interval_s=0.01,
-            start_delays_ms={"queue": DELAY_MS},
+            starts_backlog_ms={"queue": BACKLOG_MS},
         )
         self.peers = FakePeers(exchange_status=self.status, send_job=None)
 
@@ -85,7 +85,7 @@
         async def run():
             host = await self.follow()
             self.peers.results["exchange_status"] = self.status._replace(
-                start_delays_ms={}
+                starts_backlog_ms={}
             )
             await curio.sleep(0.05)
             self.store.write_outcomes = ["late"] * 9
