Spread the jobs over 32 partitions, so that a slow store takes them

The store was about 60 times slower, so a transaction took 0.5 s. It runs the transactions of a partition one after the other: 8 partitions took 16 jobs a second of 27 handed in, their queues filled up, the store answered 429, and writes were late.

Ruled out: a longer timeout of writes. A partition that takes 2 jobs a second takes no more with it. Fewer retries: the first attempts alone were more than the partitions took.

Change: 32 partitions. Jobs that an earlier build stored are found, cancelled and removed in their partition; left behind, they would run again once their progress is removed.

JobPartitionTests in tests/node/test_cell_commits.py.

--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -44,9 +44,11 @@
     RowKey(LEADER_TABLE, LEADER_PARTITION, f"roster-{number}" if number else "roster")
     for number in range(ROSTER_ROWS)
 )
-# The store runs the transactions of one partition serially, so jobs are spread over
-# several partitions.
-JOB_PARTITIONS = 8
+# The store runs the transactions of a partition serially. When it is slow, a partition
+# stores only a few jobs a second, so jobs are spread over many.
+JOB_PARTITIONS = 32
+# Earlier builds stored jobs in fewer partitions.
+EARLIER_JOB_PARTITIONS = 8
 CANCEL_SUFFIX = ".cancel"
 # Opening many connections at once overflows the accept queue of the store's listener.
 MAX_CONCURRENT_READS = 5
@@ -96,7 +98,12 @@
 
 def job_row_key(job_id: str) -> RowKey:
     """Return the key of a job's row."""
-    return RowKey(JOBS_TABLE, str(int(job_id[0], 16) % JOB_PARTITIONS), job_id)
+    return RowKey(JOBS_TABLE, str(int(job_id[:2], 16) % JOB_PARTITIONS), job_id)
+
+
+def _earlier_job_row_key(job_id: str) -> RowKey:
+    """Return the key of the row of a job that an earlier build stored."""
+    return RowKey(JOBS_TABLE, str(int(job_id[0], 16) % EARLIER_JOB_PARTITIONS), job_id)
 
 
 def cancellation_row_key(job_id: str) -> RowKey:
@@ -142,8 +149,11 @@
     """
     partitions: dict[str, list[RowKey]] = {}
     for job_id in job_ids:
-        keys = partitions.setdefault(job_row_key(job_id).partition, [])
-        keys.extend((job_row_key(job_id), cancellation_row_key(job_id)))
+        # A row that an earlier build stored must not stay: without its progress, which
+        # is removed next, the job would run again.
+        for key in {job_row_key(job_id), _earlier_job_row_key(job_id)}:
+            keys = partitions.setdefault(key.partition, [])
+            keys.extend((key, key._replace(key=job_id + CANCEL_SUFFIX)))
     for keys in partitions.values():
         await store.commit({}, {}, tuple(keys))
 
@@ -160,12 +170,16 @@
 
 async def read_job(store: Store, job_id: str) -> StoredJob | None:
     """Return a stored job, or None if it does not exist."""
-    key = job_row_key(job_id)
-    result = await store.read(key.table, key.partition, job_id, job_id + "~")
-    jobs, unreadable = decode_job_rows(result.rows)
-    if job_id in unreadable:
-        raise StoreError(f"the row of job {job_id} cannot be decoded")
-    return jobs.get(job_id)
+    rows: list[Row] = []
+    for key in (job_row_key(job_id), _earlier_job_row_key(job_id)):
+        result = await store.read(key.table, key.partition, job_id, job_id + "~")
+        rows.extend(result.rows)
+        jobs, unreadable = decode_job_rows(rows)
+        if job_id in unreadable:
+            raise StoreError(f"the row of job {job_id} cannot be decoded")
+        if job_id in jobs:
+            return jobs[job_id]
+    return None
 
 
 async def read_state(store: Store, job_id: str) -> JobState | None:
--- a/tests/node/test_cell_commits.py
+++ b/tests/node/test_cell_commits.py
@@ -3,6 +3,8 @@
 import json
 import time
 import unittest
+from collections import Counter
+from random import Random
 from unittest import mock
 
 import curio
@@ -27,6 +29,7 @@
 from marigoldpath_node.cell import (
     CellDependencies,
     EntryHost,
+    RowKey,
 )
 from marigoldpath_node.cell._clock import now_ms, now_s
 from marigoldpath_node.cell._codec import (
@@ -43,12 +46,17 @@
 )
 from marigoldpath_node.cell._commits import Committer
 from marigoldpath_node.cell._records import (
+    JOB_PARTITIONS,
     LEADER_ROW_KEY,
     ROSTER_ROW_KEYS,
+    STATE_LOCATIONS,
+    cancellation_row_key,
     commit_rows,
+    job_row_key,
     plan_load,
     progress_row_key,
     read_all,
+    read_job,
     remove_jobs,
 )
 from marigoldpath_node.exposition import CellMetrics
@@ -110,22 +118,71 @@
         read.assert_called_with(time.CLOCK_BOOTTIME)
 
 
+class JobPartitionTests(unittest.TestCase):
+    """Guards against jobs that are not accepted because the store is slow.
+
+    The store runs the transactions of a partition one after the other. With few
+    partitions, a slow store takes fewer jobs than callers hand in.
+    """
+
+    def test_jobs_are_spread_over_all_partitions(self):
+        rng = Random(1)
+        keys = [job_row_key(f"{rng.getrandbits(64):016x}") for _ in range(1_000)]
+        counts = Counter(key.partition for key in keys)
+        self.assertEqual(len(counts), JOB_PARTITIONS)
+        self.assertLess(max(counts.values()), 3 * 1_000 / JOB_PARTITIONS)
+
+    def test_a_cancellation_is_in_the_partition_of_its_job(self):
+        """Both are read together."""
+        self.assertEqual(
+            cancellation_row_key(JOB_ID).partition, job_row_key(JOB_ID).partition
+        )
+
+    def test_a_job_of_an_earlier_build_is_found_cancelled_and_removed(self):
+        """Guards against a job that runs again after an upgrade.
+
+        That happens if its row stays while its progress is removed.
+        """
+        job_id = "ff" + "0" * 14
+        earlier_key = RowKey("jobs", "7", job_id)
+        store = MemoryStore()
+
+        async def run():
+            job = AcceptedJob(SPEC._replace(job_id=job_id), QUEUE, 0, 0)
+            await store.commit({}, {earlier_key: encode_job(job)})
+            is_cancelled = await entry_host(store).cancel(job_id)
+            stored = await read_job(store, job_id)
+            await remove_jobs(store, (job_id,))
+            return is_cancelled, stored, await read_job(store, job_id)
+
+        is_cancelled, stored, after_removal = curio.run(run)
+        self.assertTrue(is_cancelled)
+        self.assertTrue(stored.is_cancelled)
+        self.assertIsNone(after_removal)
+        self.assertNotIn(earlier_key, store.rows)
+
+    def test_every_partition_is_read_by_a_new_leader(self):
+        partitions = {part for table, part in STATE_LOCATIONS if table == "jobs"}
+        keys = [job_row_key(f"{number:02x}{'0' * 14}") for number in range(256)]
+        self.assertEqual({key.partition for key in keys}, partitions)
+
+
 class RecordTests(unittest.TestCase):
     def test_all_partitions_of_the_job_table_are_read(self):
         store = MemoryStore()
 
         async def run():
             host = entry_host(store)
-            for number in range(16):
-                spec = SPEC._replace(job_id=f"{number:x}{'0' * 15}")
+            for number in range(2 * JOB_PARTITIONS):
+                spec = SPEC._replace(job_id=f"{number:02x}{'0' * 14}")
                 await host.submit(spec, QUEUE, 0.3)
-            await host.cancel("f" + "0" * 15)
+            await host.cancel("1f" + "0" * 14)
             return await read_all(store, plan_load(1_000.0))
 
         stored = curio.run(run)
-        self.assertEqual(len(stored.jobs), 16)
+        self.assertEqual(len(stored.jobs), 2 * JOB_PARTITIONS)
         cancelled = [key for key, job in stored.jobs.items() if job.is_cancelled]
-        self.assertEqual(cancelled, ["f" + "0" * 15])
+        self.assertEqual(cancelled, ["1f" + "0" * 14])
 
 
 class CommitTests(unittest.TestCase):
