Keep the last count of pending jobs while a new leader loads

A leader that still loads the stored jobs reports an empty count, and hosts now answer callers from its status: after each failover they would have said for up to some seconds that no job waits. The estimate that is used when no leader replies read the same empty count before.

Change: a status of a leader that cannot send commands keeps the count of the status before it, and such a leader is asked.

Result: test_a_leader_that_loads_has_counted_nothing, which fails without the change.

--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -230,6 +230,9 @@
         return await self._peers.exchange_status(address, own_status)
 
     def _record_status(self, status: LeaderStatus) -> None:
+        if not status.can_order and self._leader_status is not None:
+            # A new leader that is still loading the stored jobs has not counted them.
+            status = status._replace(pending=self._leader_status.pending)
         self._leader_status = status
         self._leader_status_s = now_s()
         self.record_epoch(status.epoch)
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -268,7 +268,8 @@
         if self._leader is not None and self._leader.is_serving:
             return self._leader.summary.pending.get(queue, 0)
         if leader is not None and status is not None:
-            if self._election.leader_status_age_s <= MAX_PENDING_AGE_S:
+            status_age_s = self._election.leader_status_age_s
+            if status.can_order and status_age_s <= MAX_PENDING_AGE_S:
                 return status.pending.get(queue, 0)
             try:
                 return (await self._peers.pending(leader.address)).get(queue, 0)
--- a/tests/node/test_cell_overload.py
+++ b/tests/node/test_cell_overload.py
@@ -121,12 +121,12 @@
 
 
 class PendingCountTests(OverloadTestCase):
-    def count(self, pause_s=0.0):
+    def count(self, status=None):
         async def run():
             host = await self.follow()
-            if pause_s:
-                self.peers.results["exchange_status"] = PeerUnreachableError("down")
-                await curio.sleep(pause_s)
+            if status is not None:
+                self.peers.results["exchange_status"] = status
+                await curio.sleep(0.05)
             return await host.pending("queue")
 
         return curio.run(run)
@@ -136,6 +136,12 @@
         self.assertEqual(self.count(), 7)
         self.assertNotIn("pending", [name for name, _ in self.peers.calls])
 
+    def test_a_leader_that_loads_has_counted_nothing(self):
+        """Guards against callers that are told that no job waits after a failover."""
+        loading = LeaderStatus(4, "other", 0.0, {}, False, 0.01)
+        self.assertEqual(self.count(loading), 7)
+        self.assertIn("pending", [name for name, _ in self.peers.calls])
+
 
 if __name__ == "__main__":
     unittest.main()
