Store the row of another host's leader in one place in tests, and drop a check made twice

Cause: read again as a newcomer. Three test modules built and stored the same row of a leader in four places. The loop of a relay channel that takes replies checked the deadlines of its commands at its end and, without a pause in between, again at its start.

Ruled out: one rule for late jobs in the scheduling pass and in the backlog.

Change: store_other_leader in tests/node/cell_fakes.py; the second check is gone; two docstrings say what is raised and read as paragraphs. No behaviour changes, and the tests keep their assertions.

--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -163,6 +163,7 @@
         """Return the parameters of a poll of the worker.
 
         None means that the worker was removed or that the leader has retired.
+
         A poll of an unresponsive worker grants no lease, because a new lease would
         delay the time from which its tasks may run on other workers.
         """
--- a/packages/node/src/marigoldpath_node/cell/_relay_channel.py
+++ b/packages/node/src/marigoldpath_node/cell/_relay_channel.py
@@ -160,10 +160,12 @@
             )
             self._exchanged_s = now_s()
             await self._apply_replies(replies)
-            self._check_deadlines()
 
     async def _wait_for_exchange(self) -> None:
-        """Wait until no replies have come with the last commands for a while."""
+        """Wait until no replies have come with the last commands for a while.
+
+        Raises PeerError if a command has no reply in time.
+        """
         while True:
             self._check_deadlines()
             due_s = self._exchanged_s + TAKE_INTERVALS * self._interval_s
--- a/tests/node/cell_fakes.py
+++ b/tests/node/cell_fakes.py
@@ -21,9 +21,11 @@
     StoreRefusedError,
     VersionedRows,
 )
+from marigoldpath_node.cell._codec import LeaderRow, encode_leader
 from marigoldpath_node.cell._peers import (
     PeerUnreachableError,
 )
+from marigoldpath_node.cell._records import LEADER_ROW_KEY
 from marigoldpath_node.exposition import CellMetrics
 
 
@@ -161,6 +163,12 @@
 )
 
 
+async def store_other_leader(store):
+    """Store the row of a leader on another host, at 10.0.0.2:1 and with epoch 3."""
+    row = LeaderRow(3, "10.0.0.2:1", "other")
+    await store.commit({}, {LEADER_ROW_KEY: encode_leader(row)})
+
+
 class FakePeers:
     """Returns or raises the configured result of each method of `PeerClient`.
 
--- a/tests/node/test_cell_election.py
+++ b/tests/node/test_cell_election.py
@@ -35,6 +35,7 @@
     FakePeers,
     MemoryStore,
     RecordingLogger,
+    store_other_leader,
 )
 
 
@@ -192,8 +193,7 @@
 
         async def run():
             store = MemoryStore()
-            row = LeaderRow(3, "10.0.0.2:1", "other")
-            await store.commit({}, {LEADER_ROW_KEY: encode_leader(row)})
+            await store_other_leader(store)
             dependencies = CellDependencies(
                 store, None, None, None, RecordingLogger(), CellMetrics()
             )
--- a/tests/node/test_cell_overload.py
+++ b/tests/node/test_cell_overload.py
@@ -5,9 +5,8 @@
 import curio
 
 from marigoldpath_node.cell import OverloadedError, SubmissionOutcome
-from marigoldpath_node.cell._codec import LeaderRow, encode_leader
 from marigoldpath_node.cell._peers import LeaderStatus, PeerUnreachableError
-from marigoldpath_node.cell._records import LEADER_ROW_KEY, job_row_key
+from marigoldpath_node.cell._records import job_row_key
 from marigoldpath_node.http import HttpRequest
 from marigoldpath_platform._ingress import Ingress
 from marigoldpath_platform._shared_tables import decode_configuration
@@ -19,6 +18,7 @@
     FakePeers,
     MemoryStore,
     entry_host,
+    store_other_leader,
 )
 
 # Far more than a job of the queue may wait to be on time.
@@ -46,8 +46,7 @@
 
     async def follow(self):
         """Return a host that has received its leader's status."""
-        row = LeaderRow(3, "10.0.0.2:1", "other")
-        await self.store.commit({}, {LEADER_ROW_KEY: encode_leader(row)})
+        await store_other_leader(self.store)
         host = entry_host(self.store, self.peers, FAST_SETTINGS)
         await curio.spawn(host.run, daemon=True)
         await curio.sleep(0.05)
--- a/tests/node/test_cell_submission.py
+++ b/tests/node/test_cell_submission.py
@@ -40,6 +40,7 @@
     FakePeers,
     MemoryStore,
     entry_host,
+    store_other_leader,
 )
 
 
@@ -281,8 +282,7 @@
 
         async def run():
             store = MemoryStore()
-            row = LeaderRow(3, "10.0.0.2:1", "other")
-            await store.commit({}, {LEADER_ROW_KEY: encode_leader(row)})
+            await store_other_leader(store)
             host = entry_host(store, peers)
             await curio.spawn(host.run, daemon=True)
             await curio.sleep(0.05)
@@ -370,8 +370,7 @@
 
         async def run():
             store = MemoryStore()
-            row = LeaderRow(3, "10.0.0.2:1", "other")
-            await store.commit({}, {LEADER_ROW_KEY: encode_leader(row)})
+            await store_other_leader(store)
             settings = FAST_SETTINGS._replace(
                 unready_timeout_s=0.0,
                 unresponsive_leader_timeout_s=9.0,
