--- a/packages/node/src/marigoldpath_node/exposition/_metrics.py
+++ b/packages/node/src/marigoldpath_node/exposition/_metrics.py
@@ -1,5 +1,8 @@
 """Counters and latency histograms in the text format of Prometheus."""
 
+import math
+import time
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
 
@@ -52,6 +55,22 @@
             "The epoch under which this host leads, 0 while it does not",
             registry=self._registry,
         )
+        self._configuration_version = Gauge(
+            f"{PREFIX}_configuration_version",
+            "The version of the operator's configuration that is in force, -1 for none",
+            registry=self._registry,
+        )
+        self._configuration_version.set(-1)
+        self._configuration_read_s = -math.inf
+        configuration_age = Gauge(
+            f"{PREFIX}_configuration_read_age_seconds",
+            "Seconds since the configuration was last read successfully",
+            registry=self._registry,
+        )
+        configuration_age.set_function(lambda: self.configuration_read_age_s)
+        self._configuration_reads = self._counter(
+            "configuration_reads", "Reads of the configuration, by outcome", "outcome"
+        )
         self._dropped = Gauge(
             f"{PREFIX}_log_lines_dropped",
             "Log lines that were not written since the start",
@@ -63,6 +82,22 @@
         """The media type of the text."""
         return CONTENT_TYPE_LATEST
 
+    @property
+    def configuration_read_age_s(self) -> float:
+        """Seconds since the last successful read of the configuration."""
+        return _now_s() - self._configuration_read_s
+
+    def set_configuration_version(self, version: int) -> None:
+        """Set the version of the configuration that is in force on this host."""
+        self._configuration_version.set(version)
+
+    def record_configuration_read(self, *, is_successful: bool, seconds: float) -> None:
+        """Record a read of the configuration, which took `seconds`."""
+        self._configuration_reads.labels("ok" if is_successful else "failed").inc()
+        self.observe_call("configuration", seconds)
+        if is_successful:
+            self._configuration_read_s = _now_s()
+
     def count_submission(self, outcome: str) -> None:
         """Count a job submission, by its outcome."""
         self._jobs.labels(outcome).inc()
@@ -103,3 +138,8 @@
 
     def _counter(self, name: str, text: str, label: str) -> Counter:
         return Counter(f"{PREFIX}_{name}", text, [label], registry=self._registry)
+
+
+def _now_s() -> float:
+    # This clock includes the time for which a host is suspended.
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -38,6 +38,8 @@
         self.socket = curio.io.Socket(raw_socket)
         self.protocol = h11.Connection(h11.CLIENT)
         self.idle_since_s = 0.0
+        # Bytes received of the current response.
+        self.received_bytes = 0
 
 
 class HttpClient:
@@ -81,6 +83,7 @@
             # Addresses and header values can come from other processes.
             raise NotSentError(f"invalid request to {address}: {error!r}") from error
         connection = await self._connect(address, pool, reuse_only)
+        sent_s = time.monotonic()
         try:
             response = await curio.timeout_after(
                 self._settings.reply_s if reply_s is None else reply_s,
@@ -91,7 +94,11 @@
             )
         except (OSError, h11.ProtocolError, curio.TaskTimeout) as error:
             await connection.socket.close()
-            raise ReplyLostError(f"{method} {address}{target}: {error!r}") from error
+            took_s = time.monotonic() - sent_s
+            raise ReplyLostError(
+                f"{method} {address}{target}: {type(error).__name__} {error} "
+                f"after {took_s:.2f} s and {connection.received_bytes} bytes"
+            ) from error
         except BaseException:
             await connection.socket.close()
             raise
@@ -157,6 +164,7 @@
         self, connection: _Connection, head: h11.Request, body: bytes
     ) -> HttpResponse:
         protocol = connection.protocol
+        connection.received_bytes = 0
         parts = [
             protocol.send(head),
             protocol.send(h11.Data(data=body)),
@@ -189,6 +197,7 @@
     async def _receive(self, connection: _Connection) -> None:
         data = await connection.socket.recv(READ_SIZE_BYTES)
         self._traffic.received += len(data)
+        connection.received_bytes += len(data)
         connection.protocol.receive_data(data)
 
 
