Show with failing tests that a large configuration never arrives over a slow link

A watch of the configuration must be complete within 2 s, and the probe that shows whether the store replies again reads all of the configuration within 0.6 s. Both are independent of what has to be transferred.

--- a/tests/adapter/test_configuration_watcher.py
+++ b/tests/adapter/test_configuration_watcher.py
@@ -4,14 +4,21 @@
 
 import curio
 
-from marigoldpath_bench.platform_fakes import configuration
+from marigoldpath_bench.platform_fakes import FakeStore, configuration
 from marigoldpath_node.cell import Row, RowKey, StoreLostError, VersionedRows
 from marigoldpath_node.cell._codec import to_json
 from marigoldpath_node.exposition import CellMetrics
+from marigoldpath_node.http import HttpClient, HttpClientSettings
 from marigoldpath_platform._configuration_watcher import ConfigurationWatcher
+from marigoldpath_platform._store import PlatformStore
+from tests.adapter.slow_link import SlowLink
 from tests.node.cell_fakes import MemoryStore, RecordingLogger, entry_host
 
 TIMEOUT_S = 5.0
+# The transfer of a configuration with many routes takes about 3 s at this rate.
+SLOW_BYTES_PER_S = 300_000
+MANY_ROUTES = 4_000
+SLOW_TIMEOUT_S = 30.0
 
 
 class ScriptedStore:
@@ -91,5 +98,79 @@
         )
 
 
+def large_configuration(version):
+    data = configuration(version)
+    data["routes"] += [
+        {**data["routes"][0], "name": f"queue-{number}", "prefix": f"/{number}/"}
+        for number in range(MANY_ROUTES)
+    ]
+    return data
+
+
+class SlowLinkHost:
+    """A watcher behind a slow link to the store, and the versions that it applied."""
+
+    def __init__(self):
+        self.store = FakeStore()
+        self.versions = []
+        self.log = RecordingLogger()
+        self.host = entry_host(MemoryStore())
+
+    async def start(self):
+        await self.store.start()
+        self.link = SlowLink(self.store.address, SLOW_BYTES_PER_S)
+        await self.link.start()
+        client = HttpClient(HttpClientSettings(connect_s=0.6))
+        store = PlatformStore(client, self.link.address)
+        watcher = ConfigurationWatcher(
+            store, self.host, self._apply, self.log, CellMetrics()
+        )
+        await curio.spawn(watcher.run, daemon=True)
+
+    async def _apply(self, configuration):
+        self.versions.append(configuration.cell_configuration.version)
+
+    async def wait_for(self, condition):
+        async def wait():
+            while not condition():
+                await curio.sleep(0.02)
+
+        await curio.timeout_after(SLOW_TIMEOUT_S, wait)
+
+
+class SlowLinkTests(unittest.TestCase):
+    def run_host(self, action):
+        async def run():
+            host = SlowLinkHost()
+            await host.start()
+            await action(host)
+            return host
+
+        return curio.run(run)
+
+    def test_a_configuration_whose_transfer_takes_seconds_comes_into_force(self):
+        async def action(host):
+            host.store.put("op", "config", configuration(1))
+            await host.wait_for(lambda: host.versions == [1])
+            for version in (2, 3):
+                host.store.put("op", "config", large_configuration(version))
+                await host.wait_for(lambda version=version: version in host.versions)
+
+        self.run_host(action)
+
+    def test_a_large_configuration_does_not_keep_the_store_unresponsive(self):
+        async def action(host):
+            host.store.put("op", "config", configuration(1))
+            await host.wait_for(lambda: host.versions == [1])
+            host.link.is_cut = True
+            await host.wait_for(lambda: host.host.job_writer.is_store_unresponsive)
+            host.store.put("op", "config", large_configuration(2))
+            host.link.is_cut = False
+            await host.wait_for(lambda: not host.host.job_writer.is_store_unresponsive)
+            await host.wait_for(lambda: 2 in host.versions)
+
+        self.run_host(action)
+
+
 if __name__ == "__main__":
     unittest.main()
