Limit the stall of a transfer instead of its duration, and probe the store with a small read

What callers saw: requests for removed routes were served 10 s after the version that removed them was acknowledged, and some hosts never followed the configuration again.

Cause: the time limits of a watch (2 s) and of the probe of an unresponsive store (0.6 s) covered the transfer of the configuration, which takes as long as the link needs for it. A read that was broken off began anew, filled the link and failed again; the same read was the only sign of life of the store, so the host also regarded the store as unresponsive.

Change: HttpClient.request takes stall_s: a response has to begin within reply_s and must then not stop for stall_s. StoreHealth, taken out of JobWriter, probes an unresponsive store with a read of the leader's row, whose cost does not depend on the data, beside the watcher's reads. The election's tests use the real StoreHealth in place of a fake, and the watcher's tests run it, as the host does.

--- a/packages/node/src/marigoldpath_node/cell/__init__.py
+++ b/packages/node/src/marigoldpath_node/cell/__init__.py
@@ -22,6 +22,7 @@
     WorkerFailedError,
 )
 from ._settings import CellSettings
+from ._store_health import StoreHealth
 
 __all__ = [
     "AdviceClient",
@@ -38,6 +39,7 @@
     "Store",
     "StoreConflictError",
     "StoreError",
+    "StoreHealth",
     "StoreLostError",
     "StoreRefusedError",
     "SubmissionOutcome",
--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -1,7 +1,5 @@
 """Leader election: monitors the leader and acquires its row if the leader fails."""
 
-from typing import Protocol
-
 import curio
 
 from ._clock import now_s
@@ -16,19 +14,7 @@
 from ._ports import CellDependencies, StoreConflictError, StoreError
 from ._records import LEADER_ROW_KEY, read_leader
 from ._settings import CellSettings
-
-
-class StoreHealth(Protocol):
-    """Whether this host can reach the store."""
-
-    @property
-    def is_store_unresponsive(self) -> bool:
-        """Whether the last store call of this host failed."""
-        ...
-
-    def record_store_call(self, *, is_working: bool, reason: str = "") -> None:
-        """Record whether a store call of this host succeeded."""
-        ...
+from ._store_health import StoreHealth
 
 
 class Election:
@@ -138,7 +124,7 @@
             try:
                 row, version = await read_leader(self._store)
             except StoreError as error:
-                self._store_health.record_store_call(
+                await self._store_health.record_call(
                     is_working=False, reason=repr(error)
                 )
                 known_version = -1
@@ -146,7 +132,7 @@
                     return None
                 await curio.sleep(self._settings.leader_row_read_interval_s)
                 continue
-            self._store_health.record_store_call(is_working=True)
+            await self._store_health.record_call(is_working=True)
             read_s = now_s() - read_start_s
             if version != known_version:
                 known_version, unchanged_since_s = version, now_s()
@@ -223,7 +209,7 @@
         settings = self._settings
         started_s = now_s() - self._started_s
         # A host that is stopping must not be named as the successor of a leader.
-        can_lead = not self._store_health.is_store_unresponsive and not self._is_stopped
+        can_lead = not self._store_health.is_unresponsive and not self._is_stopped
         own_status = FollowerStatus(
             settings.address, started_s, settings.cores, can_lead
         )
--- a/packages/node/src/marigoldpath_node/cell/_host.py
+++ b/packages/node/src/marigoldpath_node/cell/_host.py
@@ -33,6 +33,7 @@
 )
 from ._relay_server import RelayServer
 from ._settings import CellSettings
+from ._store_health import StoreHealth
 
 # A stored job is sent to the leader at most this often, a check interval apart.
 FORWARD_ATTEMPTS = 4
@@ -69,9 +70,11 @@
         self._store = dependencies.store
         self._log = dependencies.log
         self._peers = peers
-        self._job_writer = JobWriter(settings, dependencies, peers)
-        self._election = Election(settings, dependencies, peers, self._job_writer)
-        self._job_writer.use_election(self._election)
+        self._store_health = StoreHealth(settings, dependencies)
+        self._election = Election(settings, dependencies, peers, self._store_health)
+        self._job_writer = JobWriter(
+            settings, dependencies, peers, self._store_health, self._election
+        )
         self._leader: Leader | None = None
         self._followers: Followers | None = None
         self._configuration: Configuration | None = None
@@ -88,7 +91,7 @@
             return False
         if self._has_usable_leader():
             return True
-        return self._job_writer.store_outage_s < self._settings.unready_timeout_s
+        return self._store_health.outage_s < self._settings.unready_timeout_s
 
     def _has_usable_leader(self) -> bool:
         """Return whether this host reaches a leader that can send commands.
@@ -103,9 +106,9 @@
         )
 
     @property
-    def job_writer(self) -> JobWriter:
-        """The job writer, which also tracks whether the store is reachable."""
-        return self._job_writer
+    def store_health(self) -> StoreHealth:
+        """Whether this host reaches the store."""
+        return self._store_health
 
     @property
     def is_leading(self) -> bool:
@@ -114,6 +117,7 @@
 
     async def run(self) -> None:
         """Take part in elections and lead while elected, until cancelled."""
+        await curio.spawn(self._store_health.run, daemon=True)
         while True:
             try:
                 await self._run_term()
@@ -190,7 +194,7 @@
             queue=queue.name,
             outcome=outcome.value,
             epoch=job.epoch,
-            store_suspect=self._job_writer.is_store_unresponsive,
+            store_suspect=self._store_health.is_unresponsive,
         )
         return outcome
 
@@ -368,7 +372,7 @@
 
     @peer_routes.register("store-job")
     async def _serve_store_job(self, data: dict) -> dict | None:
-        if self._job_writer.is_store_unresponsive:
+        if self._store_health.is_unresponsive:
             return None
         outcome, stored = await self._job_writer.write(
             decode_job_body(data),
--- a/packages/node/src/marigoldpath_node/cell/_job_writer.py
+++ b/packages/node/src/marigoldpath_node/cell/_job_writer.py
@@ -15,6 +15,7 @@
 from ._records import write_job
 from ._retry_budget import RetryBudget
 from ._settings import CellSettings
+from ._store_health import StoreHealth
 
 # Jobs that this host accepted within this time are added to the leader's last reported
 # count of pending jobs, which is assumed to be no older.
@@ -51,55 +52,35 @@
     """Writes jobs to the store, directly or through the leader."""
 
     def __init__(
-        self, settings: CellSettings, dependencies: CellDependencies, peers: PeerClient
+        self,
+        settings: CellSettings,
+        dependencies: CellDependencies,
+        peers: PeerClient,
+        store_health: StoreHealth,
+        election: Election,
     ) -> None:
         self._settings = settings
         self._store = dependencies.store
+        self._store_health = store_health
         self._log = dependencies.log
         self._metrics = dependencies.metrics
         self._peers = peers
-        self._election: Election | None = None
-        self._outage_since_s: float | None = None
+        self._election = election
         self._outcomes: dict[str, SubmissionOutcome] = {}
         self._recent_jobs: deque[tuple[float, str]] = deque()
         self._retry_budget = RetryBudget(
             settings.retry_budget_ratio, settings.max_retry_budget
         )
 
-    @property
-    def is_store_unresponsive(self) -> bool:
-        """Whether the last store call of this host failed."""
-        return self._outage_since_s is not None
-
-    @property
-    def store_outage_s(self) -> float:
-        """Seconds since the store became unresponsive, 0 while it replies."""
-        if self._outage_since_s is None:
-            return 0.0
-        return now_s() - self._outage_since_s
-
     def may_have_stored(self, job_id: str) -> bool:
         """Return whether a submission at this host stored a job, or may have."""
         return job_id in self._outcomes
 
-    def use_election(self, election: Election) -> None:
-        """Set the election that finds the leader; its constructor needs this object."""
-        self._election = election
-
     def count_recent(self, queue: str) -> int:
         """Return how many jobs of a queue this host accepted within RECENT_WINDOW_S."""
         self._drop_old_jobs()
         return sum(1 for _, name in self._recent_jobs if name == queue)
 
-    def record_store_call(self, *, is_working: bool, reason: str = "") -> None:
-        """Record whether a store call of this host succeeded."""
-        if is_working and self.is_store_unresponsive:
-            self._log.info("store_answers")
-            self._outage_since_s = None
-        elif not is_working and not self.is_store_unresponsive:
-            self._log.info("store_silent", reason=reason)
-            self._outage_since_s = now_s()
-
     async def submit(self, job: AcceptedJob, timeout_s: float) -> SubmissionResult:
         """Store a job and return what is known about the outcome.
 
@@ -114,7 +95,10 @@
         # NOT_RUN would be false.
         known = self._outcomes.get(job.spec.job_id, SubmissionOutcome.NOT_RUN)
         result = SubmissionResult(known)
-        if known is not SubmissionOutcome.ACCEPTED and not self.is_store_unresponsive:
+        if (
+            known is not SubmissionOutcome.ACCEPTED
+            and not self._store_health.is_unresponsive
+        ):
             result = await self.write(job, timeout_s, known)
         if result.outcome is not SubmissionOutcome.ACCEPTED:
             result = SubmissionResult(
@@ -153,17 +137,21 @@
                 stored = await curio.timeout_after(
                     remaining_s, write_job, self._store, job
                 )
-                self.record_store_call(is_working=True)
+                await self._store_health.record_call(is_working=True)
                 return SubmissionResult(SubmissionOutcome.ACCEPTED, stored)
             except (StoreLostError, curio.TaskTimeout) as error:
                 outcome = SubmissionOutcome.UNKNOWN
                 deadline_s = timeout_at_s
-                self.record_store_call(is_working=False, reason=repr(error))
+                await self._store_health.record_call(
+                    is_working=False, reason=repr(error)
+                )
             except StoreError as error:
                 deadline_s = min(timeout_at_s, refused_timeout_at_s)
                 if outcome is SubmissionOutcome.UNKNOWN:
                     deadline_s = timeout_at_s
-                self.record_store_call(is_working=False, reason=repr(error))
+                await self._store_health.record_call(
+                    is_working=False, reason=repr(error)
+                )
             if now_s() + self._settings.write_retry_s >= deadline_s:
                 return SubmissionResult(outcome)
             await curio.sleep(self._settings.write_retry_s)
@@ -192,8 +180,8 @@
 
     def _addresses_of_writers(self) -> list[str]:
         """Return the leader's address, if it reaches the store, and those of others."""
-        leader = None if self._election is None else self._election.leader
-        status = None if self._election is None else self._election.leader_status
+        leader = self._election.leader
+        status = self._election.leader_status
         if leader is None or status is None:
             return []
         addresses = [each for each in status.writers if each != self._settings.address]
--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -158,10 +158,19 @@
         await store.commit({}, {}, tuple(keys))
 
 
-async def read_leader(store: Store) -> tuple[LeaderRow | None, int]:
-    """Return the leader's row and its version, or None and 0 if there is no row."""
+async def read_leader(
+    store: Store, reply_s: float | None = None
+) -> tuple[LeaderRow | None, int]:
+    """Return the leader's row and its version, or None and 0 if there is no row.
+
+    `reply_s` is the timeout of the read. Raises StoreError.
+    """
     result = await store.read(
-        LEADER_TABLE, LEADER_PARTITION, LEADER_ROW_KEY.key, LEADER_ROW_KEY.key + "~"
+        LEADER_TABLE,
+        LEADER_PARTITION,
+        LEADER_ROW_KEY.key,
+        LEADER_ROW_KEY.key + "~",
+        reply_s=reply_s,
     )
     for row in result.rows:
         return decode_leader(row.value), row.version
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -62,7 +62,8 @@
     `relay_choice_interval_s`.
 
     A host that reaches no leader is not ready once its store calls have failed for
-    `unready_timeout_s`.
+    `unready_timeout_s`. Meanwhile it probes the store every `store_probe_interval_s`; a
+    probe times out after `store_probe_timeout_s`.
     """
 
     host: str
@@ -92,6 +93,8 @@
     max_status_rate: float = 100.0
     peer_timeout_s: float = 0.6
     unready_timeout_s: float = 0.3
+    store_probe_interval_s: float = 0.2
+    store_probe_timeout_s: float = 0.6
     max_commit_age_s: float = 1.2
     commit_batching_s: float = 0.06
     commit_retry_s: float = 0.15
--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -21,17 +21,43 @@
 class HttpClientSettings(NamedTuple):
     """Limits of a client; times in seconds, sizes in bytes.
 
-    `connect_s` and `reply_s` are timeouts. Each pool keeps at most
+    `connect_s` and `reply_s` are timeouts. `max_transfer_s` limits the duration of
+    requests that have a `stall_s`. Each pool keeps at most
     `max_idle_connections` idle connections, each for about `max_idle_s`.
     """
 
     connect_s: float = 1.0
     reply_s: float = 5.0
+    max_transfer_s: float = 60.0
     max_idle_connections: int = 8
     max_idle_s: float = 30.0
     max_body: int = 16_777_216
 
 
+class _ReplyLimits(NamedTuple):
+    """Timeouts of a response, in seconds.
+
+    Without `stall_s`, the response must be complete after `reply_s`. With it, the
+    response must begin within `reply_s`, and more of it must then arrive at least every
+    `stall_s`.
+    """
+
+    reply_s: float
+    stall_s: float | None
+    max_transfer_s: float
+
+    @property
+    def total_s(self) -> float:
+        """The time after which the whole request has failed."""
+        return self.reply_s if self.stall_s is None else self.max_transfer_s
+
+    def receive_s(self, received_bytes: int) -> float | None:
+        """Return how long the next part of the response may take, None for no limit."""
+        if self.stall_s is None:
+            return None
+        return self.stall_s if received_bytes else self.reply_s
+
+
 class _Connection:
     def __init__(self, raw_socket: socket.socket) -> None:
         self.raw_socket = raw_socket
@@ -64,6 +90,7 @@
         value: Any = None,
         headers: dict[str, str] | None = None,
         reply_s: float | None = None,
+        stall_s: float | None = None,
         pool: str = "",
         reuse_only: bool = False,
     ) -> HttpResponse:
@@ -73,7 +100,9 @@
         `reuse_only` no connection is opened.
 
         Raises NotSentError if there is no connection, and ReplyLostError if the
-        complete response does not arrive within `reply_s` seconds.
+        complete response does not arrive within `reply_s` seconds. With `stall_s`, the
+        response only has to begin within `reply_s`; it may take longer as long as its
+        transfer never stops for `stall_s` seconds.
         """
         body = b"" if value is None else _encode_json(value)
         try:
@@ -82,15 +111,16 @@
         except (ValueError, h11.ProtocolError) as error:
             # Addresses and header values can come from other processes.
             raise NotSentError(f"invalid request to {address}: {error!r}") from error
+        limits = _ReplyLimits(
+            self._settings.reply_s if reply_s is None else reply_s,
+            stall_s,
+            self._settings.max_transfer_s,
+        )
         connection = await self._connect(address, pool, reuse_only)
         sent_s = time.monotonic()
         try:
             response = await curio.timeout_after(
-                self._settings.reply_s if reply_s is None else reply_s,
-                self._exchange,
-                connection,
-                head,
-                body,
+                limits.total_s, self._exchange, connection, head, body, limits
             )
         except (OSError, h11.ProtocolError, curio.TaskTimeout) as error:
             await connection.socket.close()
@@ -161,7 +191,11 @@
         idle.append(connection)
 
     async def _exchange(
-        self, connection: _Connection, head: h11.Request, body: bytes
+        self,
+        connection: _Connection,
+        head: h11.Request,
+        body: bytes,
+        limits: _ReplyLimits,
     ) -> HttpResponse:
         protocol = connection.protocol
         connection.received_bytes = 0
@@ -172,15 +206,15 @@
         ]
         data = b"".join(part for part in parts if part)
         self._traffic.sent += len(data)
-        await connection.socket.sendall(data)
-        await self._receive(connection)
+        await _send(connection, data, limits)
+        await self._receive(connection, limits)
         response: h11.Response | None = None
         chunks: list[bytes] = []
         size = 0
         while True:
             event = protocol.next_event()
             if event is h11.NEED_DATA:
-                await self._receive(connection)
+                await self._receive(connection, limits)
             elif isinstance(event, h11.Response):
                 response = event
             elif isinstance(event, h11.Data):
@@ -194,13 +228,38 @@
             elif isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError("the peer closed the connection")
 
-    async def _receive(self, connection: _Connection) -> None:
-        data = await connection.socket.recv(READ_SIZE_BYTES)
+    async def _receive(self, connection: _Connection, limits: _ReplyLimits) -> None:
+        timeout_s = limits.receive_s(connection.received_bytes)
+        if timeout_s is None:
+            data = await connection.socket.recv(READ_SIZE_BYTES)
+        else:
+            data = await _progress_within(
+                timeout_s, connection.socket.recv, READ_SIZE_BYTES
+            )
         self._traffic.received += len(data)
         connection.received_bytes += len(data)
         connection.protocol.receive_data(data)
 
 
+async def _send(connection: _Connection, data: bytes, limits: _ReplyLimits) -> None:
+    """Send a request; with `stall_s` no part of it may take longer than that."""
+    if limits.stall_s is None:
+        await connection.socket.sendall(data)
+        return
+    view = memoryview(data)
+    while view:
+        sent = await _progress_within(limits.stall_s, connection.socket.send, view)
+        view = view[sent:]
+
+
+async def _progress_within(timeout_s: float, function: Any, *arguments: Any) -> Any:
+    """Call a function of a socket; raises TimeoutError if it takes too long."""
+    try:
+        return await curio.timeout_after(timeout_s, function, *arguments)
+    except curio.TaskTimeout as error:
+        raise TimeoutError(f"no progress for {timeout_s} s") from error
+
+
 async def _open_connection(address: str) -> _Connection:
     # curio.open_connection starts a thread per call to resolve the name. Addresses
     # here are IP addresses, which need no resolution.
--- a/tests/adapter/test_configuration_watcher.py
+++ b/tests/adapter/test_configuration_watcher.py
@@ -57,9 +57,9 @@
 
         async def run():
             store = ScriptedStore(*results)
-            watcher = ConfigurationWatcher(
-                store, entry_host(MemoryStore()), apply, log, metrics
-            )
+            store_health = entry_host(MemoryStore()).store_health
+            await curio.spawn(store_health.run, daemon=True)
+            watcher = ConfigurationWatcher(store, store_health, apply, log, metrics)
             task = await curio.spawn(watcher.run, daemon=True)
 
             async def wait():
@@ -114,7 +114,6 @@
         self.store = FakeStore()
         self.versions = []
         self.log = RecordingLogger()
-        self.host = entry_host(MemoryStore())
 
     async def start(self):
         await self.store.start()
@@ -122,9 +121,11 @@
         await self.link.start()
         client = HttpClient(HttpClientSettings(connect_s=0.6))
         store = PlatformStore(client, self.link.address)
+        self.store_health = entry_host(store).store_health
         watcher = ConfigurationWatcher(
-            store, self.host, self._apply, self.log, CellMetrics()
+            store, self.store_health, self._apply, self.log, CellMetrics()
         )
+        await curio.spawn(self.store_health.run, daemon=True)
         await curio.spawn(watcher.run, daemon=True)
 
     async def _apply(self, configuration):
@@ -163,10 +164,10 @@
             host.store.put("op", "config", configuration(1))
             await host.wait_for(lambda: host.versions == [1])
             host.link.is_cut = True
-            await host.wait_for(lambda: host.host.job_writer.is_store_unresponsive)
+            await host.wait_for(lambda: host.store_health.is_unresponsive)
             host.store.put("op", "config", large_configuration(2))
             host.link.is_cut = False
-            await host.wait_for(lambda: not host.host.job_writer.is_store_unresponsive)
+            await host.wait_for(lambda: not host.store_health.is_unresponsive)
             await host.wait_for(lambda: 2 in host.versions)
 
         self.run_host(action)
--- a/tests/node/test_cell_election.py
+++ b/tests/node/test_cell_election.py
@@ -7,6 +7,7 @@
 from marigoldpath_node.cell import (
     CellDependencies,
     EntryHost,
+    StoreHealth,
     WorkerFailedError,
 )
 from marigoldpath_node.cell._codec import (
@@ -39,11 +40,8 @@
 )
 
 
-class FakeStoreHealth:
-    is_store_unresponsive = False
-
-    def record_store_call(self, *, is_working, reason=""):
-        pass
+def create_election(settings, dependencies, peers):
+    return Election(settings, dependencies, peers, StoreHealth(settings, dependencies))
 
 
 class ElectionTests(unittest.TestCase):
@@ -61,8 +59,7 @@
         dependencies = CellDependencies(
             self.store, None, None, None, self.log, CellMetrics()
         )
-        self.store_health = FakeStoreHealth()
-        election = Election(self.settings, dependencies, peers, self.store_health)
+        election = create_election(self.settings, dependencies, peers)
         return await curio.ignore_after(0.6, election.run_until_elected)
 
     def leader_status(self, **fields):
@@ -123,7 +120,7 @@
             dependencies = CellDependencies(
                 self.store, None, None, None, self.log, CellMetrics()
             )
-            election = Election(self.settings, dependencies, peers, FakeStoreHealth())
+            election = create_election(self.settings, dependencies, peers)
             before = await election._exchange_status("10.0.0.2:1")
             election.stop()
             return before, await election._exchange_status("10.0.0.2:1")
@@ -197,7 +194,7 @@
             dependencies = CellDependencies(
                 store, None, None, None, RecordingLogger(), CellMetrics()
             )
-            election = Election(FAST_SETTINGS, dependencies, peers, FakeStoreHealth())
+            election = create_election(FAST_SETTINGS, dependencies, peers)
             await curio.spawn(election.run_until_elected, daemon=True)
             await curio.sleep(0.05)
             assert election.leader is not None
--- a/tests/node/test_cell_submission.py
+++ b/tests/node/test_cell_submission.py
@@ -126,7 +126,7 @@
         async def run():
             await store.commit({}, {job_row_key(JOB_ID): encode_job(first)})
             host = entry_host(store)
-            return await host.job_writer.submit(second, 0.3)
+            return await host._job_writer.submit(second, 0.3)
 
         self.assertEqual(curio.run(run), (SubmissionOutcome.ACCEPTED, first))
 
@@ -134,8 +134,8 @@
         async def run():
             host = entry_host(MemoryStore())
             job = AcceptedJob(SPEC, QUEUE, 4, 1)
-            await host.job_writer.submit(job, 0.3)
-            return await host.job_writer.submit(job._replace(epoch=5), 0.3)
+            await host._job_writer.submit(job, 0.3)
+            return await host._job_writer.submit(job._replace(epoch=5), 0.3)
 
         self.assertEqual(curio.run(run), (SubmissionOutcome.ACCEPTED, None))
 
@@ -252,7 +252,7 @@
 
         async def run():
             host = entry_host(store)
-            host.job_writer.record_store_call(is_working=is_store_up)
+            await host.store_health.record_call(is_working=is_store_up)
             body = {"job": encode_job(job).decode()}
             return await host._serve_store_job(body)
 
@@ -343,7 +343,7 @@
             host = entry_host(MemoryStore(), settings=settings)
             before = host.is_ready
             await host.configure(Configuration(1, {}))
-            host.job_writer.record_store_call(**call)
+            await host.store_health.record_call(**call)
             return before, host.is_ready
 
         return curio.run(run)
