Count each page of the stored state as progress of the load

Only a whole partition counted as read; the progress of all jobs is one partition, so on a slow link a large one looks like a load that stands still, and hosts replace each other without end.

Change: Store.read calls on_page after each page, and the reader counts pages.

--- a/packages/node/src/marigoldpath_node/cell/_ports.py
+++ b/packages/node/src/marigoldpath_node/cell/_ports.py
@@ -1,5 +1,6 @@
 """Interfaces to the services that a cell depends on; adapters implement them."""
 
+from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
 from marigoldpath_core.fleet import (
@@ -91,12 +92,13 @@
         *,
         reply_s: float | None = None,
         page_rows: int | None = None,
+        on_page: Callable[[], None] | None = None,
     ) -> VersionedRows:
         """Return the rows of a partition with keys from `first`, and before `last`.
 
         The range has no upper bound if `last` is empty.
         `reply_s` is the timeout for each page of rows, and `page_rows` the number of
-        rows of a page. Raises StoreError.
+        rows of a page. `on_page` is called after each page. Raises StoreError.
         """
         ...
 
--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -248,7 +248,7 @@
 
     @property
     def progress_age_s(self) -> float:
-        """Seconds since the reader was created or a partition was read."""
+        """Seconds since the reader was created or a page of rows was read."""
         return now_s() - self._progress_s
 
     async def read(self, reply_s: float | None = None) -> StoredState:
@@ -280,14 +280,19 @@
         async with semaphore:
             try:
                 rows = await self._store.read(
-                    *location, reply_s=reply_s, page_rows=self._page_rows
+                    *location,
+                    reply_s=reply_s,
+                    page_rows=self._page_rows,
+                    on_page=self._record_progress,
                 )
             except StoreError as error:
                 return error
         self._partitions[location] = rows
-        self._progress_s = now_s()
         return None
 
+    def _record_progress(self) -> None:
+        self._progress_s = now_s()
+
 
 async def read_all(store: Store, plan: LoadPlan) -> StoredState:
     """Return all jobs, their progress and the roster; raises StoreError."""
--- a/tests/node/cell_fakes.py
+++ b/tests/node/cell_fakes.py
@@ -81,7 +81,15 @@
         return applied
 
     async def read(
-        self, table, partition, first="", last="", *, reply_s=None, page_rows=None
+        self,
+        table,
+        partition,
+        first="",
+        last="",
+        *,
+        reply_s=None,
+        page_rows=None,
+        on_page=None,
     ):
         self.read_timeouts.append(reply_s)
         if self.is_down:
@@ -98,6 +106,8 @@
             and first <= key.key
             and (not last or key.key < last)
         ]
+        if on_page is not None:
+            on_page()
         return VersionedRows(tuple(rows), self.version)
 
     async def changes(self, table, after, wait_ms):
--- a/tests/node/test_cell_load.py
+++ b/tests/node/test_cell_load.py
@@ -35,9 +35,10 @@
 
 
 class SlowStore(MemoryStore):
-    """Returns the rows of each partition after `read_s` seconds."""
+    """Returns each partition as `pages` pages, each after `read_s` seconds."""
 
     read_s = 0.0
+    pages = 1
 
     def __init__(self):
         super().__init__()
@@ -46,6 +47,10 @@
     async def read(self, table, partition, *arguments, **options):
         self.locations.append((table, partition))
         await curio.sleep(self.read_s)
+        for _ in range(self.pages - 1):
+            if "on_page" in options:
+                options["on_page"]()
+            await curio.sleep(self.read_s)
         return await super().read(table, partition, *arguments, **options)
 
     def beat(self):
@@ -102,6 +107,19 @@
 
         self.assertGreaterEqual(self.play(scenario), 2)
 
+    def test_a_partition_of_many_pages_does_not_count_as_a_load_without_progress(self):
+        self.store.read_s, self.store.pages = 0.06, 8
+
+        async def scenario(leader):
+            await curio.sleep(0.3)
+            beat = self.store.beat()
+            await curio.sleep(0.15)
+            return beat, self.store.beat(), leader.is_serving
+
+        before, after, is_serving = self.play(scenario)
+        self.assertFalse(is_serving)
+        self.assertGreater(after, before)
+
     def test_a_load_without_progress_does_not_keep_the_row(self):
         self.store.read_s = 60.0
 
