Limit the bytes of a commit, not only its jobs

A commit held the changes of up to 80 jobs of any size, and its reply must arrive within 1 s. A slow link does not carry a large one in that time, and the store takes at most 1 MB; the same commit is repeated until it is applied, so the leader would store nothing more.

Change: a commit of more than max_commit_bytes (256 KiB, 0.6 s with its encoding on a link of 5 Mbit/s) is begun again with half of the jobs.

Result: the new test fails before (one commit of 0.6 MB) and passes now; 20 tests of commits pass.

--- a/packages/node/src/marigoldpath_node/cell/_commits.py
+++ b/packages/node/src/marigoldpath_node/cell/_commits.py
@@ -107,13 +107,10 @@
     async def _commit(self, *, released: bool, successor: str = "") -> bool:
         """Commit and return whether the leader's row still belongs to this leader."""
         scheduler = self._scheduler
-        commit = NOTHING_TO_STORE
-        if scheduler is not None:
-            commit = scheduler.begin_commit(self._settings.max_jobs_per_commit)
         row = self._row._replace(
             beat=self._row.beat + 1, released=released, successor=successor
         )
-        rows = commit_rows(row, commit)
+        commit, rows = self._begin_commit(row)
         removals = tuple(progress_row_key(job_id) for job_id in commit.removed_jobs)
         try:
             while True:
@@ -137,6 +134,23 @@
             await self._record_success(scheduler, commit, sent_s)
         return True
 
+    def _begin_commit(self, row: LeaderRow) -> tuple[Commit, dict[RowKey, bytes]]:
+        """Return the changes to store and their rows, of `max_commit_bytes` at most.
+
+        The changes of one job are not divided.
+        """
+        if self._scheduler is None:
+            return NOTHING_TO_STORE, commit_rows(row, NOTHING_TO_STORE)
+        max_jobs = self._settings.max_jobs_per_commit
+        while True:
+            commit = self._scheduler.begin_commit(max_jobs)
+            rows = commit_rows(row, commit)
+            size_bytes = sum(len(value) for value in rows.values())
+            if size_bytes <= self._settings.max_commit_bytes or max_jobs == 1:
+                return commit, rows
+            self._scheduler.commit_failed(commit)
+            max_jobs //= 2
+
     async def _write(
         self, row: LeaderRow, rows: dict[RowKey, bytes], removals: tuple[RowKey, ...]
     ) -> int | None:
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -14,7 +14,9 @@
 
     Commits and election:
 
-    - A leader commits at least every `commit_interval_s`.
+    - A leader commits at least every `commit_interval_s`, the changes of at most
+      `max_jobs_per_commit` jobs and `max_commit_bytes` at a time: a slow link must
+      carry a commit before its reply times out.
     - A candidate acquires the leader's row if the row did not change for
       `unresponsive_leader_timeout_s`, or for `refused_leader_timeout_s` if the leader's
       address refuses connections. `slow_store_factor` times the duration of a read from
@@ -99,6 +101,7 @@
     commit_batching_s: float = 0.06
     commit_retry_s: float = 0.15
     max_jobs_per_commit: int = 80
+    max_commit_bytes: int = 262_144
     tick_interval_s: float = 0.1
     min_dispatch_interval_s: float = 0.005
     poll_interval_s: float = 0.03
--- a/tests/node/test_cell_commits.py
+++ b/tests/node/test_cell_commits.py
@@ -220,6 +220,32 @@
                 self.assertEqual(stored.beat, 1)
                 self.assertEqual(self.store.apply_delayed_writes(), 0)
 
+    def test_the_changes_of_many_jobs_are_stored_in_commits_of_limited_size(self):
+        checkpoint = "x" * 30_000
+
+        async def run():
+            committer = await self.create_committer()
+            for number in range(20):
+                job = AcceptedJob(SPEC._replace(job_id=f"{number:016x}"), QUEUE, 1, 0)
+                self.scheduler.handle(JobAccepted(job), 0.0)
+                opened = self.scheduler._fleet.jobs[job.spec.job_id]
+                opened.steps[0, 0].tasks[0].checkpoint = checkpoint
+                self.scheduler._fleet.mark_dirty(opened)
+            commits = 0
+            while self.scheduler.needs_commit:
+                self.assertTrue(await committer._commit(released=False))
+                commits += 1
+            return commits
+
+        commits = curio.run(run)
+        sizes = [
+            sum(len(value) for value in puts.values()) for _, puts in self.store.writes
+        ]
+        self.assertGreater(commits, 1)
+        self.assertLess(max(sizes), FAST_SETTINGS.max_commit_bytes)
+        for number in range(20):
+            self.assertIn(progress_row_key(f"{number:016x}"), self.store.rows)
+
     def test_a_decoded_roster_equals_the_encoded_roster(self):
         roster = {"a": RosterEntry("a:1", None), "b": RosterEntry("b:1", (JOB_ID,))}
         self.assertEqual(decode_roster(encode_roster(roster)), roster)
