Close the idle connections to the store or a peer after a timeout

After a silent cut, open connections can be dead while new ones work. The client kept up to 8 idle ones for the store and tried one after the other, each until its time limit of 1 to 2 s.

Ruled out: the same for workers: one that answers single commands late would cost new connections and polls.

--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -23,7 +23,9 @@
 
     `connect_s` and `reply_s` are timeouts. `max_transfer_s` limits the duration of
     requests that have a `stall_s`. Each pool keeps at most
-    `max_idle_connections` idle connections, each for about `max_idle_s`.
+    `max_idle_connections` idle connections, each for about `max_idle_s`. With
+    `distrusts_idle_after_timeout`, a request without a response closes those of its
+    pool: they may be as dead as its own, and the next requests would time out on them.
     """
 
     connect_s: float = 1.0
@@ -31,6 +33,7 @@
     max_transfer_s: float = 60.0
     max_idle_connections: int = 8
     max_idle_s: float = 30.0
+    distrusts_idle_after_timeout: bool = False
     max_body: int = 16_777_216
 
 
@@ -124,6 +127,10 @@
             )
         except (OSError, h11.ProtocolError, curio.TaskTimeout) as error:
             await connection.socket.close()
+            if self._settings.distrusts_idle_after_timeout and not isinstance(
+                error, h11.ProtocolError | ConnectionError
+            ):
+                await self.close_pool(address, pool)
             took_s = time.monotonic() - sent_s
             raise ReplyLostError(
                 f"{method} {address}{target}: {type(error).__name__} {error} "
--- a/tests/node/test_http.py
+++ b/tests/node/test_http.py
@@ -173,5 +173,64 @@
         curio.run(check)
 
 
+class StallTests(unittest.TestCase):
+    """A transfer may take longer than the time limit, unless it stops."""
+
+    def request(self, *pauses_s, settings=None):
+        """Request a response whose parts follow after pauses, with a stall of 0.4 s.
+
+        Return its body, or the error, and whether an idle connection is kept.
+        """
+
+        async def respond(client, _address):
+            async with client:
+                await client.recv(1_000)
+                await client.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n.")
+                await client.recv(1_000)
+                head = f"HTTP/1.1 200 OK\r\ncontent-length: {len(pauses_s)}\r\n\r\n"
+                for number, pause_s in enumerate(pauses_s):
+                    await curio.sleep(pause_s)
+                    await client.sendall((head if not number else "").encode() + b"x")
+                await client.recv(1_000)
+
+        async def run():
+            listener = curio.network.tcp_server_socket("127.0.0.1", 0)
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            await curio.spawn(curio.network.run_server, listener, respond, daemon=True)
+            client = HttpClient(settings or HttpClientSettings())
+            async with curio.TaskGroup() as group:
+                # Two connections are opened at once, so that one stays idle below.
+                for _ in range(2):
+                    await group.spawn(client.request, "GET", address, "/")
+            try:
+                response = await client.request(
+                    "GET", address, "/", reply_s=0.4, stall_s=0.4
+                )
+            except ReplyLostError as error:
+                idle = client._idle.get((address, ""), [])
+                return error, bool(idle)
+            return response.body, True
+
+        return curio.run(run)
+
+    def test_a_response_may_take_longer_than_its_first_part(self):
+        body, _ = self.request(*[0.15] * 6)
+        self.assertEqual(body, b"x" * 6)
+
+    def test_a_response_that_does_not_begin_or_stops_is_an_error(self):
+        for pauses_s in ((5.0,), (0.0, 5.0)):
+            with self.subTest(pauses_s=pauses_s):
+                error, _ = self.request(*pauses_s)
+                self.assertIsInstance(error, ReplyLostError)
+
+    def test_a_timeout_closes_the_idle_connections_that_it_makes_suspect(self):
+        """Guards against one timeout for each dead connection after a silent cut."""
+        for distrusts in (False, True):
+            with self.subTest(distrusts=distrusts):
+                settings = HttpClientSettings(distrusts_idle_after_timeout=distrusts)
+                _, keeps_idle = self.request(5.0, settings=settings)
+                self.assertIs(keeps_idle, not distrusts)
+
+
 if __name__ == "__main__":
     unittest.main()
