--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -135,9 +135,15 @@
 
 
 class WorkerUnresponsive(NamedTuple):
-    """A worker did not reply to a poll."""
+    """A worker did not reply to a poll.
+
+    `is_gone` is whether the connection was refused, or another worker replied at the
+    address: the process of the worker has probably ended.
+    """
 
     worker_id: str
+    reason: str = ""
+    is_gone: bool = False
 
 
 class StartReplied(NamedTuple):
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -1,5 +1,7 @@
 """Applies the directory's entries and the reports of workers, and expires leases."""
 
+import math
+
 from marigoldpath_core.jobs import JobState, TaskKey
 
 from ._fleet import Fleet, handlers
@@ -61,7 +63,7 @@
         # the worker refuse commands of earlier epochs.
         worker.extend_lease(fleet.settings, fleet.settings.lease_ms, fleet.now_ms)
     worker.last_polled_ms = max(event.polled_ms, worker.last_polled_ms or 0.0)
-    worker.is_unresponsive = False
+    worker.is_unresponsive = worker.is_gone = False
     fleet.unreported_workers.pop(event.worker_id, None)
     _record_majority(fleet)
     is_newest = event.clock_ms >= worker.clock_ms
@@ -80,8 +82,31 @@
     if worker is None:
         return
     if not worker.is_unresponsive:
-        fleet.log("worker_silent", worker=worker.worker_id, runs=len(worker.runs))
+        worker.silent_since_ms = fleet.now_ms
+        fleet.log(
+            "worker_silent",
+            worker=worker.worker_id,
+            runs=len(worker.runs),
+            reason=event.reason,
+        )
     worker.is_unresponsive = True
+    if event.is_gone and not worker.is_gone:
+        worker.is_gone = True
+        _log_process_end(fleet, worker)
+
+
+def _log_process_end(fleet: Fleet, worker: Worker) -> None:
+    ages_ms = [
+        round(worker.silent_since_ms - run.started_ms)
+        for run in worker.runs.values()
+        if run.started_ms > -math.inf
+    ]
+    fleet.log(
+        "worker_process_ended",
+        worker=worker.worker_id,
+        runs=len(worker.runs),
+        youngest_run_ms=min(ages_ms, default=None),
+    )
 
 
 def expire_leases(fleet: Fleet) -> None:
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -24,6 +24,7 @@
     clock_ms = worker.estimated_clock_ms(now_ms)
     run = Run(task, number, worker.worker_id, step.need, clock_ms)
     run.until_clock_ms = clock_ms + settings.start_window_ms
+    run.started_ms = now_ms
     worker.extend_lease(settings, settings.start_window_ms, now_ms)
     task.run = run
     task.number = number
@@ -100,6 +101,7 @@
         run.until_clock_ms = None
         return
     run.confirmed_clock_ms = event.clock_ms
+    run.started_ms = fleet.now_ms
     fleet.start_limit.record_started(fleet.now_ms)
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
@@ -150,5 +152,7 @@
 @result_handlers.register(StartResult.NOT_SENT)
 @result_handlers.register(StartResult.INCARNATION_MISMATCH)
 def _on_unreachable(fleet: Fleet, worker: Worker, run: Run, _event: object) -> None:
+    if not worker.is_unresponsive:
+        worker.silent_since_ms = fleet.now_ms
     worker.is_unresponsive = True
     fleet.abandon(run)
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -1,5 +1,6 @@
 """The state of jobs, steps, tasks and runs in memory."""
 
+import math
 from enum import Enum
 
 from marigoldpath_core.jobs import (
@@ -31,6 +32,8 @@
     worker has restarted. A report from after
     `confirmed_clock_ms` shows whether the run exists. No report from before
     `progress_clock_ms` counts for the check whether the run makes progress.
+    `started_ms` is the time on the leader's clock at which the start was sent or, once
+    that is known, confirmed. It is minus infinity for an adopted run.
     """
 
     __slots__ = (
@@ -41,6 +44,7 @@
         "percent",
         "progress_clock_ms",
         "speed_percent",
+        "started_ms",
         "state",
         "stop_sent_ms",
         "task",
@@ -67,6 +71,7 @@
         self.stop_sent_ms = 0.0
         self.load = 0
         self.speed_percent = 100
+        self.started_ms = -math.inf
 
     def restart_stall_check(self, clock_ms: int) -> None:
         """Count the time without progress from `clock_ms` on."""
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -30,6 +30,10 @@
         # When the poll was sent whose reply is the newest report.
         self.last_polled_ms: float | None = None
         self.is_unresponsive = False
+        # Whether its process has probably ended, according to the newest polls.
+        self.is_gone = False
+        # The time of the first poll without a reply, while it is unresponsive.
+        self.silent_since_ms = 0.0
         self.lease_expiry_ms = 0.0
         self.last_applied_termination = 0
         self.last_stored_termination = 0
--- a/packages/node/src/marigoldpath_node/cell/__init__.py
+++ b/packages/node/src/marigoldpath_node/cell/__init__.py
@@ -20,6 +20,7 @@
     WorkerClient,
     WorkerDirectory,
     WorkerFailedError,
+    WorkerGoneError,
 )
 from ._settings import CellSettings
 from ._store_health import StoreHealth
@@ -48,5 +49,6 @@
     "WorkerClient",
     "WorkerDirectory",
     "WorkerFailedError",
+    "WorkerGoneError",
     "serve_peer",
 ]
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -28,6 +28,7 @@
     RelayFailedError,
     StoreError,
     WorkerFailedError,
+    WorkerGoneError,
 )
 from ._records import plan_load
 from ._relayed_workers import RelayedWorkerClient
@@ -343,7 +344,8 @@
                 continue
             except WorkerFailedError as error:
                 self._log.debug("look_failed", worker=worker_id, reason=repr(error))
-                await self.handle(WorkerUnresponsive(worker_id))
+                is_gone = isinstance(error, WorkerGoneError)
+                await self.handle(WorkerUnresponsive(worker_id, str(error), is_gone))
                 settings = self._settings
                 # A single lost reply is weak evidence of a failure, so the first retry
                 # is immediate.
--- a/packages/node/src/marigoldpath_node/cell/_ports.py
+++ b/packages/node/src/marigoldpath_node/cell/_ports.py
@@ -118,6 +118,10 @@
     """
 
 
+class WorkerGoneError(WorkerFailedError):
+    """No process listens at the worker's address, or that of another worker does."""
+
+
 class RelayFailedError(WorkerFailedError):
     """A relay failed, so it is not known whether the worker received the call."""
 
--- a/packages/node/src/marigoldpath_node/http/__init__.py
+++ b/packages/node/src/marigoldpath_node/http/__init__.py
@@ -1,7 +1,12 @@
 """HTTP/1.1 server and client, built on h11 and curio."""
 
 from ._client import HttpClient, HttpClientSettings
-from ._errors import HttpError, NotSentError, ReplyLostError
+from ._errors import (
+    ConnectionRefusedByPeerError,
+    HttpError,
+    NotSentError,
+    ReplyLostError,
+)
 from ._messages import (
     HttpRequest,
     HttpResponse,
@@ -12,6 +17,7 @@
 from ._server import HttpServer, HttpServerSettings
 
 __all__ = [
+    "ConnectionRefusedByPeerError",
     "HttpClient",
     "HttpClientSettings",
     "HttpError",
--- a/packages/node/src/marigoldpath_node/http/_client.py
+++ b/packages/node/src/marigoldpath_node/http/_client.py
@@ -9,7 +9,7 @@
 import curio
 import h11
 
-from ._errors import NotSentError, ReplyLostError
+from ._errors import ConnectionRefusedByPeerError, NotSentError, ReplyLostError
 from ._messages import HttpResponse, Traffic
 
 READ_SIZE_BYTES = 65_536
@@ -181,6 +181,10 @@
             connection = await curio.timeout_after(
                 self._settings.connect_s, _open_connection, address
             )
+        except ConnectionRefusedError as error:
+            raise ConnectionRefusedByPeerError(
+                f"connection refused by {address}"
+            ) from error
         except (OSError, ValueError, OverflowError, curio.TaskTimeout) as error:
             raise NotSentError(f"no connection to {address}: {error!r}") from error
         connection.raw_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
