Give a task up after three workers crashed under it, and count that across leaders

Cause: a run that ends with its worker has no termination in a report. It was released like the run of a worker that is cut off, and nothing was counted.

Evidence: in the record, the starts are confirmed, the worker's connections close 10 ms later and are then refused, and one leader starts the same task ten times.

Change: fleet/_crashes.py. If a worker's process has ended (connection refused, another worker or incarnation replies), the runs started at most 1 s before are blamed; the count is part of the job's stored progress, and is taken back if the same incarnation replies again. A blamed task is a suspect: not two of them are started on one worker within that time, so that a crash has one suspect, and each start is stored before it is sent. The next leader then counts a recorded start whose worker has ended. If a worker was lost before it reported to a new leader, first starts of earlier jobs are recorded too. A gang counts its crashes together. Two tests of restarted workers now restart them 1.5 s after the start, as the task would otherwise be a suspect; what they check is unchanged.

--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -1,6 +1,7 @@
 """The scheduling pass: starts the waiting tasks that fit, the most urgent first."""
 
 from . import _advice, _preemption
+from ._crashes import is_suspect, settle_recorded_starts
 from ._fleet import Fleet
 from ._placement import (
     Candidates,
@@ -10,7 +11,7 @@
     find_candidates,
 )
 from ._pools import Pools, current_pools
-from ._starts import send_start
+from ._starts import send_recorded_starts, start_task
 from ._work import Step, Task
 from ._worker import Worker
 
@@ -18,6 +19,7 @@
 def dispatch(fleet: Fleet) -> None:
     """Start waiting tasks on workers with free capacity and request advice."""
     fleet.needs_dispatch = False
+    send_recorded_starts(fleet)
     pools = current_pools(fleet)
     waiting = [step for step in fleet.open_steps.values() if step.waiting_tasks]
     waiting.sort(key=lambda step: _dispatch_priority(fleet, step))
@@ -25,7 +27,7 @@
     queued_tasks = 0
     is_limited = False
     for step in waiting[: fleet.settings.max_steps_per_pass]:
-        if fleet.is_blocked(step):
+        if fleet.is_blocked(step) or not settle_recorded_starts(fleet, step):
             continue
         if fleet.start_limit.is_queue_full(queued_tasks):
             # Advice for less urgent steps would expire before they can start.
@@ -72,11 +74,11 @@
             _allow_avoided_if_exhausted(candidates, task)
             worker = choose(fleet, step, task, candidates)
         if worker is None:
-            if not task.avoided_workers:
+            if not task.avoided_workers and not is_suspect(task):
                 # The remaining tasks have the same needs, so they do not fit either.
                 break
             continue
-        send_start(fleet, worker, task, fleet.next_run_number(task))
+        start_task(fleet, worker, task, fleet.next_run_number(task))
         placed += 1
         candidates.placed[worker.worker_id] += 1
         candidates.racks[worker.entry.rack] += 1
@@ -111,7 +113,7 @@
         return
     number = fleet.next_run_number(*step.tasks)
     for task, worker in zip(step.tasks, plan):
-        send_start(fleet, worker, task, number)
+        start_task(fleet, worker, task, number)
 
 
 def _plan_gang(fleet: Fleet, step: Step, candidates: Candidates) -> list[Worker] | None:
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -63,6 +63,13 @@
         self.began_leading_ms = now_ms
         # None until a majority of the workers has reported to this leader.
         self.majority_reported_ms: float | None = None
+        # Whether a worker on which tasks could be running has probably ended before it
+        # reported to this leader.
+        self.lost_worker_before_term = False
+        # The runs that were blamed for the end of a worker's incarnation.
+        self.blamed_runs: dict[tuple[str, int], list[tuple[TaskKey, int]]] = {}
+        # The runs whose start is sent once it is stored.
+        self.planned_runs: dict[TaskKey, Run] = {}
         self.superseded = False
         self.advice_hosts = 0
         # The workers of the slow advice requests in flight, by step.
@@ -115,6 +122,9 @@
         worker = self.workers.get(run.worker_id)
         if worker is None:
             return
+        if run.state is RunState.PLANNED:
+            self.release(run)
+            return
         if run.state is not RunState.STOPPING:
             self.log(
                 "run_stopping",
@@ -135,8 +145,14 @@
         worker = self.workers.get(run.worker_id)
         if worker is not None:
             worker.remove(run)
-        if run.task.run is run:
-            run.task.run = None
+        task = run.task
+        if task.run is run:
+            task.run = None
+        start = task.recorded_start
+        if start is not None and start.run == run.number:
+            task.recorded_start = None
+        if self.planned_runs.get(task.key) is run:
+            del self.planned_runs[task.key]
         self.needs_dispatch = True
 
     def abandon(self, run: Run) -> None:
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -6,6 +6,7 @@
 from marigoldpath_core.registry import Registry
 
 from ._capacity import count_fitting
+from ._crashes import may_try_on
 from ._fleet import Fleet
 from ._pools import Pools, has_label
 from ._work import Step, Task
@@ -129,6 +130,8 @@
             continue
         if not has_capacity(fleet, step, worker) or not fleet.is_startable(worker):
             continue
+        if not may_try_on(fleet, task, worker):
+            continue
         value = (*_locality(step, worker, candidates), *score(step, worker, candidates))
         if best is None or value < best_score:
             best, best_score = worker, value
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -4,6 +4,7 @@
 
 from marigoldpath_core.jobs import JobState, TaskKey
 
+from ._crashes import record_lost_worker, record_process_end, retract
 from ._fleet import Fleet, handlers
 from ._messages import (
     RunningTask,
@@ -40,6 +41,8 @@
             worker.drain_observed_ms = fleet.now_ms
         if worker.incarnation and entry.incarnation > worker.incarnation:
             _begin_incarnation(fleet, worker, entry.incarnation)
+    if not fleet.unreported_workers.keys() <= listed:
+        fleet.lost_worker_before_term = True
     for worker in list(fleet.workers.values()):
         if worker.worker_id not in listed:
             worker.is_listed = False
@@ -52,6 +55,8 @@
     worker = fleet.workers.get(event.worker_id)
     if worker is None or event.incarnation < worker.incarnation:
         return
+    if not worker.is_unresponsive or event.polled_ms > worker.silent_since_ms:
+        retract(fleet, event.worker_id, event.incarnation)
     if event.incarnation > worker.incarnation:
         _begin_incarnation(fleet, worker, event.incarnation)
     if worker.is_unresponsive or worker.last_polled_ms is None:
@@ -93,6 +98,9 @@
     if event.is_gone and not worker.is_gone:
         worker.is_gone = True
         _log_process_end(fleet, worker)
+        record_process_end(fleet, worker, worker.silent_since_ms)
+        if worker.worker_id in fleet.unreported_workers:
+            fleet.lost_worker_before_term = True
 
 
 def _log_process_end(fleet: Fleet, worker: Worker) -> None:
@@ -144,6 +152,7 @@
         fleet.log(
             "runs_lost", worker=worker.worker_id, runs=len(worker.runs), reason=reason
         )
+    record_lost_worker(fleet, worker)
     for run in list(worker.runs.values()):
         fleet.release(run)
     fleet.record_unknown_jobs(worker, set())
@@ -182,6 +191,9 @@
     before its task can be started again.
     """
     settings = fleet.settings
+    if worker.incarnation and not worker.is_gone:
+        silent_ms = worker.silent_since_ms if worker.is_unresponsive else fleet.now_ms
+        record_process_end(fleet, worker, silent_ms)
     runs = [] if not worker.incarnation else list(worker.runs.values())
     worker.begin_incarnation(incarnation)
     fleet.record_unknown_jobs(worker, set())
@@ -252,6 +264,8 @@
 
 
 def _is_absent(run: Run, clock_ms: int) -> bool:
+    if run.state is RunState.PLANNED:
+        return False
     if run.confirmed_clock_ms is not None:
         return clock_ms > run.confirmed_clock_ms
     if run.until_clock_ms is None:
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -277,6 +277,7 @@
             fleet.stored_roster = dict(commit.roster)
             fleet.needs_dispatch = fleet.pools_outdated = True
         for job_id, progress in commit.progress.items():
+            _starts.record_stored_starts(fleet, job_id, progress)
             if progress.may_leave_zone and job_id in fleet.jobs:
                 fleet.jobs[job_id].may_leave_zone = True
         for job_id in commit.final:
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -1,7 +1,9 @@
 """Sends start commands and applies the replies to starts and stops."""
 
+from marigoldpath_core.jobs import Progress, RecordedStart, TaskKey
 from marigoldpath_core.registry import Registry
 
+from ._crashes import must_record_start
 from ._fleet import Fleet, handlers
 from ._messages import StartReplied, StartResult, StartRun, StopReplied
 from ._reports import mark_started
@@ -16,19 +18,69 @@
 INCARNATION_CLOCK_GAP_MS = 300
 
 
-def send_start(fleet: Fleet, worker: Worker, task: Task, number: int) -> None:
-    """Allocate resources on the worker and send the start command of run `number`."""
+def start_task(fleet: Fleet, worker: Worker, task: Task, number: int) -> None:
+    """Allocate resources on the worker for run `number`, and send its start command.
+
+    If the start must be recorded, the command is sent once that is stored.
+    """
+    is_recorded_first = must_record_start(fleet, task)
+    clock_ms = worker.estimated_clock_ms(fleet.now_ms)
+    run = Run(task, number, worker.worker_id, task.step.need, clock_ms)
+    task.run = run
+    task.number = number
+    worker.add(run)
+    if not is_recorded_first:
+        _send_start(fleet, worker, run)
+        return
+    run.state = RunState.PLANNED
+    task.recorded_start = RecordedStart(number, worker.worker_id, worker.incarnation)
+    fleet.planned_runs[task.key] = run
+    fleet.mark_dirty(task.step.job)
+
+
+def record_stored_starts(fleet: Fleet, job_id: str, progress: Progress) -> None:
+    """Note which recorded starts of a job are stored, so that they can be sent."""
+    for key, start in progress.recorded_starts.items():
+        run = fleet.planned_runs.get(TaskKey(job_id, *key))
+        if run is not None and run.task.recorded_start == start:
+            run.is_recorded = fleet.needs_dispatch = True
+
+
+def send_recorded_starts(fleet: Fleet) -> None:
+    """Send the start commands that are stored by now.
+
+    If a worker got no starts any more meanwhile, its task is placed again.
+    """
+    for run in list(fleet.planned_runs.values()):
+        if not run.is_recorded:
+            continue
+        worker = fleet.workers.get(run.worker_id)
+        start = run.task.recorded_start
+        if (
+            worker is None
+            or start is None
+            or worker.incarnation != start.incarnation
+            or not fleet.is_startable(worker)
+        ):
+            fleet.abandon(run)
+            continue
+        del fleet.planned_runs[run.task.key]
+        worker.suspect_started_ms = fleet.now_ms
+        _send_start(fleet, worker, run)
+
+
+def _send_start(fleet: Fleet, worker: Worker, run: Run) -> None:
+    task = run.task
     step = task.step
     now_ms = fleet.now_ms
     settings = fleet.settings
+    number = run.number
     clock_ms = worker.estimated_clock_ms(now_ms)
-    run = Run(task, number, worker.worker_id, step.need, clock_ms)
+    run.state = RunState.SENT
+    run.progress_clock_ms = clock_ms
     run.until_clock_ms = clock_ms + settings.start_window_ms
     run.started_ms = now_ms
     worker.extend_lease(settings, settings.start_window_ms, now_ms)
-    task.run = run
-    task.number = number
-    worker.add(run)
     fleet.start_limit.record_start(task.key, number)
     ticket = step.tickets.get(worker.worker_id)
     fleet.emit(
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -9,6 +9,7 @@
     JobState,
     Progress,
     Queue,
+    RecordedStart,
     Resources,
     StepSpec,
     TaskKey,
@@ -16,8 +17,12 @@
 
 
 class RunState(Enum):
-    """The state of a run as the leader knows it."""
+    """The state of a run as the leader knows it.
 
+    PLANNED: its start is sent once it is recorded in the store.
+    """
+
+    PLANNED = "planned"
     SENT = "sent"
     RUNNING = "running"
     STOPPING = "stopping"
@@ -38,6 +43,7 @@
 
     __slots__ = (
         "confirmed_clock_ms",
+        "is_recorded",
         "load",
         "need",
         "number",
@@ -72,6 +78,8 @@
         self.load = 0
         self.speed_percent = 100
         self.started_ms = -math.inf
+        # Whether the start of a planned run is stored.
+        self.is_recorded = False
 
     def restart_stall_check(self, clock_ms: int) -> None:
         """Count the time without progress from `clock_ms` on."""
@@ -87,9 +95,11 @@
         "_run",
         "avoided_workers",
         "checkpoint",
+        "crashed_runs",
         "failed_runs",
         "key",
         "number",
+        "recorded_start",
         "step",
     )
 
@@ -103,6 +113,9 @@
         # Terminations on several workers arrive in any order, and a new leader receives
         # them again. The set of run numbers counts each failed run once.
         self.failed_runs: set[int] = set()
+        # The numbers of the runs under which a worker probably crashed.
+        self.crashed_runs: set[int] = set()
+        self.recorded_start: RecordedStart | None = None
         self.checkpoint = ""
         self.avoided_workers: set[str] = set()
 
@@ -170,6 +183,8 @@
         # Whether `seen_running` holds for a preceding step, directly or through its
         # predecessors. If so, no previous leader can have started this step.
         self.is_new_in_epoch = False
+        # Whether the outcome of a start that an earlier leader recorded is not known.
+        self.has_unsettled_starts = False
         self.is_request_in_flight = False
         # The time of the last advice request. The initial value is so long ago that the
         # first request is not delayed.
@@ -258,6 +273,8 @@
         done: dict[tuple[int, int], int] = {}
         failures: dict[tuple[int, int, int], tuple[int, ...]] = {}
         checkpoints: dict[tuple[int, int, int], str] = {}
+        crashes: dict[tuple[int, int, int], tuple[int, ...]] = {}
+        recorded_starts: dict[tuple[int, int, int], RecordedStart] = {}
         if self.state.is_final:
             return Progress(self.state)
         for (occurrence, number), step in self.steps.items():
@@ -267,6 +284,13 @@
                 if task.done:
                     mask |= 1 << task_index
                     continue
+                if task.crashed_runs:
+                    crashed = tuple(sorted(task.crashed_runs))
+                    crashes[occurrence, number, task_index] = crashed
+                if task.recorded_start is not None:
+                    recorded_starts[occurrence, number, task_index] = (
+                        task.recorded_start
+                    )
                 if task.failed_runs:
                     failed = tuple(sorted(task.failed_runs))
                     failures[occurrence, number, task_index] = failed
@@ -275,7 +299,13 @@
             if mask:
                 done[occurrence, number] = mask
         return Progress(
-            self.state, done, failures, checkpoints, self.zone_exit_requested
+            self.state,
+            done,
+            failures,
+            checkpoints,
+            self.zone_exit_requested,
+            crashes,
+            recorded_starts,
         )
 
 
@@ -287,4 +317,7 @@
             task.done = True
             step.remaining_tasks -= 1
         task.failed_runs = set(stored_progress.failures.get(key, ()))
+        task.crashed_runs = set(stored_progress.crashes.get(key, ()))
+        task.recorded_start = stored_progress.recorded_starts.get(key)
+        step.has_unsettled_starts |= task.recorded_start is not None
         task.checkpoint = stored_progress.checkpoints.get(key, "")
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -1,5 +1,7 @@
 """The leader's state of one worker."""
 
+import math
+
 from marigoldpath_core.jobs import Resources, TaskKey
 
 from ._messages import WorkerEntry
@@ -34,6 +36,8 @@
         self.is_gone = False
         # The time of the first poll without a reply, while it is unresponsive.
         self.silent_since_ms = 0.0
+        # When the last start of a task under which a worker had crashed was sent.
+        self.suspect_started_ms = -math.inf
         self.lease_expiry_ms = 0.0
         self.last_applied_termination = 0
         self.last_stored_termination = 0
--- a/packages/core/src/marigoldpath_core/jobs/_model.py
+++ b/packages/core/src/marigoldpath_core/jobs/_model.py
@@ -140,12 +140,22 @@
         return self in (JobState.DONE, JobState.FAILED, JobState.CANCELLED)
 
 
+class RecordedStart(NamedTuple):
+    """A start that was stored before it was sent: run number, worker, incarnation."""
+
+    run: int
+    worker_id: str
+    incarnation: int
+
+
 class Progress(NamedTuple):
     """The stored progress of a job.
 
     `done` maps (occurrence, step) to a bit mask of done tasks. `failures` maps a task
     to the numbers of its failed runs, and `checkpoints` maps a task to its newest
     checkpoint. A job with `may_leave_zone` may run outside its availability zone.
+    `crashes` maps a task to the numbers of its runs under which a worker crashed, and
+    `recorded_starts` to its newest start, if that was to be stored before it was sent.
     """
 
     state: JobState
@@ -153,3 +163,5 @@
     failures: dict[tuple[int, int, int], tuple[int, ...]] = {}  # noqa: RUF012
     checkpoints: dict[tuple[int, int, int], str] = {}  # noqa: RUF012
     may_leave_zone: bool = False
+    crashes: dict[tuple[int, int, int], tuple[int, ...]] = {}  # noqa: RUF012
+    recorded_starts: dict[tuple[int, int, int], RecordedStart] = {}  # noqa: RUF012
--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -11,6 +11,7 @@
     JobState,
     Progress,
     Queue,
+    RecordedStart,
     Resources,
     StepSpec,
 )
@@ -32,8 +33,8 @@
 class ProgressData(TypedDict, total=False):
     """The stored progress of a job, with the fields of `Progress`.
 
-    The tuples of numbers that are the keys of `done`, `failures` and `checkpoints` are
-    joined by dots. The bit masks in `done` are hexadecimal.
+    The tuples of numbers that are the keys are joined by dots. The bit masks in `done`
+    are hexadecimal. The values of `starts` are those of RecordedStart.
     """
 
     state: str
@@ -41,6 +42,8 @@
     failures: dict[str, list[int]]
     checkpoints: dict[str, str]
     spread: bool
+    crashes: dict[str, list[int]]
+    starts: dict[str, list[Any]]
 
 
 class LeaderRow(NamedTuple):
@@ -128,6 +131,15 @@
         }
     if progress.may_leave_zone:
         data["spread"] = True
+    if progress.crashes:
+        data["crashes"] = {
+            _join_numbers(key): [*runs] for key, runs in progress.crashes.items()
+        }
+    if progress.recorded_starts:
+        data["starts"] = {
+            _join_numbers(key): [*start]
+            for key, start in progress.recorded_starts.items()
+        }
     return to_json(data)
 
 
@@ -143,6 +155,14 @@
         },
         {_parse_triple(key): text for key, text in data.get("checkpoints", {}).items()},
         data.get("spread", False),
+        {
+            _parse_triple(key): tuple(runs)
+            for key, runs in data.get("crashes", {}).items()
+        },
+        {
+            _parse_triple(key): RecordedStart(*start)
+            for key, start in data.get("starts", {}).items()
+        },
     )
 
 
--- a/tests/core/test_fleet_crashes.py
+++ b/tests/core/test_fleet_crashes.py
@@ -3,12 +3,15 @@
 import unittest
 
 from marigoldpath_core.fleet import (
+    FleetSettings,
+    RosterEntry,
     StartRun,
     WorkersListed,
     WorkerUnresponsive,
 )
-from marigoldpath_core.jobs import JobState
+from marigoldpath_core.jobs import JobState, RecordedStart
 from tests.core.fleet_fixture import (
+    JOB,
     LONG_RUNNING,
     FleetHarness,
     entry,
@@ -21,6 +24,8 @@
 # A task that crashes its workers must not be started this often after three crashes.
 MAX_STARTS_AFTER_THREE_CRASHES = 2
 TICK_MS = 100
+# The lease of a worker that does not reply expires within this time.
+LEASE_MS = 5_500
 
 
 class CrashWorld:
@@ -40,6 +45,10 @@
         self.crashed = set()
         self.starts = []
         self.crash_ms = []
+        self.roster = {
+            each.worker_id: RosterEntry(each.address, None, each.zone)
+            for each in self.entries
+        }
         self.epoch = 0
         self.now_ms = 10_000.0
         self.elect()
@@ -50,7 +59,7 @@
 
     def elect(self):
         self.epoch += 1
-        self.harness = FleetHarness(*self.entries, epoch=self.epoch)
+        self.harness = FleetHarness(*self.entries, epoch=self.epoch, roster=self.roster)
         self.harness.now_ms = self.now_ms
         for accepted, progress in self.stored.values():
             self.harness.accept(accepted, progress)
@@ -79,8 +88,11 @@
         self.harness.advance(TICK_MS)
 
     def commit(self):
-        for job_id, progress in self.harness.commit().progress.items():
+        commit = self.harness.commit()
+        for job_id, progress in commit.progress.items():
             self.stored[job_id][1] = progress
+        if commit.roster is not None:
+            self.roster = commit.roster
 
     def execute(self, command: StartRun):
         worker_id = command.worker_id
@@ -153,5 +165,202 @@
         self.assert_given_up(world)
 
 
+class StartOfSuspectTests(unittest.TestCase):
+    """The start of a task under which a worker crashed is stored before it is sent."""
+
+    def setUp(self):
+        self.harness = FleetHarness(entry("a"), entry("b"), entry("c"))
+        self.harness.report_all()
+        self.harness.accept(job(step()))
+
+    def crash(self):
+        (command,) = self.harness.dispatch_starts()
+        self.harness.confirm_start(command)
+        event = WorkerUnresponsive(command.worker_id, "refused", is_gone=True)
+        self.harness.handle(event)
+        return command
+
+    def report_others(self, crashed):
+        for each in self.harness.entries:
+            if each.worker_id != crashed.worker_id:
+                self.harness.report(each.worker_id)
+
+    def restart_after_crash(self):
+        """Crash a worker and return its start and the commit with the next one."""
+        crashed = self.crash()
+        self.harness.advance(LEASE_MS)
+        self.report_others(crashed)
+        self.assertEqual(self.harness.dispatch_starts(), [])
+        return crashed, self.harness.commit()
+
+    def test_a_start_is_sent_after_it_is_stored(self):
+        crashed, commit = self.restart_after_crash()
+        progress = commit.progress[JOB]
+        self.assertEqual(progress.crashes, {(0, 0, 0): (crashed.run,)})
+        (command,) = self.harness.dispatch_starts()
+        recorded = RecordedStart(command.run, command.worker_id, 1_000)
+        self.assertEqual(progress.recorded_starts, {(0, 0, 0): recorded})
+
+    def test_a_report_before_the_start_is_sent_does_not_release_its_capacity(self):
+        crashed, _ = self.restart_after_crash()
+        self.harness.now_ms += 1_500
+        self.report_others(crashed)
+        self.assertEqual(len(self.harness.dispatch_starts()), 1)
+
+    def next_leader(self, commit, *entries):
+        harness = FleetHarness(*entries, epoch=2, roster=dict(self.harness_roster()))
+        harness.now_ms = self.harness.now_ms
+        harness.accept(job(step()), commit.progress[JOB])
+        return harness
+
+    def harness_roster(self):
+        return {
+            each.worker_id: RosterEntry(each.address, None, each.zone)
+            for each in self.harness.entries
+        }
+
+    def crashes_at_next_leader(self, harness):
+        harness.advance(2 * LEASE_MS)
+        for each in harness.entries:
+            harness.report(each.worker_id, incarnation=each.incarnation)
+        harness.advance(2 * LEASE_MS)
+        for each in harness.entries:
+            harness.report(each.worker_id, incarnation=each.incarnation)
+        harness.dispatch()
+        progress = harness.commit().progress.get(JOB)
+        return len(progress.crashes[0, 0, 0]) if progress else 1
+
+    def test_the_next_leader_counts_a_recorded_start_whose_worker_is_gone(self):
+        crashed, commit = self.restart_after_crash()
+        (command,) = self.harness.dispatch_starts()
+        others = [
+            each
+            for each in self.harness.entries
+            if each.worker_id not in (crashed.worker_id, command.worker_id)
+        ]
+        harness = self.next_leader(commit, *others)
+        self.assertEqual(self.crashes_at_next_leader(harness), 2)
+
+    def test_the_next_leader_counts_a_recorded_start_whose_worker_restarted(self):
+        _, commit = self.restart_after_crash()
+        (command,) = self.harness.dispatch_starts()
+        restarted = [
+            each._replace(incarnation=2_000)
+            if each.worker_id == command.worker_id
+            else each
+            for each in self.harness.entries
+        ]
+        harness = self.next_leader(commit, *restarted)
+        self.assertEqual(self.crashes_at_next_leader(harness), 2)
+
+    def test_the_next_leader_does_not_count_a_start_that_was_never_executed(self):
+        _, commit = self.restart_after_crash()
+        harness = self.next_leader(commit, *self.harness.entries)
+        self.assertEqual(self.crashes_at_next_leader(harness), 1)
+
+
+class InnocentTaskTests(unittest.TestCase):
+    """Guards against tasks that are given up for the end of a worker they survived."""
+
+    def setUp(self):
+        self.entries = [entry(f"w{number}") for number in range(8)]
+        self.harness = FleetHarness(*self.entries)
+        self.harness.report_all()
+
+    def start(self):
+        """Start the only waiting task, also if its start has to be stored first."""
+        starts = self.harness.dispatch_starts()
+        if not starts:
+            self.harness.commit()
+            starts = self.harness.dispatch_starts()
+        (command,) = starts
+        self.harness.confirm_start(command)
+        return command
+
+    def lose(self, command, after_ms, **fields):
+        """Lose the worker of a run `after_ms` after its start, until its lease ends."""
+        self.harness.now_ms += after_ms
+        event = WorkerUnresponsive(command.worker_id, **fields)
+        self.harness.handle(event)
+        self.harness.advance(LEASE_MS)
+        self.report_others(command.worker_id)
+
+    def report_others(self, worker_id):
+        for each in self.entries:
+            if each.worker_id != worker_id:
+                self.harness.report(each.worker_id)
+
+    def assert_not_given_up(self):
+        self.harness.commit()
+        state = self.harness.scheduler.job_state(JOB)
+        self.assertNotEqual(state, JobState.FAILED)
+
+    def test_a_worker_that_is_cut_off_is_not_blamed_on_a_task(self):
+        self.harness.accept(job(step()))
+        for _ in range(6):
+            self.lose(self.start(), 10)
+        self.assert_not_given_up()
+
+    def test_a_worker_that_is_killed_later_is_not_blamed_on_a_task(self):
+        self.harness.accept(job(step()))
+        for _ in range(6):
+            self.lose(self.start(), 1_500, is_gone=True)
+        self.assert_not_given_up()
+
+    def test_a_worker_that_was_draining_is_not_blamed_on_a_task(self):
+        self.harness.accept(job(step()))
+        for _ in range(4):
+            command = self.start()
+            self.entries = [
+                each._replace(draining=True)
+                if each.worker_id == command.worker_id
+                else each
+                for each in self.entries
+            ]
+            self.harness.handle(WorkersListed(tuple(self.entries)))
+            self.lose(command, 10, is_gone=True)
+        self.assert_not_given_up()
+
+    def test_a_worker_that_replies_again_is_not_blamed_on_a_task(self):
+        """A network fault can refuse connections to a worker that is alive."""
+        self.harness.accept(job(step()))
+        for _ in range(6):
+            command = self.start()
+            self.lose(command, 10, is_gone=True)
+            self.harness.now_ms += 10
+            self.harness.report(command.worker_id)
+        self.assert_not_given_up()
+
+    def test_a_task_beside_one_that_crashes_its_workers_is_not_given_up(self):
+        deadly, innocent = job(step(), job_id=DEADLY), job(step(estimate_ms=60_000))
+        world = CrashWorld(deadly, innocent, workers=2)
+        world.run(60_000)
+        self.assertIs(world.state(DEADLY), JobState.FAILED)
+        self.assertIs(world.state(JOB), JobState.RUNNING)
+
+    def test_two_suspects_are_not_started_on_one_worker_at_a_time(self):
+        self.harness.accept(job(step(width=2)))
+        commands = self.harness.dispatch_starts()
+        for command in commands:
+            self.harness.confirm_start(command)
+        gone = {command.worker_id for command in commands}
+        for worker_id in gone:
+            event = WorkerUnresponsive(worker_id, "refused", is_gone=True)
+            self.harness.handle(event)
+        self.harness.advance(LEASE_MS)
+        alive = [each for each in self.entries if each.worker_id not in gone][:1]
+        for each in alive:
+            self.harness.report(each.worker_id)
+        self.harness.handle(WorkersListed(tuple(alive)))
+        self.harness.dispatch()
+        self.harness.commit()
+        self.assertEqual(len(self.harness.dispatch_starts()), 1)
+        self.harness.now_ms += FleetSettings().crash_window_ms + 1
+        self.harness.report(alive[0].worker_id)
+        self.harness.dispatch()
+        self.harness.commit()
+        self.assertEqual(len(self.harness.dispatch_starts()), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/core/test_fleet_starts.py
+++ b/tests/core/test_fleet_starts.py
@@ -66,6 +66,8 @@
 
         So the worker would execute a start that was sent before its restart.
         """
+        # A restart a moment after the start would make the task a suspect.
+        self.harness.now_ms += 1_500
         effects = self.harness.report("a", incarnation=2_000, clock_ms=5)
         self.assertEqual([stop.run for stop in stops(effects)], [self.command.run])
         self.assertEqual(self.harness.dispatch_starts(), [])
@@ -76,6 +78,7 @@
         self.assertEqual(len(self.harness.dispatch_starts()), 1)
 
     def test_a_reported_run_of_a_restarted_worker_starts_again_at_once(self):
+        self.harness.now_ms += 1_500
         self.harness.report("a", running=[running(self.command)])
         self.harness.report("a", incarnation=2_000, clock_ms=5)
         self.assertEqual(len(self.harness.dispatch_starts()), 1)
