--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -159,6 +159,28 @@
             {"address": 5},
             {"labels": [1]},
             {"born": "soon"},
+            {"born": -1},
+            {"born": 10**22},
+            {"remaining-ms": -5},
+            {"remaining-ms": 10**22},
+            {"capacity": {"cpu": -1, "mem-mb": 1}},
+            {"capacity": {"cpu": 1, "mem-mb": -1}},
+            {"capacity": {"cpu": 1, "mem-mb": 1, "gpu": -1}},
+            {"capacity": {"cpu": 10**22, "mem-mb": 1}},
+            {"capacity": {"cpu": 1, "mem-mb": 1e300}},
+            {"capacity": {"cpu": True, "mem-mb": 1}},
+            {"address": "10.0.0.9:99999"},
+            {"address": "10.0.0.9:0"},
+            {"address": "10.0.0.9:-80"},
+            {"address": "10.0.0.9:+80"},
+            {"address": "10.0.0.9:8_0"},
+            {"address": "10.0.0.9"},
+            {"address": ":80"},
+            {"address": "host.example:80"},
+            {"address": "10.0.0.9 :80"},
+            {"labels": "r1"},
+            b'{"capacity": ' + b"[" * 60_000,
+            b'{"born": ' + b"9" * 5_000 + b"}",
         ]
 
         async def run():
@@ -179,7 +201,12 @@
 
     def test_the_entry_of_a_draining_worker_has_its_remaining_time(self):
         entry = {
-            **{"service": "s", "address": "a:1", "zone": "z", "labels": ["b", "r2"]},
+            **{
+                "service": "s",
+                "address": "10.0.0.9:1",
+                "zone": "z",
+                "labels": ["b", "r2"],
+            },
             **{"capacity": {"cpu": 1, "mem-mb": 2}, "state": "draining"},
             "remaining-ms": 900,
         }
