Test that starts stay within a capacity that shrinks and grows, also recorded ones

A start that is stored before it is sent is decided about 0.1 s earlier, so the worker's capacity can shrink in between.

Change: a recorded start is placed again if the worker has lost capacity meanwhile. Tests: runs beyond a capacity that shrank, runs that are being stopped, memory, a gang, and a capacity that grew.

--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -49,7 +49,7 @@
 def send_recorded_starts(fleet: Fleet) -> None:
     """Send the start commands that are stored by now.
 
-    If a worker got no starts any more meanwhile, its task is placed again.
+    If a worker may not get it any more, or has lost capacity, its task is placed again.
     """
     for run in list(fleet.planned_runs.values()):
         if not run.is_recorded:
@@ -61,6 +61,7 @@
             or start is None
             or worker.incarnation != start.incarnation
             or not fleet.is_startable(worker)
+            or min(worker.free) < 0
         ):
             fleet.abandon(run)
             continue
--- a/tests/core/test_fleet_crashes.py
+++ b/tests/core/test_fleet_crashes.py
@@ -207,6 +207,22 @@
         self.report_others(crashed)
         self.assertEqual(len(self.harness.dispatch_starts()), 1)
 
+    def test_a_start_is_not_sent_to_a_worker_whose_capacity_shrank_meanwhile(self):
+        crashed, commit = self.restart_after_crash()
+        (recorded,) = commit.progress[JOB].recorded_starts.values()
+        self.harness.entries = tuple(
+            entry(each.worker_id, cpu=500)
+            if each.worker_id == recorded.worker_id
+            else each
+            for each in self.harness.entries
+            if each.worker_id != crashed.worker_id
+        )
+        self.harness.handle(WorkersListed(self.harness.entries))
+        self.assertEqual(self.harness.dispatch_starts(), [])
+        self.harness.commit()
+        (command,) = self.harness.dispatch_starts()
+        self.assertNotEqual(command.worker_id, recorded.worker_id)
+
     def next_leader(self, commit, *entries):
         harness = FleetHarness(*entries, epoch=2, roster=dict(self.harness_roster()))
         harness.now_ms = self.harness.now_ms
--- a/tests/core/test_fleet_placement.py
+++ b/tests/core/test_fleet_placement.py
@@ -6,6 +6,7 @@
     JobCancelled,
     RosterEntry,
     StartResult,
+    WorkersListed,
 )
 from marigoldpath_core.jobs import JobState, Progress
 from tests.core.fleet_fixture import (
@@ -101,6 +102,64 @@
         )
 
 
+class CapacityChangeTests(unittest.TestCase):
+    """A worker's capacity may shrink and grow while it runs tasks."""
+
+    def setUp(self):
+        self.harness = FleetHarness(entry("a", cpu=4_000))
+        self.harness.report_all()
+        self.harness.accept(job(step(width=8)))
+        self.commands = self.harness.dispatch_starts()
+        for command in self.commands:
+            self.harness.confirm_start(command)
+
+    def resize(self, cpu, memory=100_000):
+        self.harness.entries = (entry("a", cpu=cpu, memory=memory),)
+        self.harness.handle(WorkersListed(self.harness.entries))
+
+    def report(self, ended_count):
+        done, still_running = self.commands[:ended_count], self.commands[ended_count:]
+        self.harness.report(
+            "a",
+            [running(command) for command in still_running],
+            [ended(number, command) for number, command in enumerate(done, 1)],
+        )
+
+    def test_runs_beyond_a_capacity_that_shrank_count_until_they_have_ended(self):
+        self.assertEqual(len(self.commands), 4)
+        self.resize(2_000)
+        self.report(2)
+        self.assertEqual(self.harness.dispatch_starts(), [])
+        self.report(3)
+        self.assertEqual(len(self.harness.dispatch_starts()), 1)
+
+    def test_a_run_that_is_being_stopped_counts_towards_a_capacity_that_shrank(self):
+        self.harness.handle(JobCancelled(JOB))
+        self.resize(2_000)
+        self.harness.accept(job(step(width=4), job_id="00000000000000ab"))
+        self.assertEqual(self.harness.dispatch_starts(), [])
+        self.report(2)
+        self.assertEqual(self.harness.dispatch_starts(), [])
+        self.report(4)
+        self.assertEqual(len(self.harness.dispatch_starts()), 2)
+
+    def test_memory_that_shrank_limits_starts_as_well(self):
+        self.resize(8_000, memory=400)
+        self.assertEqual(self.harness.dispatch_starts(), [])
+
+    def test_a_capacity_that_grew_is_used(self):
+        self.resize(6_000)
+        self.assertEqual(len(self.harness.dispatch_starts()), 2)
+
+    def test_a_gang_does_not_start_on_a_capacity_that_shrank(self):
+        self.report(4)
+        self.resize(2_000)
+        self.harness.accept(job(step(width=3, gang=True), job_id="00000000000000ab"))
+        starts = self.harness.dispatch_starts()
+        self.assertTrue(all(each.task.job_id == JOB for each in starts))
+        self.assertEqual(len(starts), 2)
+
+
 class GangTests(unittest.TestCase):
     """Guards against a part of a gang that occupies workers without the rest."""
 
