Add tasks that crash their workers to the search, and mend what it found

Cause: the search of the simulated cell had no such task.

A recorded start is forgotten once its run is reported later than crash_window_ms after it. If the first report of a worker shows an incarnation that began less than 30 s ago, first starts of earlier jobs are recorded.

Ruled out: the incarnation in the roster's rows, which the previous build could not read as leader during an upgrade.

--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_oracle.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_oracle.py
@@ -7,6 +7,12 @@
 from marigoldpath_core.fleet import TerminationReason
 from marigoldpath_core.jobs import AcceptedJob, JobState, TaskKey
 
+# A task that crashes its workers may be given up after the lower number of crashes, and
+# after the higher number it may be started at most so often.
+MIN_CRASHES_TO_GIVE_UP = 2
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 2
+
 
 class RunRecord:
     """One run, recorded by its worker; times are in milliseconds."""
@@ -49,6 +55,8 @@
         self._cancelled: dict[str, float] = {}
         self._replies: dict[str, SubmissionReply] = {}
         self._violations: list[Violation] = []
+        # The times at which workers crashed under each task that crashes them.
+        self._crashes: dict[TaskKey, list[float]] = {}
 
     @property
     def jobs(self) -> dict[str, AcceptedJob]:
@@ -67,6 +75,18 @@
         self._jobs[job.spec.job_id] = job
         self._replies[job.spec.job_id] = reply
 
+    def record_deadly_task(self, task: TaskKey) -> None:
+        """Record that a task crashes each worker that starts it."""
+        self._crashes[task] = []
+
+    def is_deadly(self, task: TaskKey) -> bool:
+        """Return whether a task crashes each worker that starts it."""
+        return task in self._crashes
+
+    def record_crash(self, task: TaskKey, now_ms: float) -> None:
+        """Record that a worker crashed under a task."""
+        self._crashes[task].append(now_ms)
+
     def record_unrequested_start(self, task: TaskKey, now_ms: float) -> None:
         """Record a start of a task that was not submitted, or not with this payload."""
         self._add_violation("UNASKED", now_ms, f"{task}")
@@ -85,6 +105,10 @@
                     "TWICE", now_ms, f"{task} also runs on {other.worker_id}"
                 )
         self._check_dependencies(task, now_ms)
+        crashes = self._crashes.get(task, [])
+        if len(crashes) >= MAX_CRASHES + MAX_STARTS_AFTER_CRASHES:
+            what = f"{task} after {len(crashes)} crashes"
+            self._add_violation("BUDGET", now_ms, what)
         record = RunRecord(task, number, worker_id, now_ms)
         self._runs[task].append(record)
         return record
@@ -169,7 +193,9 @@
         )
         if state is JobState.DONE and not are_all_steps_done:
             return [Violation("MIXED", 0.0, f"{job_id} is shown as done")]
-        if state is JobState.FAILED and not self._has_failed(job):
+        if state is JobState.FAILED and not (
+            self._has_failed(job) or self._may_be_given_up(job)
+        ):
             return [Violation("LOST", 0.0, f"{job_id} is shown as failed")]
         is_long_running = any(step.long_running for step in job.spec.steps)
         if state not in (JobState.DONE, JobState.FAILED) and not is_long_running:
@@ -184,5 +210,12 @@
             if task.job_id == job.spec.job_id
         )
 
+    def _may_be_given_up(self, job: AcceptedJob) -> bool:
+        return any(
+            len(crashes) >= MIN_CRASHES_TO_GIVE_UP
+            for task, crashes in self._crashes.items()
+            if task.job_id == job.spec.job_id
+        )
+
     def _add_violation(self, rule: str, now_ms: float, what: str) -> None:
         self._violations.append(Violation(rule, now_ms, what))
--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
@@ -23,13 +23,16 @@
     WorkersListed,
     WorkerUnresponsive,
 )
-from marigoldpath_core.jobs import AcceptedJob, JobState, Resources
+from marigoldpath_core.jobs import AcceptedJob, JobState, Resources, TaskKey
 from marigoldpath_core.registry import Registry
 
 from ._oracle import Oracle
 from ._store import SimulatedStore
 from ._worker import SimulatedWorker
 
+# How long a worker lives after the start of a task that crashes it.
+CRASH_DELAY_MS = 10.0
+
 effect_handlers: Registry = Registry("effect in the simulated cell")
 
 
@@ -375,6 +378,11 @@
                 )
             return
         result, clock_ms = worker.start(command, sender.epoch, spec, self.now_ms)
+        if result is StartResult.STARTED and self.oracle.is_deadly(command.task):
+            incarnation = worker.incarnation_count
+            self._schedule(
+                CRASH_DELAY_MS, lambda: self._crash(worker, incarnation, command.task)
+            )
         if recipient is None:
             return
         if self._is_lost():
@@ -382,6 +390,11 @@
             return
         self._send_to_leader(recipient, self._start_reply(command, result, clock_ms))
 
+    def _crash(self, worker: SimulatedWorker, incarnation: int, task: TaskKey) -> None:
+        if worker.incarnation_count == incarnation:
+            self.oracle.record_crash(task, self.now_ms)
+            worker.restart(self.now_ms)
+
     def _lose_reply(self, leader: SimulatedLeader, command: StartRun) -> None:
         self._handle(leader, self._start_reply(command, StartResult.UNKNOWN))
 
--- a/packages/core/src/marigoldpath_core/fleet/_crashes.py
+++ b/packages/core/src/marigoldpath_core/fleet/_crashes.py
@@ -53,6 +53,20 @@
         fleet.log("crash_retracted", job=key.job_id, run=number, worker=worker_id)
 
 
+def record_survival(fleet: Fleet, run: Run) -> None:
+    """Forget a recorded start whose run is reported after `crash_window_ms`.
+
+    A later end of its worker has another cause.
+    """
+    job = run.task.step.job
+    start = run.task.recorded_start
+    if start is None or start.run != run.number or job.state.is_final:
+        return
+    if fleet.now_ms - run.started_ms > _window_ms(fleet):
+        run.task.recorded_start = None
+        fleet.mark_dirty(job)
+
+
 def must_record_start(fleet: Fleet, task: Task) -> bool:
     """Return whether a start of the task must be stored before it is sent.
 
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -42,8 +42,9 @@
 class WorkerEntry(NamedTuple):
     """A worker in the directory.
 
-    `incarnation` is 0 if the directory does not state it. `remaining_ms` is the time
-    until a draining worker is removed.
+    `incarnation` is the time of its start in milliseconds since the Unix epoch, 0 if
+    the directory does not state it. `remaining_ms` is the time until a draining worker
+    is removed.
     """
 
     worker_id: str
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -4,7 +4,12 @@
 
 from marigoldpath_core.jobs import JobState, TaskKey
 
-from ._crashes import record_lost_worker, record_process_end, retract
+from ._crashes import (
+    record_lost_worker,
+    record_process_end,
+    record_survival,
+    retract,
+)
 from ._fleet import Fleet, handlers
 from ._messages import (
     RunningTask,
@@ -21,6 +26,9 @@
 # A worker refuses a start after the start's time limit. A report from more than this
 # time later on the worker's clock proves whether the run was started.
 REFUSAL_MARGIN_MS = 50
+# An incarnation of a worker that began so recently may follow one that ended together
+# with the previous leader.
+NEW_INCARNATION_MS = 30_000
 
 
 @handlers.register(WorkersListed)
@@ -64,6 +72,9 @@
     if worker.is_unresponsive:
         _restart_stall_checks(worker, event.clock_ms)
     if worker.last_polled_ms is None:
+        if event.worker_id in fleet.unreported_workers and fleet.wall_ms:
+            age_ms = fleet.wall_ms - event.incarnation
+            fleet.lost_worker_before_term |= age_ms < NEW_INCARNATION_MS
         # A previous leader could have renewed the lease until this leader's poll made
         # the worker refuse commands of earlier epochs.
         worker.extend_lease(fleet.settings, fleet.settings.lease_ms, fleet.now_ms)
@@ -323,6 +334,8 @@
     run.percent = row.percent
     if row.checkpoint:
         task.checkpoint = row.checkpoint
+    if task.recorded_start is not None:
+        record_survival(fleet, run)
     mark_started(task.step.job)
 
 
--- a/tests/bench/test_fleet_simulation.py
+++ b/tests/bench/test_fleet_simulation.py
@@ -43,10 +43,14 @@
         }
         for seed, cause in causes.items():
             with self.subTest(seed=seed, cause=cause):
-                # These were found before the search had zones, stale epochs and
-                # suspended leaders.
+                # These were found before the search had zones, stale epochs,
+                # suspended leaders and tasks that crash workers.
                 violations = FleetSearch(
-                    seed, stale_epoch_rate=0.0, zones=1, with_suspensions=False
+                    seed,
+                    stale_epoch_rate=0.0,
+                    zones=1,
+                    with_suspensions=False,
+                    with_deadly_tasks=False,
                 ).run(STEPS)
                 self.assertEqual(violations, [])
 
@@ -64,6 +68,24 @@
     def start(self, at_ms):
         return self.simulation.oracle.record_start(TaskKey(*self.task), 1, "w0", at_ms)
 
+    def crash(self, times):
+        task = TaskKey(*self.task)
+        self.simulation.oracle.record_deadly_task(task)
+        for at_ms in range(times):
+            self.simulation.oracle.record_crash(task, at_ms)
+
+    def test_a_task_may_be_started_twice_more_after_three_crashes(self):
+        self.crash(4)
+        self.start(100).end_ms = 110.0
+        self.assertEqual(self.rules(JobState.FAILED), [])
+        self.crash(5)
+        self.start(200).end_ms = 210.0
+        self.assertEqual(self.rules(JobState.FAILED), ["BUDGET"])
+
+    def test_a_job_without_two_crashes_must_not_be_given_up(self):
+        self.crash(1)
+        self.assertEqual(self.rules(JobState.FAILED), ["LOST"])
+
     def rules(self, state=JobState.DONE):
         violations = self.simulation.oracle.violations({self.job.spec.job_id: state})
         return [violation.rule for violation in violations]
--- a/tests/core/test_fleet_crashes.py
+++ b/tests/core/test_fleet_crashes.py
@@ -4,6 +4,7 @@
 
 from marigoldpath_core.fleet import (
     FleetSettings,
+    JobCancelled,
     RosterEntry,
     StartRun,
     WorkersListed,
@@ -223,6 +224,27 @@
         (command,) = self.harness.dispatch_starts()
         self.assertNotEqual(command.worker_id, recorded.worker_id)
 
+    def test_a_run_that_outlives_the_window_is_not_blamed_for_a_later_crash(self):
+        """The next leader must not count a crash long after the recorded start."""
+        crashed, _ = self.restart_after_crash()
+        (command,) = self.harness.dispatch_starts()
+        self.harness.confirm_start(command)
+        self.harness.advance(1_500)
+        self.harness.report(command.worker_id, [running(command)])
+        progress = self.harness.commit().progress[JOB]
+        self.assertEqual(progress.recorded_starts, {})
+        self.assertEqual(progress.crashes, {(0, 0, 0): (crashed.run,)})
+
+    def test_a_surviving_run_of_a_job_that_has_ended_changes_nothing(self):
+        self.restart_after_crash()
+        (command,) = self.harness.dispatch_starts()
+        self.harness.confirm_start(command)
+        self.harness.handle(JobCancelled(JOB))
+        self.harness.commit()
+        self.harness.advance(1_500)
+        self.harness.report(command.worker_id, [running(command)])
+        self.assertEqual(self.harness.commit().progress, {})
+
     def next_leader(self, commit, *entries):
         harness = FleetHarness(*entries, epoch=2, roster=dict(self.harness_roster()))
         harness.now_ms = self.harness.now_ms
