Report the backlog by service and priority, not by queue

The leader's status, which each host requests every 0.3 s within 0.6 s, had two entries for each queue as soon as work waited.

Change: Queue.priority_class; the backlog has an entry for each service and priority.

Result: the new test fails before (6,000 entries for 3 classes) and passes now; 27 tests of admission and overload pass.

--- a/packages/core/src/marigoldpath_core/fleet/_admission.py
+++ b/packages/core/src/marigoldpath_core/fleet/_admission.py
@@ -26,8 +26,9 @@
 
 
 class Backlog(NamedTuple):
-    """What a new job has to wait for, by queue; queues without a backlog are omitted.
+    """What a new job has to wait for, by the `priority_class` of its queue.
 
+    Classes without a backlog are omitted.
     `starts_ms` is the time until the leader's process has sent the starts that come
     first; it is 0 unless the process lags. `work_ms` is the time that the workers take
     for the work that comes first, if they do nothing else.
@@ -78,12 +79,12 @@
     waits = (
         (
             "starts",
-            backlog.starts_ms.get(queue.name, 0),
+            backlog.starts_ms.get(queue.priority_class, 0),
             USABLE_SLACK_FRACTION * max(0.0, allowed_ms - critical_path_ms),
         ),
         (
             "work",
-            backlog.work_ms.get(queue.name, 0),
+            backlog.work_ms.get(queue.priority_class, 0),
             USELESS_FACTOR * allowed_ms - critical_path_ms,
         ),
     )
@@ -95,7 +96,7 @@
 
 
 def measure_backlog(fleet: Fleet) -> Backlog:
-    """Return what a new job of each queue has to wait for.
+    """Return what a new job of each priority class has to wait for.
 
     Both times are lower bounds: they count the tasks that wait now and are more urgent,
     not those that run.
@@ -104,14 +105,11 @@
     if not pending:
         return Backlog()
     backlog = Backlog({}, {})
-    times: dict[tuple[str, int], tuple[float, float]] = {}
-    for queue in fleet.queues.values():
-        key = (queue.service, queue.priority)
-        if key not in times:
-            times[key] = _times_ms(fleet, pending, *key)
-        for by_queue, time_ms in zip(backlog, times[key]):
+    for name, queue in fleet.priority_classes.items():
+        times_ms = _times_ms(fleet, pending, queue.service, queue.priority)
+        for by_class, time_ms in zip(backlog, times_ms):
             if time_ms >= MIN_BACKLOG_MS:
-                by_queue[queue.name] = round(time_ms)
+                by_class[name] = round(time_ms)
     return backlog
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -48,6 +48,8 @@
         self.unknown_job_workers: dict[str, set[str]] = {}
         self.workers: dict[str, Worker] = {}
         self.queues: dict[str, Queue] = {}
+        # One queue of each priority class.
+        self.priority_classes: dict[str, Queue] = {}
         self.open_steps: dict[tuple[str, int, int], Step] = {}
         self.scheduled_jobs: dict[str, Job] = {}
         self.effects: list[Effect] = []
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -75,6 +75,9 @@
 def apply_queues(fleet: Fleet, event: QueuesChanged) -> None:
     """Apply the queue policies of a new configuration, also to open jobs."""
     fleet.queues = event.queues
+    fleet.priority_classes = {
+        queue.priority_class: queue for queue in event.queues.values()
+    }
     for job in fleet.jobs.values():
         queue = event.queues.get(job.queue.name)
         if queue is not None:
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -318,7 +318,7 @@
         return counts
 
     def backlog(self, now_ms: float) -> Backlog:
-        """Return what a new job of each queue has to wait for."""
+        """Return what a new job of each priority class has to wait for."""
         self._fleet.now_ms = now_ms
         return _admission.measure_backlog(self._fleet)
 
--- a/packages/core/src/marigoldpath_core/jobs/_model.py
+++ b/packages/core/src/marigoldpath_core/jobs/_model.py
@@ -47,6 +47,11 @@
     target_ms: float
     advice: AdvicePolicy | None = None
 
+    @property
+    def priority_class(self) -> str:
+        """Return a name that the queues of one service and priority have in common."""
+        return f"{self.priority} {self.service}"
+
     def allowed_ms(self, critical_path_ms: float) -> float:
         """Return how long a job with this critical path may take to be on time."""
         return self.stretch * critical_path_ms + self.target_ms
--- a/tests/core/test_fleet_admission.py
+++ b/tests/core/test_fleet_admission.py
@@ -34,7 +34,9 @@
 
     def refuse(self, starts_ms, spread=0.0, queue=URGENT, work_ms=0):
         spec = JobSpec("00000000000000aa", "", (step(estimate_ms=1_000),))
-        backlog = Backlog({queue.name: starts_ms}, {queue.name: work_ms})
+        backlog = Backlog(
+            {queue.priority_class: starts_ms}, {queue.priority_class: work_ms}
+        )
         return refuse_if_late(spec, queue, backlog, spread)
 
     def test_a_job_that_can_be_on_time_is_accepted(self):
@@ -91,20 +93,20 @@
             self.add_job(number, URGENT)
         self.harness.dispatch()
         # One job runs; the other two need 8 s of one processor, of which there are 4.
-        self.assertEqual(self.work_ms()["urgent"], 2_000)
+        self.assertEqual(self.work_ms()[URGENT.priority_class], 2_000)
 
     def test_less_urgent_work_delays_no_urgent_job(self):
         """Guards against a flood of one kind of work that starves the others."""
         for number in range(1, 10):
             self.add_job(number, BACKGROUND)
         self.harness.dispatch()
-        self.assertEqual(set(self.work_ms()), {"background"})
+        self.assertEqual(set(self.work_ms()), {BACKGROUND.priority_class})
 
     def test_urgent_work_delays_less_urgent_jobs(self):
         for number in range(1, 4):
             self.add_job(number, URGENT)
         self.harness.dispatch()
-        self.assertEqual(self.work_ms()["background"], 2_000)
+        self.assertEqual(self.work_ms()[BACKGROUND.priority_class], 2_000)
 
     def test_work_that_is_late_delays_no_new_job_of_its_priority(self):
         """A scheduling pass places late jobs after those that can be on time."""
@@ -112,7 +114,24 @@
             self.add_job(number, URGENT)
         self.harness.dispatch()
         self.harness.now_ms += 60_000
-        self.assertNotIn("urgent", self.work_ms())
+        self.assertNotIn(URGENT.priority_class, self.work_ms())
+
+    def test_the_estimate_does_not_grow_with_the_number_of_queues(self):
+        """Guards against heartbeats that a slow link does not carry in time."""
+        queues = {
+            f"{queue.name}-{number}": queue._replace(name=f"{queue.name}-{number}")
+            for queue in QUEUES.values()
+            for number in range(2_000)
+        }
+        self.harness.handle(QueuesChanged(queues))
+        for number in range(1, 4):
+            self.add_job(number, queues["urgent-7"])
+        self.harness.dispatch()
+        self.assertEqual(len(self.work_ms()), len(QUEUES))
+        backlog = self.harness.scheduler.backlog(self.harness.now_ms)
+        backlog.work_ms[URGENT.priority_class] = 60_000
+        spec = job(step(estimate_ms=200)).spec
+        self.assertIsNotNone(refuse_if_late(spec, queues["urgent-9"], backlog, 0.5))
 
     def test_work_that_waits_for_an_earlier_leader_counts_as_no_load(self):
         harness = FleetHarness(entry("a"), entry("b"), epoch=2)
--- a/tests/node/test_cell_overload.py
+++ b/tests/node/test_cell_overload.py
@@ -40,7 +40,7 @@
             0.0,
             {"queue": 7},
             status_interval_s=0.01,
-            starts_backlog_ms={"queue": BACKLOG_MS},
+            starts_backlog_ms={QUEUE.priority_class: BACKLOG_MS},
         )
         self.peers = FakePeers(exchange_status=self.status, send_job=None)
 
