Do not count a stored start that was never sent when its worker disappears

A start that is stored first holds its worker's capacity meanwhile; if that worker left the directory before the start was sent, the start was counted as a crash.

Change: planned runs are skipped. Tests of both cases.

--- a/packages/core/src/marigoldpath_core/fleet/_crashes.py
+++ b/packages/core/src/marigoldpath_core/fleet/_crashes.py
@@ -38,7 +38,8 @@
         return
     for run in list(worker.runs.values()):
         start = run.task.recorded_start
-        if start is not None and start.run == run.number:
+        is_sent = run.state is not RunState.PLANNED
+        if is_sent and start is not None and start.run == run.number:
             _blame(fleet, run.task, run.number, start.worker_id, start.incarnation)
 
 
--- a/tests/core/test_fleet_crashes.py
+++ b/tests/core/test_fleet_crashes.py
@@ -224,6 +224,29 @@
         (command,) = self.harness.dispatch_starts()
         self.assertNotEqual(command.worker_id, recorded.worker_id)
 
+    def lose_worker(self, crashed, worker_id):
+        """Lose a worker that leaves the directory; return the crashes counted."""
+        self.harness.handle(WorkerUnresponsive(worker_id))
+        self.harness.entries = tuple(
+            each
+            for each in self.harness.entries
+            if each.worker_id not in (crashed.worker_id, worker_id)
+        )
+        self.harness.handle(WorkersListed(self.harness.entries))
+        self.harness.advance(LEASE_MS)
+        (opened,) = self.harness.open_steps()
+        return len(opened.tasks[0].crashed_runs)
+
+    def test_a_stored_start_whose_worker_disappears_without_a_word_counts(self):
+        crashed, _ = self.restart_after_crash()
+        (command,) = self.harness.dispatch_starts()
+        self.assertEqual(self.lose_worker(crashed, command.worker_id), 2)
+
+    def test_a_start_that_was_never_sent_does_not_count(self):
+        crashed, commit = self.restart_after_crash()
+        (recorded,) = commit.progress[JOB].recorded_starts.values()
+        self.assertEqual(self.lose_worker(crashed, recorded.worker_id), 1)
+
     def test_a_run_that_outlives_the_window_is_not_blamed_for_a_later_crash(self):
         """The next leader must not count a crash long after the recorded start."""
         crashed, _ = self.restart_after_crash()
