Keep the isolation of suspects for gangs, and forget a start in the store once it is settled

A gang under which a worker had crashed could be started beside another suspect, and a recorded start of a run that was released stayed in the store until the job's next change, so that the next leader could count a much later end of its worker.

Change: _plan_gang leaves out workers with a recent start of another suspect; releasing a recorded start stores that. Step.is_started, which nothing used, is gone.

--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
@@ -327,9 +327,13 @@
         if self._is_lost():
             self._schedule(700, lambda: self._fail_poll(leader, worker_id))
             return
-        self._send_to_leader(leader, report._replace(polled_ms=polled_ms))
+        reply_ms = self._delay_ms()
+        report = report._replace(polled_ms=polled_ms)
+        self._schedule(reply_ms, lambda: self._handle(leader, report))
+        # A leader sends the next poll after it has read the reply to the last one.
         self._schedule(
-            self.random.uniform(20, 300), lambda: self._poll(leader, worker_id)
+            reply_ms + self.random.uniform(20, 300),
+            lambda: self._poll(leader, worker_id),
         )
 
     @effect_handlers.register(StartRun)
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -1,7 +1,7 @@
 """The scheduling pass: starts the waiting tasks that fit, the most urgent first."""
 
 from . import _advice, _preemption
-from ._crashes import is_suspect, settle_recorded_starts
+from ._crashes import is_suspect, may_try_on, settle_recorded_starts
 from ._fleet import Fleet
 from ._placement import (
     Candidates,
@@ -127,7 +127,9 @@
     capacities = [
         (count_fitting_now(fleet, step, worker, fitting_when_empty >= count), worker)
         for worker in candidates.workers
-        if worker.worker_id not in avoided_workers and fleet.is_startable(worker)
+        if worker.worker_id not in avoided_workers
+        and fleet.is_startable(worker)
+        and may_try_on(fleet, step.tasks[0], worker)
     ]
     if step.spec.colocated:
         racks: dict[str, int] = {}
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -153,6 +153,8 @@
         start = task.recorded_start
         if start is not None and start.run == run.number:
             task.recorded_start = None
+            if not task.step.job.state.is_final:
+                self.mark_dirty(task.step.job)
         if self.planned_runs.get(task.key) is run:
             del self.planned_runs[task.key]
         self.needs_dispatch = True
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -207,11 +207,6 @@
         """Return the tasks that are not done and have no run."""
         return [task for task in self.tasks if task.is_waiting]
 
-    @property
-    def is_started(self) -> bool:
-        """Return whether a run of any task was sent, or any task is done."""
-        return any(task.number or task.done for task in self.tasks)
-
 
 class Job:
     """An accepted job whose final state, if any, is not stored yet."""
--- a/tests/core/test_fleet_crashes.py
+++ b/tests/core/test_fleet_crashes.py
@@ -247,6 +247,17 @@
         (recorded,) = commit.progress[JOB].recorded_starts.values()
         self.assertEqual(self.lose_worker(crashed, recorded.worker_id), 1)
 
+    def test_a_start_on_a_worker_that_is_cut_off_is_forgotten_in_the_store(self):
+        """The next leader must not count a much later end of that worker."""
+        self.restart_after_crash()
+        (command,) = self.harness.dispatch_starts()
+        self.harness.commit()
+        self.harness.handle(WorkerUnresponsive(command.worker_id))
+        self.harness.advance(LEASE_MS)
+        progress = self.harness.commit().progress[JOB]
+        self.assertEqual(progress.recorded_starts, {})
+        self.assertEqual(len(progress.crashes[0, 0, 0]), 1)
+
     def test_a_run_that_outlives_the_window_is_not_blamed_for_a_later_crash(self):
         """The next leader must not count a crash long after the recorded start."""
         crashed, _ = self.restart_after_crash()
@@ -422,6 +433,29 @@
         self.harness.commit()
         self.assertEqual(len(self.harness.dispatch_starts()), 1)
 
+    def test_a_suspected_gang_is_not_started_beside_another_suspect(self):
+        gang = job(step(width=2, gang=True), job_id=DEADLY)
+        self.harness.accept(job(step()))
+        self.harness.accept(gang)
+        for command in self.harness.dispatch_starts():
+            self.harness.confirm_start(command)
+            event = WorkerUnresponsive(command.worker_id, "refused", is_gone=True)
+            self.harness.handle(event)
+        gone = self.harness.scheduler._fleet.workers
+        self.entries = [e for e in self.entries if not gone[e.worker_id].is_gone][:1]
+        self.harness.handle(WorkersListed(tuple(self.entries)))
+        self.harness.advance(LEASE_MS)
+        for each in self.entries:
+            self.harness.report(each.worker_id)
+        self.harness.dispatch()
+        self.harness.commit()
+        starts = self.harness.dispatch_starts()
+        jobs = {}
+        for command in starts:
+            jobs.setdefault(command.worker_id, set()).add(command.task.job_id)
+        self.assertTrue(starts)
+        self.assertTrue(all(len(each) == 1 for each in jobs.values()), jobs)
+
 
 if __name__ == "__main__":
     unittest.main()
