Wait for the report of a worker that restarts during a hand-over

A worker reported to the new leader, restarted under its id, and the previous leader, which was still alive, started tasks on the new incarnation, which had seen no epoch yet. The new leader knew the incarnation from the directory, released the runs of the one before, and started the same tasks.

Cause: the wait for reports covers a worker until its first report, but a restart makes it accept commands of the previous leader once more.

Ruled out: a check at the sending host, which polls before a start and so fences the previous leader, but does not see what that one has started already.

Change: until no lease of a previous leader can be valid, a restarted worker counts as one that has not reported: it gets no starts, and jobs of earlier epochs wait for it.

Result: the new test fails before; 22 tests of failover pass.

--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -275,4 +275,8 @@
 
     def is_startable(self, worker: Worker) -> bool:
         """Return whether a run may be started on the worker now."""
-        return worker.is_usable(self.now_ms) and self.may_start_on(worker.worker_id)
+        return (
+            worker.is_usable(self.now_ms)
+            and worker.worker_id not in self.unreported_workers
+            and self.may_start_on(worker.worker_id)
+        )
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -12,6 +12,7 @@
 )
 from ._fleet import Fleet, handlers
 from ._messages import (
+    RosterEntry,
     RunningTask,
     StopRun,
     WorkerReport,
@@ -205,6 +206,13 @@
     if worker.incarnation and not worker.is_gone:
         silent_ms = worker.silent_since_ms if worker.is_unresponsive else fleet.now_ms
         record_process_end(fleet, worker, silent_ms)
+    if worker.incarnation and fleet.now_ms < fleet.previous_leases_expire_ms:
+        # Until it replies to this leader, the new incarnation also executes commands of
+        # the previous one.
+        entry = worker.entry
+        fleet.unreported_workers[worker.worker_id] = RosterEntry(
+            entry.address, None, entry.zone
+        )
     runs = [] if not worker.incarnation else list(worker.runs.values())
     worker.begin_incarnation(incarnation)
     fleet.record_unknown_jobs(worker, set())
--- a/tests/core/test_fleet_failover.py
+++ b/tests/core/test_fleet_failover.py
@@ -77,6 +77,24 @@
             harness.report("a")
         self.assertEqual(harness.dispatch_starts(), [])
 
+    def test_a_worker_that_restarts_after_its_first_report_has_to_report_again(self):
+        """The previous leader can still start tasks on the new incarnation."""
+        harness = FleetHarness(entry("a"), entry("b"), epoch=2)
+        harness.report_all()
+        harness.handle(WorkersListed((entry("a", incarnation=2_000), entry("b"))))
+        harness.accept(job(step()))
+        harness.accept(job(step(width=30), job_id="00000000000000ab", epoch=2))
+        starts = harness.dispatch_starts()
+        self.assertEqual({command.worker_id for command in starts}, {"b"})
+        self.assertNotIn(JOB, {command.task.job_id for command in starts})
+        run = RunningTask(task(), 1, "", 30, 0)
+        harness.report("a", running=[run], incarnation=2_000, clock_ms=500)
+        harness.advance(0)
+        harness.commit()
+        starts = harness.dispatch_starts()
+        self.assertEqual({command.worker_id for command in starts}, {"a"})
+        self.assertNotIn(JOB, {command.task.job_id for command in starts})
+
     def test_a_job_of_the_new_epoch_starts_at_once(self):
         harness = FleetHarness(entry("a"), entry("b"), epoch=2)
         harness.accept(job(step(), epoch=2))
