--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -158,10 +158,10 @@
         await store.commit({}, {}, tuple(keys))
 
 
-async def read_leader(
+async def read_leader_row(
     store: Store, reply_s: float | None = None
-) -> tuple[LeaderRow | None, int]:
-    """Return the leader's row and its version, or None and 0 if there is no row.
+) -> tuple[Row, ...]:
+    """Return the leader's row as it is stored, if there is one.
 
     `reply_s` is the timeout of the read. Raises StoreError.
     """
@@ -172,7 +172,12 @@
         LEADER_ROW_KEY.key + "~",
         reply_s=reply_s,
     )
-    for row in result.rows:
+    return result.rows
+
+
+async def read_leader(store: Store) -> tuple[LeaderRow | None, int]:
+    """Return the leader's row and its version, or None and 0 if there is no row."""
+    for row in await read_leader_row(store):
         return decode_leader(row.value), row.version
     return None, 0
 
--- a/packages/node/src/marigoldpath_node/cell/_store_health.py
+++ b/packages/node/src/marigoldpath_node/cell/_store_health.py
@@ -4,7 +4,7 @@
 
 from ._clock import now_s
 from ._ports import CellDependencies, StoreError
-from ._records import read_leader
+from ._records import read_leader_row
 from ._settings import CellSettings
 
 
@@ -63,7 +63,7 @@
 
     async def _probe(self) -> None:
         try:
-            await read_leader(self._store, self._settings.store_probe_timeout_s)
+            await read_leader_row(self._store, self._settings.store_probe_timeout_s)
         except StoreError as error:
             await self.record_call(is_working=False, reason=repr(error))
         else:
--- a/tests/adapter/test_configuration_watcher.py
+++ b/tests/adapter/test_configuration_watcher.py
@@ -87,6 +87,11 @@
         self.assertIn("marigoldpath_configuration_version 5.0", text)
         self.assertIn('configuration_reads_total{outcome="failed"} 1.0', text)
 
+    def test_a_failure_before_the_first_version_has_no_age(self):
+        """Infinity is not valid JSON."""
+        lines, _ = self.run_watcher(StoreLostError("down"), version_rows(3))
+        self.assertIsNone(dict(lines)["configuration_read_failed"]["age_s"])
+
     def test_failures_in_a_row_are_logged_once_within_the_interval(self):
         errors = [StoreLostError("down")] * 4
         lines, metrics = self.run_watcher(version_rows(3), *errors)
--- a/tests/node/test_cell_submission.py
+++ b/tests/node/test_cell_submission.py
@@ -335,6 +335,36 @@
         self.assertEqual(curio.run(run), (True, 5))
 
 
+class StoreHealthTests(unittest.TestCase):
+    """The probe of an unresponsive store shows when it replies again."""
+
+    def run_probe(self, store, for_s=0.2):
+        async def run():
+            settings = FAST_SETTINGS._replace(store_probe_interval_s=0.01)
+            store_health = entry_host(store, settings=settings).store_health
+            await curio.spawn(store_health.run, daemon=True)
+            await store_health.record_call(is_working=False, reason="no reply")
+            await store_health.wait_until_responsive(for_s)
+            return store_health
+
+        return curio.run(run)
+
+    def test_a_store_that_replies_ends_the_outage(self):
+        store_health = self.run_probe(MemoryStore())
+        self.assertFalse(store_health.is_unresponsive)
+        self.assertEqual(store_health.outage_s, 0.0)
+
+    def test_a_store_that_is_down_stays_unresponsive(self):
+        store = MemoryStore()
+        store.is_down = True
+        self.assertGreater(self.run_probe(store).outage_s, 0.1)
+
+    def test_a_row_that_cannot_be_decoded_does_not_end_the_probe(self):
+        store = MemoryStore()
+        curio.run(store.commit, {}, {LEADER_ROW_KEY: b"[" * 9})
+        self.assertFalse(self.run_probe(store).is_unresponsive)
+
+
 class ReadinessTests(unittest.TestCase):
     """A partitioned host cannot accept jobs and must not receive connections."""
 
