Call tasks that crash their workers crashing in the search and the tests

Change: names in the search and its oracle, and in tests. The search draws the same numbers as before.

--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_oracle.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_oracle.py
@@ -75,11 +75,11 @@
         self._jobs[job.spec.job_id] = job
         self._replies[job.spec.job_id] = reply
 
-    def record_deadly_task(self, task: TaskKey) -> None:
+    def record_crashing_task(self, task: TaskKey) -> None:
         """Record that a task crashes each worker that starts it."""
         self._crashes[task] = []
 
-    def is_deadly(self, task: TaskKey) -> bool:
+    def is_crashing(self, task: TaskKey) -> bool:
         """Return whether a task crashes each worker that starts it."""
         return task in self._crashes
 
--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_search.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_search.py
@@ -16,7 +16,7 @@
 STALE_EPOCH_RATE = 0.2
 GANG_SHARE = 0.1
 # The share of jobs with a task that crashes each worker that starts it.
-DEADLY_SHARE = 0.03
+CRASHING_TASK_SHARE = 0.03
 ZONE_COUNT = 2
 SUSPENSION = "suspend a leader"
 MAX_SUSPENSION_MS = 15_000
@@ -34,7 +34,7 @@
         zones: int = ZONE_COUNT,
         *,
         with_suspensions: bool = True,
-        with_deadly_tasks: bool = True,
+        with_crashing_tasks: bool = True,
     ) -> None:
         self._random = Random(f"fleet {seed}")
         message_loss_rate = self._random.choice([0.0, 0.02, 0.1])
@@ -49,8 +49,8 @@
         )
         self._simulation = FleetSimulation(seed, settings)
         self._jobs = 0
-        self._deadly_random = Random(f"deadly {seed}")
-        self._deadly_share = DEADLY_SHARE if with_deadly_tasks else 0.0
+        self._crash_random = Random(f"deadly {seed}")
+        self._crashing_share = CRASHING_TASK_SHARE if with_crashing_tasks else 0.0
         self._faults = sorted(fault_injections)
         if not with_suspensions:
             self._faults.remove(SUSPENSION)
@@ -82,9 +82,9 @@
         queue = self._random.choice([URGENT, BACKGROUND])
         gang_share = GANG_SHARE if queue is BACKGROUND else 0.0
         spec = random_job(self._random, f"{self._jobs:016x}", gang_share)
-        if self._deadly_random.random() < self._deadly_share:
+        if self._crash_random.random() < self._crashing_share:
             task = TaskKey(spec.job_id, 0, 0, 0)
-            self._simulation.oracle.record_deadly_task(task)
+            self._simulation.oracle.record_crashing_task(task)
         self._simulation.submit(
             AcceptedJob(spec, queue, 0, int(self._simulation.now_ms))
         )
--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
@@ -382,7 +382,7 @@
                 )
             return
         result, clock_ms = worker.start(command, sender.epoch, spec, self.now_ms)
-        if result is StartResult.STARTED and self.oracle.is_deadly(command.task):
+        if result is StartResult.STARTED and self.oracle.is_crashing(command.task):
             incarnation = worker.incarnation_count
             self._schedule(
                 CRASH_DELAY_MS, lambda: self._crash(worker, incarnation, command.task)
--- a/tests/bench/test_fleet_simulation.py
+++ b/tests/bench/test_fleet_simulation.py
@@ -50,7 +50,7 @@
                     stale_epoch_rate=0.0,
                     zones=1,
                     with_suspensions=False,
-                    with_deadly_tasks=False,
+                    with_crashing_tasks=False,
                 ).run(STEPS)
                 self.assertEqual(violations, [])
 
@@ -70,7 +70,7 @@
 
     def crash(self, times):
         task = TaskKey(*self.task)
-        self.simulation.oracle.record_deadly_task(task)
+        self.simulation.oracle.record_crashing_task(task)
         for at_ms in range(times):
             self.simulation.oracle.record_crash(task, at_ms)
 
--- a/tests/core/test_fleet_crashes.py
+++ b/tests/core/test_fleet_crashes.py
@@ -21,7 +21,7 @@
     step,
 )
 
-DEADLY = "00000000000000dd"
+CRASHING = "00000000000000dd"
 # A task that crashes its workers must not be started this often after three crashes.
 MAX_STARTS_AFTER_THREE_CRASHES = 2
 TICK_MS = 100
@@ -30,7 +30,7 @@
 
 
 class CrashWorld:
-    """A leader with workers that crash 10 ms after a start of task 0 of DEADLY.
+    """A leader with workers that crash 10 ms after a start of task 0 of CRASHING.
 
     A crashed worker never returns; another one with the same capacity is listed. With
     `loses_leader`, the leader is lost with each crash and another one is elected.
@@ -101,7 +101,7 @@
             return
         self.starts.append((self.now_ms, command))
         self.running.setdefault(worker_id, []).append(command)
-        if command.task.job_id == DEADLY and command.task.task_index == 0:
+        if command.task.job_id == CRASHING and command.task.task_index == 0:
             self.crash(command)
         else:
             self.harness.confirm_start(command)
@@ -128,7 +128,7 @@
             1
             for at_ms, command in self.starts
             if at_ms > self.crash_ms[2]
-            and command.task.job_id == DEADLY
+            and command.task.job_id == CRASHING
             and command.task.task_index == 0
         )
 
@@ -137,7 +137,7 @@
         return self.harness.scheduler.job_state(job_id)
 
 
-class DeadlyTaskTests(unittest.TestCase):
+class CrashingTaskTests(unittest.TestCase):
     def play(self, *jobs, for_ms=60_000, **options):
         world = CrashWorld(*jobs, **options)
         world.run(for_ms)
@@ -148,21 +148,21 @@
         self.assertLessEqual(
             world.starts_after_three_crashes(), MAX_STARTS_AFTER_THREE_CRASHES
         )
-        self.assertIs(world.state(DEADLY), JobState.FAILED)
+        self.assertIs(world.state(CRASHING), JobState.FAILED)
 
     def test_a_task_that_crashes_its_workers_is_given_up(self):
-        self.assert_given_up(self.play(job(step(width=3), job_id=DEADLY)))
+        self.assert_given_up(self.play(job(step(width=3), job_id=CRASHING)))
 
     def test_a_long_running_task_that_crashes_its_workers_is_given_up(self):
-        accepted = job(step(long_running=True), queue=LONG_RUNNING, job_id=DEADLY)
+        accepted = job(step(long_running=True), queue=LONG_RUNNING, job_id=CRASHING)
         self.assert_given_up(self.play(accepted))
 
     def test_a_gang_whose_member_crashes_its_workers_is_given_up(self):
-        accepted = job(step(width=2, gang=True), job_id=DEADLY)
+        accepted = job(step(width=2, gang=True), job_id=CRASHING)
         self.assert_given_up(self.play(accepted, workers=6))
 
     def test_crashes_count_also_if_each_leader_is_lost_with_the_worker(self):
-        world = self.play(job(step(), job_id=DEADLY), loses_leader=True)
+        world = self.play(job(step(), job_id=CRASHING), loses_leader=True)
         self.assert_given_up(world)
 
 
@@ -404,10 +404,10 @@
         self.assert_not_given_up()
 
     def test_a_task_beside_one_that_crashes_its_workers_is_not_given_up(self):
-        deadly, innocent = job(step(), job_id=DEADLY), job(step(estimate_ms=60_000))
-        world = CrashWorld(deadly, innocent, workers=2)
+        crashing, innocent = job(step(), job_id=CRASHING), job(step(estimate_ms=60_000))
+        world = CrashWorld(crashing, innocent, workers=2)
         world.run(60_000)
-        self.assertIs(world.state(DEADLY), JobState.FAILED)
+        self.assertIs(world.state(CRASHING), JobState.FAILED)
         self.assertIs(world.state(JOB), JobState.RUNNING)
 
     def test_two_suspects_are_not_started_on_one_worker_at_a_time(self):
@@ -434,7 +434,7 @@
         self.assertEqual(len(self.harness.dispatch_starts()), 1)
 
     def test_a_suspected_gang_is_not_started_beside_another_suspect(self):
-        gang = job(step(width=2, gang=True), job_id=DEADLY)
+        gang = job(step(width=2, gang=True), job_id=CRASHING)
         self.harness.accept(job(step()))
         self.harness.accept(gang)
         for command in self.harness.dispatch_starts():
