--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,6 +21,7 @@
 
 JOBS = 6
 ESTIMATE_MS = 2_500
+DOWN_S = 3.5
 
 
 def work(task, _run):
@@ -54,12 +55,11 @@
                 raise CaseError("a job was not accepted")
         await asyncio.sleep(3.0)
         if TROUBLE:
-            await deployment.leader().kill()
-        await asyncio.sleep(12.0)
-        # The platform restarts a process that was killed after a short delay.
-        for host in deployment.hosts:
-            if host.process.returncode is not None:
-                await host.start()
+            leader = deployment.leader()
+            await leader.kill()
+            await asyncio.sleep(DOWN_S)
+            await leader.start()
+        await asyncio.sleep(10.0)
         states = await deployment.wait_for_states(list(deployment.jobs), 20)
         violations = twice(deployment.runs, deployment.record.now())
         for line in violations:
