--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -569,6 +569,9 @@
         self.process = None
 
     async def start(self):
+        """Start the process unless it is running."""
+        if self.process is not None and self.process.returncode is None:
+            return
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         program, *arguments = deploy["roles"]["entry"]["run"].split()
         environment = {
