Log why a run is taken for an orphan and why a task waits

Tasks know since when they wait; a run that never started does not reset that. No decision depends on it yet.

--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -1,6 +1,6 @@
 """The scheduling pass: starts the waiting tasks that fit, the most urgent first."""
 
-from . import _advice, _preemption
+from . import _advice, _preemption, _waiting
 from ._crashes import is_suspect, may_try_on, settle_recorded_starts
 from ._fleet import Fleet
 from ._placement import (
@@ -27,7 +27,11 @@
     queued_tasks = 0
     is_limited = False
     for step in waiting[: fleet.settings.max_steps_per_pass]:
-        if fleet.is_blocked(step) or not settle_recorded_starts(fleet, step):
+        if fleet.is_blocked(step):
+            _waiting.log_if_due(fleet, pools, step, "workers have not reported")
+            continue
+        if not settle_recorded_starts(fleet, step):
+            _waiting.log_if_due(fleet, pools, step, "recorded starts are not settled")
             continue
         if fleet.start_limit.is_queue_full(queued_tasks):
             # Advice for less urgent steps would expire before they can start.
@@ -36,6 +40,9 @@
         if not fleet.start_limit.is_reached:
             _place(fleet, pools, step)
         _advice.request_if_needed(fleet, pools, step)
+        if step.waiting_tasks:
+            cause = "starts are limited" if fleet.start_limit.is_reached else ""
+            _waiting.log_if_due(fleet, pools, step, cause)
         if step.is_request_in_flight or fleet.start_limit.is_reached:
             queued_tasks += step.waiting_tasks
     if is_limited or (queued_tasks and fleet.start_limit.is_reached):
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -92,6 +92,8 @@
         # The number of workers in all advice requests with a reply and the number of
         # approved ones, by queue.
         self.approval_counts: dict[str, tuple[int, int]] = {}
+        # When it was last logged why tasks of any step wait.
+        self.waiting_logged_ms = -math.inf
 
     def emit(self, effect: Effect) -> None:
         """Queue an effect for the caller of the scheduler."""
@@ -111,6 +113,20 @@
             return None
         return step.tasks[key.task_index]
 
+    def why_ignored(self, key: TaskKey) -> str:
+        """Return why a run of the task has no effect, empty if the task is open."""
+        job_id = key.job_id
+        job = self.jobs.get(job_id)
+        if job_id in self.final_states or (job is not None and job.state.is_final):
+            return "the job is final"
+        if job is None:
+            return "the job is not known"
+        if self.task(key) is not None:
+            return ""
+        if job.begun_occurrences <= key.occurrence < job.occurrences:
+            return "the occurrence has not begun"
+        return "the job has no such task"
+
     def next_run_number(self, *tasks: Task) -> int:
         """Return a number higher than those of all earlier runs of these tasks."""
         first = (self.epoch - 1) * RUNS_PER_EPOCH + 1
@@ -150,6 +166,8 @@
         task = run.task
         if task.run is run:
             task.run = None
+            if run.state not in (RunState.PLANNED, RunState.SENT):
+                task.released_ms = self.now_ms
         start = task.recorded_start
         if start is not None and start.run == run.number:
             task.recorded_start = None
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -155,6 +155,7 @@
 
 
 def _open_step(fleet: Fleet, step: Step) -> None:
+    step.opened_ms = fleet.now_ms
     fleet.open_steps[step.key] = step
     fleet.needs_dispatch = True
 
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -21,7 +21,7 @@
 )
 from ._roster import remove_from_roster
 from ._terminations import apply_termination
-from ._work import Run, RunState
+from ._work import Run, RunState, Task
 from ._worker import Worker
 
 # A worker refuses a start after the start's time limit. A report from more than this
@@ -322,11 +322,21 @@
             run=row.run,
             worker=worker.worker_id,
             job_known=fleet.is_known(job_id),
+            reason=_stray_reason(fleet, task, row),
         )
         fleet.emit(StopRun(worker.worker_id, worker.entry.address, row.task, row.run))
     return None
 
 
+def _stray_reason(fleet: Fleet, task: Task | None, row: RunningTask) -> str:
+    if task is None or task.step.job.state.is_final:
+        return fleet.why_ignored(row.task)
+    if task.done:
+        return "the task is done"
+    assert task.run is not None
+    return f"run {task.run.number} is on {task.run.worker_id}"
+
+
 def _update_run(fleet: Fleet, run: Run, row: RunningTask, clock_ms: int) -> None:
     task = run.task
     run.confirmed_clock_ms = clock_ms
--- a/packages/core/src/marigoldpath_core/fleet/_terminations.py
+++ b/packages/core/src/marigoldpath_core/fleet/_terminations.py
@@ -28,6 +28,7 @@
         worker=worker.worker_id,
         kind=terminated.kind.value,
         known=task is not None,
+        ignored=fleet.why_ignored(terminated.task),
     )
     if task is None or task.step.job.state.is_final:
         return
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -100,6 +100,7 @@
         "key",
         "number",
         "recorded_start",
+        "released_ms",
         "step",
     )
 
@@ -118,6 +119,8 @@
         self.recorded_start: RecordedStart | None = None
         self.checkpoint = ""
         self.avoided_workers: set[str] = set()
+        # When the last run that started was released.
+        self.released_ms = -math.inf
 
     @property
     def done(self) -> bool:
@@ -146,6 +149,11 @@
         """Return whether the task is not done and has no run."""
         return not self._done and self._run is None
 
+    @property
+    def waiting_since_ms(self) -> float:
+        """The time since which the task waits, if it does."""
+        return max(self.step.opened_ms, self.released_ms)
+
 
 class Ticket:
     """Permission to run a step on one incarnation of a worker until `until_ms`."""
@@ -171,6 +179,10 @@
             for task_index in range(self.spec.width)
         ]
         self.remaining_tasks = self.spec.width
+        # When all steps that this one waits for were done.
+        self.opened_ms = 0.0
+        # When it was last logged why tasks of the step wait.
+        self.waiting_logged_ms = -math.inf
         # The number of tasks that are not done and have no run; its tasks update it.
         self.waiting_tasks = self.spec.width
         self.tickets: dict[str, Ticket] = {}
--- a/tests/core/test_fleet_failover.py
+++ b/tests/core/test_fleet_failover.py
@@ -4,6 +4,7 @@
 
 from marigoldpath_core.fleet import (
     JobsRead,
+    LogEvent,
     RosterEntry,
     RunningTask,
     TerminatedRun,
@@ -138,6 +139,21 @@
         harness.report("a")
         self.assertEqual(len(harness.dispatch_starts()), 1)
 
+    def test_the_log_says_why_a_run_is_stopped_and_an_end_ignored(self):
+        harness = FleetHarness(entry("a"), epoch=2)
+        harness.accept(job(step()), Progress(JobState.CANCELLED))
+        effects = harness.report(
+            "a",
+            running=[RunningTask(task(), 1, "", 30, 0)],
+            ended=[TerminatedRun(1, task(), 1, TerminationReason.DONE, "")],
+        )
+        fields = {
+            each.event: each.fields for each in effects if isinstance(each, LogEvent)
+        }
+        reason = "the job is final"
+        self.assertEqual(fields["stray_run_stopping"]["reason"], reason)
+        self.assertEqual(fields["run_ended"]["ignored"], reason)
+
     def test_a_termination_after_one_of_an_unknown_job_is_applied(self):
         """If it were deferred too, its task would start again after this report."""
         harness = FleetHarness(entry("a"), epoch=2)
