Keep the stored progress of occurrences that a leader has not begun

What callers saw: after two changes of the leader in a row, tasks of jobs with `times` that were done, and whose ends had been acknowledged, ran again (TWICE).

Cause: a commit replaces the whole progress of a job with that of the steps in memory. Occurrences that the leader had not begun yet, because its clock was behind or its first Tick had not come, had no steps, so their stored progress was dropped. The leader after it read the rest.

Ruled out: reports (the workers had removed the ends long before), and the occurrences that begin by a report, which keep their progress.

Change: when a job is read, the occurrences up to the last one with any stored progress begin at once. All of them were begun by an earlier leader, so no occurrence starts before its time.

--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -50,6 +50,10 @@
         finish_job(fleet, job, JobState.CANCELLED, "cancelled before it was read")
     elif job.spec.occurrences:
         fleet.scheduled_jobs[job_id] = job
+        if progress is not None:
+            # A commit replaces the stored progress, so it has to include that of all
+            # occurrences.
+            _begin_occurrences_through(fleet, job, progress.last_occurrence)
     else:
         begin_occurrence(fleet, job, 0)
 
@@ -121,12 +125,12 @@
 
 
 def _begin_occurrences_through(fleet: Fleet, job: Job, last: int) -> None:
+    first = job.begun_occurrences
+    last = min(last, job.spec.occurrences - 1)
+    if last < first:
+        return
+    fleet.log("occurrences_adopted", job=job.spec.job_id, first=first, last=last)
     while job.begun_occurrences <= last:
-        fleet.log(
-            "occurrence_adopted",
-            job=job.spec.job_id,
-            occurrence=job.begun_occurrences,
-        )
         _begin_next_occurrence(fleet, job)
 
 
--- a/packages/core/src/marigoldpath_core/jobs/_model.py
+++ b/packages/core/src/marigoldpath_core/jobs/_model.py
@@ -170,3 +170,15 @@
     may_leave_zone: bool = False
     crashes: dict[tuple[int, int, int], tuple[int, ...]] = {}  # noqa: RUF012
     recorded_starts: dict[tuple[int, int, int], RecordedStart] = {}  # noqa: RUF012
+
+    @property
+    def last_occurrence(self) -> int:
+        """The last occurrence with progress, -1 if there is none."""
+        tables = (
+            self.done,
+            self.failures,
+            self.checkpoints,
+            self.crashes,
+            self.recorded_starts,
+        )
+        return max((key[0] for table in tables for key in table), default=-1)
--- a/tests/bench/test_fleet_simulation.py
+++ b/tests/bench/test_fleet_simulation.py
@@ -59,6 +59,7 @@
         causes = {
             1: "none",
             3: "a new leader stopped and repeated reported tasks of an occurrence",
+            104: "a commit dropped the progress of an occurrence that had not begun",
         }
         for seed, cause in causes.items():
             with self.subTest(seed=seed, cause=cause):
--- a/tests/core/test_fleet_occurrences.py
+++ b/tests/core/test_fleet_occurrences.py
@@ -9,7 +9,7 @@
     TerminationReason,
     Tick,
 )
-from marigoldpath_core.jobs import JobState, TaskKey
+from marigoldpath_core.jobs import JobState, Progress, RecordedStart, TaskKey
 from tests.core.fleet_fixture import (
     JOB,
     FleetHarness,
@@ -148,6 +148,56 @@
         self.assertEqual(self.harness.dispatch_starts(), [])
 
 
+class OccurrenceProgressTests(unittest.TestCase):
+    """Guards against a leader that drops the stored progress of an occurrence.
+
+    A commit replaces the whole progress of a job. If it omits an occurrence that this
+    leader has not begun, the leader after it runs the tasks of the occurrence again.
+    """
+
+    def test_a_commit_keeps_the_progress_of_all_occurrences(self):
+        stored = Progress(
+            JobState.RUNNING,
+            done={(0, 0): 0b01, (1, 0): 0b10},
+            failures={(1, 0, 0): (3,)},
+            checkpoints={(1, 0, 0): "saved"},
+            crashes={(1, 0, 0): (4,)},
+        )
+        harness = FleetHarness(entry("a"), epoch=2)
+        harness.handle(Tick(START_MS + 10))
+        harness.accept(scheduled(step(width=2)), stored)
+        harness.report("a", ended=[done(1, task_index=1)])
+        progress = harness.commit().progress[JOB]
+        self.assertEqual(progress.done, {(0, 0): 0b11, (1, 0): 0b10})
+        self.assertEqual(progress.failures, stored.failures)
+        self.assertEqual(progress.checkpoints, stored.checkpoints)
+        self.assertEqual(progress.crashes, stored.crashes)
+
+    def test_a_task_done_two_leaders_ago_does_not_run_again(self):
+        stored = Progress(JobState.RUNNING, done={(1, 0): 0b1})
+        second = FleetHarness(entry("a"), epoch=2)
+        second.handle(Tick(START_MS + 10))
+        second.accept(scheduled(step()), stored)
+        second.report("a", ended=[done(1)])
+        third = FleetHarness(entry("a"), epoch=3)
+        third.handle(Tick(START_MS + INTERVAL_MS))
+        third.accept(scheduled(step()), second.commit().progress[JOB])
+        third.report("a")
+        third.handle(Tick(START_MS + INTERVAL_MS))
+        self.assertEqual(third.dispatch_starts(), [])
+
+    def test_a_start_that_was_only_recorded_begins_its_occurrence(self):
+        """The start could have been sent, so its outcome has to be kept."""
+        start = RecordedStart(5, "a", 1_000)
+        stored = Progress(JobState.RUNNING, recorded_starts={(1, 0, 0): start})
+        harness = FleetHarness(entry("a"), epoch=2)
+        harness.handle(Tick(START_MS - 10))
+        harness.accept(scheduled(step()), stored)
+        harness.report("a", ended=[done(1)])
+        progress = harness.commit().progress[JOB]
+        self.assertEqual(progress.recorded_starts, stored.recorded_starts)
+
+
 class OccurrenceScheduleTests(unittest.TestCase):
     """Guards against occurrences that begin early, late or twice."""
 
