Conclude from a running task only what its run number proves

What callers could see: after a failover, tasks of a later step run twice (TWICE).

Cause: a step that follows one with a task "seen running" starts without waiting for workers that have not reported, as no previous leader can have started it. That is wrong if the running task is a repeat of a task that is done: a worker whose lease had expired for the previous leader came back with the end of the first run, the leader stopped the repeat and started the next step, and was lost before it stored the end. The new leader sees the repeat running first.

Ruled out: that the order of the reports decides. Both orders are tested, as the repeat may also end `done` before it is stopped.

Change: only the first run since the job was accepted, or a run that this leader has started itself, proves that the step was not done. Run numbers tell that. Other steps wait for the workers on the roster, as all jobs of earlier epochs do.

Result: tests.core.test_fleet_failover, the new test of a repeated run: 2 of 2 cases fail -> pass; the shortcut for first runs and for runs of this leader still holds (two tests).

--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -129,9 +129,18 @@
 
     def next_run_number(self, *tasks: Task) -> int:
         """Return a number higher than those of all earlier runs of these tasks."""
-        first = (self.epoch - 1) * RUNS_PER_EPOCH + 1
+        first = _first_run_number(self.epoch)
         return max(first, 1 + max(task.number for task in tasks))
 
+    def is_only_run(self, run: Run) -> bool:
+        """Return whether no other run of the task can have been done.
+
+        This holds for the first run since the job was accepted, and for a run that this
+        leader started.
+        """
+        first = _first_run_number(run.task.step.job.accepted.epoch)
+        return run.number == first or run.number >= _first_run_number(self.epoch)
+
     def stop(self, run: Run, reason: str) -> None:
         """Send a stop command.
 
@@ -298,3 +307,8 @@
             and worker.worker_id not in self.unreported_workers
             and self.may_start_on(worker.worker_id)
         )
+
+
+def _first_run_number(epoch: int) -> int:
+    """Return the number of the first run that a leader of this epoch may start."""
+    return (epoch - 1) * RUNS_PER_EPOCH + 1
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -341,7 +341,8 @@
     task = run.task
     run.confirmed_clock_ms = clock_ms
     run.was_reported = True
-    task.step.seen_running = True
+    if fleet.is_only_run(run):
+        task.step.seen_running = True
     run.load = row.load
     if run.state is RunState.SENT:
         run.state = RunState.RUNNING
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -190,7 +190,8 @@
         self.queried_workers: set[str] = set()
         # The ids of the usable workers when all of them were last found to be queried.
         self.exhausted_pool_ids: frozenset[str] | None = None
-        # Whether a worker reported a running task of the step to this leader.
+        # Whether a worker reported a running task of the step to this leader that
+        # cannot have been done by another run.
         self.seen_running = False
         # Whether `seen_running` holds for a preceding step, directly or through its
         # predecessors. If so, no previous leader can have started this step.
--- a/tests/core/test_fleet_failover.py
+++ b/tests/core/test_fleet_failover.py
@@ -16,8 +16,10 @@
 from tests.core.fleet_fixture import (
     JOB,
     FleetHarness,
+    ended,
     entry,
     job,
+    running,
     step,
     stops,
     task,
@@ -114,6 +116,39 @@
             [each.task for each in harness.dispatch_starts()], [task(step_number=1)]
         )
 
+    def test_a_step_after_a_repeated_run_waits_for_workers(self):
+        """Another run of the task may have been done, and the next step be started.
+
+        The previous leader then stopped the repeated run, but had not stored the end.
+        """
+        terminations = {
+            "the other run is reported done": ("c", 1, TerminationReason.DONE),
+            "the repeated run ends first": ("b", 2, TerminationReason.DONE),
+        }
+        for name, (worker_id, number, kind) in terminations.items():
+            with self.subTest(name):
+                workers = (entry("a"), entry("b"), entry("c"))
+                harness = FleetHarness(*workers, epoch=2)
+                harness.accept(job(step(), step(after=(0,))))
+                harness.report("b", running=[RunningTask(task(), 2, "", 30, 0)])
+                end = TerminatedRun(1, task(), number, kind, "")
+                harness.report(worker_id, ended=[end])
+                self.assertEqual(harness.dispatch_starts(), [])
+
+    def test_a_step_after_one_started_by_this_leader_starts_at_once(self):
+        harness = FleetHarness(entry("a"), entry("b"), epoch=2)
+        harness.accept(job(step(), step(after=(0,))))
+        harness.report_all()
+        (first,) = harness.dispatch_starts()
+        harness.report(first.worker_id, running=[running(first)])
+        other = "b" if first.worker_id == "a" else "a"
+        listed = [entry(other, incarnation=2_000), entry(first.worker_id)]
+        harness.handle(WorkersListed(tuple(listed)))
+        harness.report(first.worker_id, ended=[ended(1, first)])
+        self.assertEqual(
+            [each.task for each in harness.dispatch_starts()], [task(step_number=1)]
+        )
+
     def test_a_step_after_one_not_observed_running_waits_for_workers(self):
         harness = FleetHarness(entry("a"), entry("b"), epoch=2)
         harness.accept(job(step(), step(after=(0,))))
