Tell a new leader's fillers their speed again

What callers could see: a filler that the previous leader had paused stood still for good after a failover, and its job was never done.

Cause: a report has the load and the percentage of a run, not its speed. The new leader assumed 100 percent for an adopted filler, and sends a speed only if it differs from the assumed one.

Change: the speed of an adopted filler is unknown, so the first decision is sent whatever it is.

Result: the new test of tests.core.test_fleet_health fails -> passes.

--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -22,7 +22,7 @@
 )
 from ._roster import remove_from_roster
 from ._terminations import apply_termination
-from ._work import Run, RunState, Task
+from ._work import UNKNOWN_SPEED, Run, RunState, Task
 from ._worker import Worker
 
 # A worker refuses a start after the start's time limit. A report from more than this
@@ -308,6 +308,8 @@
     if task is not None and not task.done and task.run is None:
         run = Run(task, row.run, worker.worker_id, task.step.need, worker.clock_ms)
         run.state = RunState.RUNNING
+        if task.step.spec.fills:
+            run.speed_percent = UNKNOWN_SPEED
         task.run = run
         task.number = max(task.number, row.run)
         worker.add(run)
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -15,6 +15,9 @@
     TaskKey,
 )
 
+# The speed of a filler that another leader may have throttled.
+UNKNOWN_SPEED = -1
+
 
 class RunState(Enum):
     """The state of a run as the leader knows it.
--- a/tests/core/test_fleet_health.py
+++ b/tests/core/test_fleet_health.py
@@ -4,11 +4,13 @@
 
 from marigoldpath_core.fleet import (
     FleetSettings,
+    RunningTask,
     TerminationReason,
     ThrottleRun,
     WorkersListed,
     WorkerUnresponsive,
 )
+from marigoldpath_core.jobs import TaskKey
 from tests.core.fleet_fixture import (
     BACKGROUND,
     JOB,
@@ -353,6 +355,21 @@
             ]
         self.assertEqual(speeds, [0, 100])
 
+    def test_a_new_leader_resumes_the_fillers_that_the_previous_one_paused(self):
+        """No report contains the speed of a run, so the new leader does not know it."""
+        harness = FleetHarness(entry("a"), epoch=2)
+        filler = step(fills=True, estimate_ms=60_000)
+        harness.accept(job(filler, queue=BACKGROUND))
+        run = RunningTask(TaskKey(JOB, 0, 0, 0), 1, "", 30, 0)
+        harness.report("a", running=[run])
+        speeds = [
+            each.percent
+            for _ in range(3)
+            for each in harness.advance(700)
+            if isinstance(each, ThrottleRun)
+        ]
+        self.assertEqual(speeds, [100])
+
 
 if __name__ == "__main__":
     unittest.main()
