End the wait of a task for a worker other than the one it avoids

The task had failed once on the worker with room; its other worker was full of lasting tasks.

Cause: a task avoids the worker where a run of it failed, stalled or was refused, and used such a worker only if all candidates were avoided. A candidate without room, or at `max-per-server`, counted as one that is left, so a preference excluded without an end. The reverse held as well: with the sound worker out of the candidates for a moment, its ticket expired, the failing one was used at once.

Ruled out: a quarantine (none in the log, 0 counted), the reserve for urgent work (0 counted), preemption (no `run_stopping`).

Change: a task that has waited for 2 s (`avoid_ms`), and finds no other worker with room, uses those that it avoids. The time counts from the end of its last run; a start that was refused or never sent does not begin it again, as the job has nothing running meanwhile. It uses them at once if no other worker can become a candidate. A worker that is only waiting for a new ticket can.

--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_worker.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_worker.py
@@ -72,6 +72,11 @@
         self._highest_runs: dict[TaskKey, int] = {}
         self._advanced_ms = now_ms
 
+    @property
+    def running_tasks(self) -> tuple[TaskKey, ...]:
+        """The tasks that run on the worker."""
+        return tuple(self._runs)
+
     @property
     def entry(self) -> WorkerEntry:
         """The worker's entry in the directory of workers."""
--- a/packages/bench/src/marigoldpath_bench/platform_fakes/_worker.py
+++ b/packages/bench/src/marigoldpath_bench/platform_fakes/_worker.py
@@ -43,6 +43,7 @@
         super().__init__()
         self.worker_id = worker_id
         self.delayed_command_share = 0.0
+        self.labels: tuple[str, ...] = ("a", "rack-1")
         self._oracle = oracle
         self._random = random
         self._now_ms = now_ms
@@ -63,7 +64,7 @@
                 "mem-mb": capacity.memory_mb,
                 "gpu": capacity.accelerators,
             },
-            "labels": ["a", "rack-1"],
+            "labels": list(self.labels),
             "born": self.worker.entry.incarnation,
             "remaining-ms": 2_000,
         }
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -1,6 +1,7 @@
 """The scheduling pass: starts the waiting tasks that fit, the most urgent first."""
 
 from . import _advice, _preemption, _waiting
+from ._avoidance import may_use_avoided
 from ._crashes import is_suspect, may_try_on, settle_recorded_starts
 from ._fleet import Fleet
 from ._placement import (
@@ -12,7 +13,7 @@
 )
 from ._pools import Pools, current_pools
 from ._starts import send_recorded_starts, start_task
-from ._work import Step, Task
+from ._work import Step
 from ._worker import Worker
 
 
@@ -77,9 +78,8 @@
             # The tasks that are left do not lack capacity.
             return
         worker = choose(fleet, step, task, candidates)
-        if worker is None and task.avoided_workers:
-            _allow_avoided_if_exhausted(candidates, task)
-            worker = choose(fleet, step, task, candidates)
+        if worker is None and may_use_avoided(fleet, pools, task):
+            worker = choose(fleet, step, task, candidates, use_avoided=True)
         if worker is None:
             if not task.avoided_workers and not is_suspect(task):
                 # The remaining tasks have the same needs, so they do not fit either.
@@ -103,18 +103,12 @@
         fleet.request_zone_exit(step.job)
 
 
-def _allow_avoided_if_exhausted(candidates: Candidates, task: Task) -> None:
-    """Allow a task to use its avoided workers if there are no other candidates."""
-    if all(worker.worker_id in task.avoided_workers for worker in candidates.workers):
-        task.avoided_workers.clear()
-
-
 def _place_gang(fleet: Fleet, pools: Pools, step: Step) -> None:
     """Start all tasks of a gang, or none of them."""
     if any(task.run is not None for task in step.tasks):
         return
     candidates = find_candidates(fleet, pools, step)
-    plan = _plan_gang(fleet, step, candidates)
+    plan = _plan_gang(fleet, pools, step, candidates)
     if plan is None:
         _leave_zone_if_unsuitable(fleet, step)
         return
@@ -123,9 +117,20 @@
         start_task(fleet, worker, task, number)
 
 
-def _plan_gang(fleet: Fleet, step: Step, candidates: Candidates) -> list[Worker] | None:
+def _plan_gang(
+    fleet: Fleet, pools: Pools, step: Step, candidates: Candidates
+) -> list[Worker] | None:
+    """Return a worker for each task of a gang, None if the gang does not fit."""
+    plan = _plan_gang_on(fleet, step, candidates, step.tasks[0].avoided_workers)
+    if plan is None and may_use_avoided(fleet, pools, step.tasks[0]):
+        plan = _plan_gang_on(fleet, step, candidates, set())
+    return plan
+
+
+def _plan_gang_on(
+    fleet: Fleet, step: Step, candidates: Candidates, avoided_workers: set[str]
+) -> list[Worker] | None:
     count = len(step.tasks)
-    avoided_workers = step.tasks[0].avoided_workers
     # The reserve for urgent work is kept free, unless the gang would not fit without it
     # even on workers with no other runs.
     fitting_when_empty = sum(
@@ -150,6 +155,4 @@
         plan.extend([worker] * min(capacity, count - len(plan)))
         if len(plan) == count:
             return plan
-    if avoided_workers:
-        avoided_workers.clear()
     return None
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -113,22 +113,25 @@
 
 
 def choose(
-    fleet: Fleet, step: Step, task: Task, candidates: Candidates
+    fleet: Fleet,
+    step: Step,
+    task: Task,
+    candidates: Candidates,
+    *,
+    use_avoided: bool = False,
 ) -> Worker | None:
     """Return the candidate with the lowest score that has capacity for the task.
 
-    Workers that the task avoids are omitted. Return None if no worker is left.
+    Workers that the task avoids are omitted, unless `use_avoided` is set. Return None
+    if no worker is left.
     """
     score = scoring_rules.get(scoring_rule_name(step))
-    limit = step.spec.max_per_worker
     best: Worker | None = None
     best_score: tuple[float, ...] = ()
     for worker in candidates.workers:
-        if limit and candidates.placed[worker.worker_id] >= limit:
-            continue
-        if worker.worker_id in task.avoided_workers:
+        if worker.worker_id in task.avoided_workers and not use_avoided:
             continue
-        if not has_capacity(fleet, step, worker) or not fleet.is_startable(worker):
+        if not _has_room(fleet, step, worker, candidates):
             continue
         if not may_try_on(fleet, task, worker):
             continue
@@ -138,6 +141,13 @@
     return best
 
 
+def _has_room(fleet: Fleet, step: Step, worker: Worker, candidates: Candidates) -> bool:
+    limit = step.spec.max_per_worker
+    if limit and candidates.placed[worker.worker_id] >= limit:
+        return False
+    return has_capacity(fleet, step, worker) and fleet.is_startable(worker)
+
+
 def scoring_rule_name(step: Step) -> str:
     """Return the name of the scoring rule for the step."""
     if step.spec.fills:
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -31,6 +31,8 @@
     A leader whose limit has fallen below `relay_limit_share` of the highest one, or
     that has more than `max_direct_workers` workers, uses relays: one for each
     `workers_per_relay` workers and at most `max_relays`.
+    A task avoids a worker where a run of it failed, stalled or was refused. Once it
+    has waited for `avoid_ms` and no other worker has room, it uses that one again.
     A task is given up after `max_crashes` workers crashed within `crash_window_ms`
     after a start of it.
     `longest_lease_ms` is the longest lease that a worker grants. The state of a final
@@ -62,6 +64,7 @@
     quarantine_ms: int = 6_000
     quarantine_failures: int = 3
     failure_window_ms: int = 6_000
+    avoid_ms: int = 2_000
     max_crashes: int = 3
     crash_window_ms: int = 1_000
     ticket_margin_ms: int = 250
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -121,6 +121,7 @@
         self.crashed_runs: set[int] = set()
         self.recorded_start: RecordedStart | None = None
         self.checkpoint = ""
+        # The workers where a run of the task failed, stalled or was refused.
         self.avoided_workers: set[str] = set()
         # When the last run that started was released.
         self.released_ms = -math.inf
--- /dev/null
+++ b/tests/core/test_fleet_avoidance.py
@@ -0,0 +1,192 @@
+"""Tests of tasks that avoid workers, and of how long they do."""
+
+import unittest
+
+from marigoldpath_core.fleet import (
+    FleetSettings,
+    RequestAdvice,
+    StartResult,
+    TerminationReason,
+)
+from tests.core.fleet_fixture import (
+    ADVISED,
+    LONG_RUNNING,
+    FleetHarness,
+    ended,
+    entry,
+    job,
+    running,
+    step,
+)
+
+AVOID_MS = FleetSettings().avoid_ms
+TICK_MS = 100
+OTHER_JOB = "00000000000000ab"
+
+
+class AvoidanceFixture(unittest.TestCase):
+    """Two workers: a lasting job occupies `full`, and `roomy` is empty."""
+
+    def set_up_workers(self, *more, full_cpu=2_000):
+        self.harness = FleetHarness(
+            entry("full", cpu=full_cpu, labels=("a", "lasting")), entry("roomy"), *more
+        )
+        self.ends = dict.fromkeys((each.worker_id for each in self.harness.entries), ())
+        self.runs = []
+        self.harness.report_all()
+        lasting = step(width=2, long_running=True, required_label="lasting")
+        self.harness.accept(job(lasting, queue=LONG_RUNNING, job_id=OTHER_JOB))
+        self.start()
+
+    def start(self):
+        """Run a scheduling pass, confirm its starts and return them."""
+        commands = self.harness.dispatch_starts()
+        for command in commands:
+            self.harness.confirm_start(command)
+        self.runs.extend(commands)
+        return commands
+
+    def end(self, command, kind=TerminationReason.FAILED):
+        """Report the end of a run."""
+        self.runs.remove(command)
+        worker_id = command.worker_id
+        number = len(self.ends[worker_id]) + 1
+        self.ends[worker_id] += (ended(number, command, kind),)
+        self.report(worker_id)
+
+    def report(self, worker_id):
+        rows = [running(each, 100) for each in self.runs if each.worker_id == worker_id]
+        self.harness.report(worker_id, rows, self.ends[worker_id])
+
+    def wait(self, for_ms):
+        """Let time pass, and return the starts of the scheduling passes."""
+        commands = []
+        for _ in range(for_ms // TICK_MS):
+            self.harness.advance(TICK_MS)
+            for each in self.harness.entries:
+                self.report(each.worker_id)
+            self.harness.commit()
+            commands.extend(self.start())
+        return commands
+
+
+class AvoidedWorkerTests(AvoidanceFixture):
+    """Guards against a task that waits for a full worker while another one has room.
+
+    It avoids the one with room, where a run of it failed, stalled or was refused.
+    """
+
+    def assert_starts_again(self, failed):
+        """The task waits for the other worker at first, and then stops waiting."""
+        self.assertEqual(self.wait(AVOID_MS - TICK_MS), [])
+        (command,) = self.wait(2 * TICK_MS)
+        self.assertEqual(command.task, failed.task)
+        self.assertEqual(command.worker_id, "roomy")
+
+    def test_a_task_that_failed(self):
+        self.set_up_workers()
+        self.harness.accept(job(step()))
+        (command,) = self.start()
+        self.end(command)
+        self.assert_starts_again(command)
+
+    def test_a_lasting_task_that_failed(self):
+        self.set_up_workers()
+        self.harness.accept(job(step(long_running=True), queue=LONG_RUNNING))
+        (command,) = self.start()
+        self.end(command)
+        self.assert_starts_again(command)
+
+    def test_a_task_whose_start_was_refused(self):
+        self.set_up_workers()
+        self.harness.accept(job(step()))
+        (command,) = self.harness.dispatch_starts()
+        self.harness.reply_to_start(command, StartResult.REFUSED)
+        self.assert_starts_again(command)
+
+    def test_a_task_that_stalled(self):
+        self.set_up_workers()
+        self.harness.accept(job(step()))
+        (command,) = self.start()
+        self.assertEqual(self.wait(FleetSettings().stall_ms + 5 * TICK_MS), [])
+        self.end(command, TerminationReason.STOPPED)
+        self.assert_starts_again(command)
+
+    def test_a_task_whose_other_worker_has_reached_the_limit(self):
+        self.set_up_workers(full_cpu=10_000)
+        self.harness.accept(job(step(width=2, max_per_worker=1)))
+        commands = self.start()
+        (command,) = (each for each in commands if each.worker_id == "roomy")
+        self.end(command)
+        self.assert_starts_again(command)
+
+    def test_the_wait_does_not_begin_again_with_a_start_that_was_refused(self):
+        """The job has nothing running all the while."""
+        self.set_up_workers(entry("unhealthy", cpu=1_000))
+        self.harness.accept(job(step()))
+        (command,) = self.start()
+        self.assertEqual(command.worker_id, "roomy")
+        self.end(command)
+        (refused,) = self.harness.dispatch_starts()
+        self.harness.now_ms += AVOID_MS - TICK_MS
+        self.harness.reply_to_start(refused, StartResult.REFUSED)
+        (command,) = self.wait(2 * TICK_MS)
+        self.assertEqual(command.worker_id, "roomy")
+
+
+class FailingWorkerTests(AvoidanceFixture):
+    """Guards against a worker that fails all it gets and uses up a job's attempts.
+
+    It always has room, and a sound worker has room as well or is about to.
+    """
+
+    def set_up_sound_worker(self, **fields):
+        self.set_up_workers(entry("sound", **fields))
+
+    def test_a_task_uses_the_sound_worker_from_then_on(self):
+        self.set_up_sound_worker(cpu=9_000)
+        self.harness.accept(job(step()))
+        (command,) = self.start()
+        self.assertEqual(command.worker_id, "roomy")
+        self.end(command)
+        (command,) = self.wait(TICK_MS)
+        self.assertEqual(command.worker_id, "sound")
+
+    def test_a_task_prefers_the_sound_worker_after_its_wait_as_well(self):
+        self.set_up_sound_worker(cpu=1_000)
+        self.harness.accept(job(step()))
+        (command,) = self.start()
+        self.harness.accept(job(step(), job_id="00000000000000ac"))
+        (other,) = self.start()
+        self.assertEqual((command.worker_id, other.worker_id), ("roomy", "roomy"))
+        self.end(command)
+        (command,) = self.start()
+        self.assertEqual(command.worker_id, "sound")
+        self.end(command, TerminationReason.STOPPED)
+        self.harness.now_ms += AVOID_MS
+        self.harness.commit()
+        (command,) = self.start()
+        self.assertEqual(command.worker_id, "sound")
+
+    def test_a_task_waits_for_a_new_ticket_of_the_sound_worker(self):
+        """Its ticket has expired, so only the failing worker is a candidate."""
+        harness = FleetHarness(entry("failing"), entry("sound", cpu=9_000))
+        harness.report_all()
+        harness.accept(job(step(), queue=ADVISED))
+        (request,) = self.requests(harness)
+        harness.reply_with_advice(request, {"failing": "t", "sound": "t"})
+        harness.now_ms += 1_000
+        (command,) = harness.dispatch_starts()
+        self.assertEqual(command.worker_id, "failing")
+        harness.confirm_start(command)
+        task_step = harness.open_steps()[0]
+        task_step.tickets["sound"].until_ms = harness.now_ms
+        harness.report("failing", ended=[ended(1, command, TerminationReason.FAILED)])
+        self.assertEqual(harness.dispatch_starts(), [])
+
+    def requests(self, harness):
+        return [each for each in harness.dispatch() if isinstance(each, RequestAdvice)]
+
+
+if __name__ == "__main__":
+    unittest.main()
