Let a gang avoid the worker where any of its tasks failed

What callers could see: a gang was given up as `failed` because of one worker that fails all it gets, while a sound one had room.

Cause: the failure of a gang's task was noted on that task, and the plan of a gang looked at the avoided workers of its first task only. So a worker where any other task failed was chosen again until the attempts were used up.

Change: the tasks of a gang share one set of avoided workers.

--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -182,6 +182,10 @@
             Task(TaskKey(job.spec.job_id, occurrence, number, task_index), self)
             for task_index in range(self.spec.width)
         ]
+        if self.spec.gang:
+            # Its tasks start together, so they avoid the same workers.
+            for task in self.tasks:
+                task.avoided_workers = self.tasks[0].avoided_workers
         self.remaining_tasks = self.spec.width
         # When all steps that this one waits for were done.
         self.opened_ms = 0.0
--- a/tests/core/test_fleet_avoidance.py
+++ b/tests/core/test_fleet_avoidance.py
@@ -10,6 +10,7 @@
 )
 from tests.core.fleet_fixture import (
     ADVISED,
+    BACKGROUND,
     LONG_RUNNING,
     FleetHarness,
     ended,
@@ -120,6 +121,15 @@
         self.end(command)
         self.assert_starts_again(command)
 
+    def test_a_gang(self):
+        self.set_up_workers()
+        self.harness.accept(job(step(width=2, gang=True), queue=BACKGROUND))
+        first, second = self.start()
+        self.end(second)
+        self.end(first, TerminationReason.GANG_MEMBER_TERMINATED)
+        self.assertEqual(self.wait(AVOID_MS - TICK_MS), [])
+        self.assertEqual(len(self.wait(2 * TICK_MS)), 2)
+
     def test_the_wait_does_not_begin_again_with_a_start_that_was_refused(self):
         """The job has nothing running all the while."""
         self.set_up_workers(entry("unhealthy", cpu=1_000))
@@ -168,6 +178,16 @@
         (command,) = self.start()
         self.assertEqual(command.worker_id, "sound")
 
+    def test_a_gang_leaves_the_worker_where_any_of_its_tasks_failed(self):
+        self.set_up_sound_worker(cpu=5_000)
+        self.harness.accept(job(step(width=2, gang=True), queue=BACKGROUND))
+        first, second = self.start()
+        self.assertEqual({first.worker_id, second.worker_id}, {"roomy"})
+        self.end(second)
+        self.end(first, TerminationReason.GANG_MEMBER_TERMINATED)
+        commands = self.wait(TICK_MS)
+        self.assertEqual([each.worker_id for each in commands], ["sound", "sound"])
+
     def test_a_task_waits_for_a_new_ticket_of_the_sound_worker(self):
         """Its ticket has expired, so only the failing worker is a candidate."""
         harness = FleetHarness(entry("failing"), entry("sound", cpu=9_000))
