Use an avoided worker again once it has completed a run

Cause: the wait of 2 s protects a job's attempts from a worker that fails all it gets. At an error share of 5 to 10 percent on all workers most failures are single ones, and an urgent task whose other workers are full is late after 2 s.

Change: a task uses a worker that it avoids, when no other one has room, as soon as a run was done there since the task waits. A worker that fails all it gets completes none.

--- a/packages/core/src/marigoldpath_core/fleet/_avoidance.py
+++ b/packages/core/src/marigoldpath_core/fleet/_avoidance.py
@@ -11,19 +11,22 @@
 from ._worker import Worker
 
 
-def may_use_avoided(fleet: Fleet, pools: Pools, task: Task) -> bool:
-    """Return whether a task that has found no other worker uses those it avoids.
+def excluded_workers(fleet: Fleet, pools: Pools, task: Task) -> set[str]:
+    """Return the workers that a task does not use, even if no other one has room.
 
-    It does after `avoid_ms`, or at once if there is no other worker to wait for.
+    They are those that it avoids and that have completed no run since the task waits.
+    After `avoid_ms` there are none, nor if there is no other worker to wait for.
     """
-    if not task.avoided_workers:
-        return False
-    if has_waited(fleet, task):
-        return True
-    return not any(
-        worker.worker_id not in task.avoided_workers and _may_run(task.step, worker)
+    avoided = task.avoided_workers
+    if not avoided or has_waited(fleet, task):
+        return set()
+    has_others = any(
+        worker.worker_id not in avoided and _may_run(task.step, worker)
         for worker in pools.usable(task.step)
     )
+    if not has_others:
+        return set()
+    return {each for each in avoided if not _has_recovered(fleet, task, each)}
 
 
 def has_waited(fleet: Fleet, task: Task) -> bool:
@@ -31,6 +34,12 @@
     return fleet.now_ms - task.waiting_since_ms >= fleet.settings.avoid_ms
 
 
+def _has_recovered(fleet: Fleet, task: Task, worker_id: str) -> bool:
+    """Return whether a run was done on the worker since the task waits."""
+    worker = fleet.workers.get(worker_id)
+    return worker is not None and worker.last_done_ms > task.waiting_since_ms
+
+
 def _may_run(step: Step, worker: Worker) -> bool:
     """Return whether the worker may be a candidate of the step, now or later."""
     zone = step.job.zone
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -1,7 +1,7 @@
 """The scheduling pass: starts the waiting tasks that fit, the most urgent first."""
 
 from . import _advice, _preemption, _waiting
-from ._avoidance import may_use_avoided
+from ._avoidance import excluded_workers
 from ._crashes import is_suspect, may_try_on, settle_recorded_starts
 from ._fleet import Fleet
 from ._placement import (
@@ -77,9 +77,10 @@
         if fleet.start_limit.is_reached:
             # The tasks that are left do not lack capacity.
             return
-        worker = choose(fleet, step, task, candidates)
-        if worker is None and may_use_avoided(fleet, pools, task):
-            worker = choose(fleet, step, task, candidates, use_avoided=True)
+        worker = choose(fleet, step, task, candidates, task.avoided_workers)
+        if worker is None and task.avoided_workers:
+            excluded = excluded_workers(fleet, pools, task)
+            worker = choose(fleet, step, task, candidates, excluded)
         if worker is None:
             if not task.avoided_workers and not is_suspect(task):
                 # The remaining tasks have the same needs, so they do not fit either.
@@ -121,14 +122,16 @@
     fleet: Fleet, pools: Pools, step: Step, candidates: Candidates
 ) -> list[Worker] | None:
     """Return a worker for each task of a gang, None if the gang does not fit."""
-    plan = _plan_gang_on(fleet, step, candidates, step.tasks[0].avoided_workers)
-    if plan is None and may_use_avoided(fleet, pools, step.tasks[0]):
-        plan = _plan_gang_on(fleet, step, candidates, set())
+    first = step.tasks[0]
+    plan = _plan_gang_on(fleet, step, candidates, first.avoided_workers)
+    if plan is None and first.avoided_workers:
+        excluded = excluded_workers(fleet, pools, first)
+        plan = _plan_gang_on(fleet, step, candidates, excluded)
     return plan
 
 
 def _plan_gang_on(
-    fleet: Fleet, step: Step, candidates: Candidates, avoided_workers: set[str]
+    fleet: Fleet, step: Step, candidates: Candidates, excluded: set[str]
 ) -> list[Worker] | None:
     count = len(step.tasks)
     # The reserve for urgent work is kept free, unless the gang would not fit without it
@@ -139,7 +142,7 @@
     capacities = [
         (count_fitting_now(fleet, step, worker, fitting_when_empty >= count), worker)
         for worker in candidates.workers
-        if worker.worker_id not in avoided_workers
+        if worker.worker_id not in excluded
         and fleet.is_startable(worker)
         and may_try_on(fleet, step.tasks[0], worker)
     ]
--- a/packages/core/src/marigoldpath_core/fleet/_health.py
+++ b/packages/core/src/marigoldpath_core/fleet/_health.py
@@ -11,6 +11,7 @@
 ) -> None:
     """Record a run's success or failure on its worker, and quarantine it if needed."""
     if kind is TerminationReason.DONE:
+        worker.last_done_ms = fleet.now_ms
         worker.failures.clear()
         worker.stall_count = 0
         worker.is_on_probation = False
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -117,19 +117,17 @@
     step: Step,
     task: Task,
     candidates: Candidates,
-    *,
-    use_avoided: bool = False,
+    excluded: set[str],
 ) -> Worker | None:
     """Return the candidate with the lowest score that has capacity for the task.
 
-    Workers that the task avoids are omitted, unless `use_avoided` is set. Return None
-    if no worker is left.
+    Workers whose ids are `excluded` are omitted. Return None if no worker is left.
     """
     score = scoring_rules.get(scoring_rule_name(step))
     best: Worker | None = None
     best_score: tuple[float, ...] = ()
     for worker in candidates.workers:
-        if worker.worker_id in task.avoided_workers and not use_avoided:
+        if worker.worker_id in excluded:
             continue
         if not _has_room(fleet, step, worker, candidates):
             continue
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -54,6 +54,8 @@
         self.orphaned_runs: set[tuple[TaskKey, int]] = set()
         self.failures: list[tuple[float, str]] = []
         self.quarantined_until_ms = 0.0
+        # When the last run with a successful end was reported.
+        self.last_done_ms = -math.inf
         self.stall_count = 0
         self.over_target_since_ms: float | None = None
         self.under_target_since_ms: float | None = None
--- a/tests/core/test_fleet_avoidance.py
+++ b/tests/core/test_fleet_avoidance.py
@@ -130,6 +130,19 @@
         self.assertEqual(self.wait(AVOID_MS - TICK_MS), [])
         self.assertEqual(len(self.wait(2 * TICK_MS)), 2)
 
+    def test_a_task_whose_worker_has_completed_another_run_since(self):
+        """The worker does not fail all it gets, so the task waits no longer."""
+        self.set_up_workers()
+        self.harness.accept(job(step()))
+        (command,) = self.start()
+        self.harness.accept(job(step(), job_id="00000000000000ac"))
+        (other,) = self.start()
+        self.end(command)
+        self.assertEqual(self.wait(3 * TICK_MS), [])
+        self.end(other, TerminationReason.DONE)
+        (again,) = self.start()
+        self.assertEqual((again.task, again.worker_id), (command.task, "roomy"))
+
     def test_the_wait_does_not_begin_again_with_a_start_that_was_refused(self):
         """The job has nothing running all the while."""
         self.set_up_workers(entry("unhealthy", cpu=1_000))
