Preempt nothing for a task that waits for another reason than room

What callers could see: work of less urgent jobs was stopped and done again for nothing.

Cause: the tasks that a pass could not place were counted as tasks without room. A task that avoids a worker with room, or a suspect that is kept apart from others, then preempted runs on other workers; and runs were preempted on a worker that the task avoids, so the freed room was not used.

Change: nothing is preempted while any candidate has room for a task of the step, nor on workers that no waiting task of it would use, nor on workers that are not usable any more.

Result: tests.core.test_fleet_avoidance, two tests of preemption: 2 fail -> pass.

--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -10,6 +10,7 @@
     count_fitting_empty,
     count_fitting_now,
     find_candidates,
+    has_room,
 )
 from ._pools import Pools, current_pools
 from ._starts import send_recorded_starts, start_task
@@ -90,9 +91,10 @@
         placed += 1
         candidates.placed[worker.worker_id] += 1
         candidates.racks[worker.entry.rack] += 1
-    unplaced = len(waiting) - placed
-    if unplaced and not fleet.request_zone_exit(step.job):
-        _preemption.preempt_for(fleet, step, candidates, unplaced)
+    if placed == len(waiting) or fleet.request_zone_exit(step.job):
+        return
+    if not has_room(fleet, step, candidates):
+        _preemption.preempt_for(fleet, pools, step, candidates)
 
 
 def _leave_zone_if_unsuitable(fleet: Fleet, step: Step) -> None:
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -139,6 +139,13 @@
     return best
 
 
+def has_room(fleet: Fleet, step: Step, candidates: Candidates) -> bool:
+    """Return whether any candidate has room for a task of the step."""
+    return any(
+        _has_room(fleet, step, worker, candidates) for worker in candidates.workers
+    )
+
+
 def _has_room(fleet: Fleet, step: Step, worker: Worker, candidates: Candidates) -> bool:
     limit = step.spec.max_per_worker
     if limit and candidates.placed[worker.worker_id] >= limit:
--- a/packages/core/src/marigoldpath_core/fleet/_preemption.py
+++ b/packages/core/src/marigoldpath_core/fleet/_preemption.py
@@ -2,14 +2,16 @@
 
 from marigoldpath_core.jobs import Resources
 
+from ._avoidance import excluded_workers
 from ._fleet import Fleet
 from ._placement import Candidates
+from ._pools import Pools
 from ._work import Run, RunState, Step
 from ._worker import Worker
 
 
-def preempt_for(fleet: Fleet, step: Step, candidates: Candidates, tasks: int) -> None:
-    """Stop less urgent runs to free capacity for up to `tasks` tasks of the step.
+def preempt_for(fleet: Fleet, pools: Pools, step: Step, candidates: Candidates) -> None:
+    """Stop less urgent runs to free capacity for the waiting tasks of the step.
 
     A call frees capacity for at most one task on each worker. Only runs that lose
     little work are stopped: those that save a checkpoint, and those with little
@@ -17,13 +19,16 @@
     """
     if step.job.queue.priority > 1 or step.spec.fills:
         return
-    remaining_tasks = min(tasks, fleet.settings.max_preemptions)
+    remaining_tasks = min(step.waiting_tasks, fleet.settings.max_preemptions)
+    unused_workers = _unused_workers(fleet, pools, step)
     limit = step.spec.max_per_worker
     for worker in sorted(candidates.workers, key=lambda each: -each.free.cpu_millis):
         if remaining_tasks <= 0:
             return
         if limit and candidates.placed[worker.worker_id] >= limit:
             continue
+        if worker.worker_id in unused_workers or not fleet.is_startable(worker):
+            continue
         if any(run.state is RunState.STOPPING for run in worker.runs.values()):
             # A run of the worker is stopping already and is expected to free capacity
             # for one task.
@@ -35,6 +40,17 @@
         remaining_tasks -= bool(to_preempt)
 
 
+def _unused_workers(fleet: Fleet, pools: Pools, step: Step) -> set[str]:
+    """Return the workers that no waiting task of the step would use now."""
+    unused: set[str] | None = None
+    for task in step.waiting:
+        excluded = excluded_workers(fleet, pools, task)
+        unused = excluded if unused is None else unused & excluded
+        if not unused:
+            break
+    return unused or set()
+
+
 def _runs_to_preempt(fleet: Fleet, step: Step, worker: Worker) -> list[Run]:
     """Return the runs to stop so that one more task fits, the largest first.
 
--- a/tests/core/test_fleet_avoidance.py
+++ b/tests/core/test_fleet_avoidance.py
@@ -7,6 +7,7 @@
     RequestAdvice,
     StartResult,
     TerminationReason,
+    WorkersListed,
 )
 from tests.core.fleet_fixture import (
     ADVISED,
@@ -18,6 +19,7 @@
     job,
     running,
     step,
+    stops,
 )
 
 AVOID_MS = FleetSettings().avoid_ms
@@ -221,5 +223,48 @@
         return [each for each in harness.dispatch() if isinstance(each, RequestAdvice)]
 
 
+class AvoidancePreemptionTests(AvoidanceFixture):
+    """Guards against a run that is preempted for nothing."""
+
+    def preempted(self):
+        """Return the workers on which the next scheduling pass preempts runs."""
+        effects = self.harness.advance(TICK_MS) + self.harness.dispatch()
+        return [each.worker_id for each in stops(effects)]
+
+    def fill(self, worker_id, cpu):
+        """Start a background run that needs all free processors of the worker."""
+        label = {"full": "lasting", "roomy": "roomy"}[worker_id]
+        spec = step(cpu=cpu, required_label=label, checkpointable=True)
+        self.harness.accept(job(spec, queue=BACKGROUND, job_id=f"{cpu:016x}"))
+        (command,) = self.start()
+        self.assertEqual(command.worker_id, worker_id)
+
+    def set_up_roomy(self, full_cpu):
+        self.set_up_workers(full_cpu=full_cpu)
+        labels = ("a", "roomy")
+        listed = [self.harness.entries[0], entry("roomy", labels=labels)]
+        self.harness.handle(WorkersListed(tuple(listed)))
+
+    def test_nothing_is_preempted_for_a_task_that_has_room_elsewhere(self):
+        self.set_up_roomy(full_cpu=4_000)
+        self.fill("full", 1_000)
+        self.harness.accept(job(step(cpu=2_000)))
+        (command,) = self.start()
+        self.end(command)
+        self.assertEqual(self.preempted(), [])
+
+    def test_nothing_is_preempted_on_a_worker_that_the_task_does_not_use(self):
+        """Once the task has waited, it does use the worker."""
+        self.set_up_roomy(full_cpu=2_000)
+        self.harness.accept(job(step()))
+        (command,) = self.start()
+        self.end(command)
+        self.fill("roomy", 9_500)
+        self.assertEqual(self.preempted(), [])
+        self.harness.now_ms += AVOID_MS
+        self.harness.commit()
+        self.assertEqual(self.preempted(), ["roomy"])
+
+
 if __name__ == "__main__":
     unittest.main()
