Keep the room that preemption frees for the step that needs it

Cause: the runs that are preempted on a worker end one after the other. The room of the first one was too small for the task, so the next pass gave it to the preempted task, which was preempted again.

Result: tests.core.test_fleet_placement, PreemptedRoomTests: 3 of 4 fail -> pass (the fourth holds that a cancelled job gives the room back).

--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -64,10 +64,11 @@
 def has_capacity(fleet: Fleet, step: Step, worker: Worker) -> bool:
     """Return whether a run fits and leaves the reserve for urgent work free.
 
+    The room that preemption frees for a more urgent step does not count.
     Urgent steps, long-running steps and fillers are not limited by the reserve.
     """
     need = step.need
-    if not worker.fits(need):
+    if not worker.fits(need) or worker.is_reserved_against(step, fleet.now_ms):
         return False
     if step.job.queue.priority == 0 or step.spec.long_running or not need.cpu_millis:
         return True
@@ -92,6 +93,8 @@
 
     With `keep_reserve`, background tasks do not use the reserve for urgent work.
     """
+    if worker.is_reserved_against(step, fleet.now_ms):
+        return 0
     free = worker.free
     if keep_reserve and step.job.queue.priority > 0:
         limit_millis = (
--- a/packages/core/src/marigoldpath_core/fleet/_preemption.py
+++ b/packages/core/src/marigoldpath_core/fleet/_preemption.py
@@ -29,15 +29,20 @@
             continue
         if worker.worker_id in unused_workers or not fleet.is_startable(worker):
             continue
-        if any(run.state is RunState.STOPPING for run in worker.runs.values()):
-            # A run of the worker is stopping already and is expected to free capacity
-            # for one task.
-            remaining_tasks -= 1
-            continue
-        to_preempt = _runs_to_preempt(fleet, step, worker)
+        is_stopping = any(
+            run.state is RunState.STOPPING for run in worker.runs.values()
+        )
+        # A run of the worker that is stopping already is expected to free capacity for
+        # one task.
+        to_preempt = [] if is_stopping else _runs_to_preempt(fleet, step, worker)
         for run in to_preempt:
             fleet.stop(run, f"preempted for {step.job.spec.job_id}")
-        remaining_tasks -= bool(to_preempt)
+        if is_stopping or to_preempt:
+            # Otherwise the room of the run that ends first would go to the tasks that
+            # are preempted, as long as it is too small for this one.
+            until_ms = fleet.now_ms + fleet.settings.retry_stop_ms
+            worker.reserve_for(step, fleet.now_ms, until_ms)
+            remaining_tasks -= 1
 
 
 def _unused_workers(fleet: Fleet, pools: Pools, step: Step) -> set[str]:
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -6,7 +6,7 @@
 
 from ._messages import WorkerEntry
 from ._settings import FleetSettings
-from ._work import Run
+from ._work import Run, Step
 
 
 class Worker:
@@ -54,6 +54,10 @@
         self.orphaned_runs: set[tuple[TaskKey, int]] = set()
         self.failures: list[tuple[float, str]] = []
         self.quarantined_until_ms = 0.0
+        # The step for which runs are preempted here, and until when their room is kept
+        # for it.
+        self.reserved_for: Step | None = None
+        self.reserved_until_ms = 0.0
         # When the last run with a successful end was reported.
         self.last_done_ms = -math.inf
         self.stall_count = 0
@@ -123,6 +127,24 @@
             del self._runs[run.task.key]
             self._adjust_allocated(run, -1)
 
+    def reserve_for(self, step: Step, now_ms: float, until_ms: float) -> None:
+        """Keep the free room for a step, unless it is kept for one as urgent."""
+        if self.is_reserved_against(step, now_ms):
+            return
+        self.reserved_for = step
+        self.reserved_until_ms = until_ms
+
+    def is_reserved_against(self, step: Step, now_ms: float) -> bool:
+        """Return whether the free room is kept for a more urgent step than this one."""
+        other = self.reserved_for
+        return (
+            other is not None
+            and now_ms < self.reserved_until_ms
+            and other.waiting_tasks > 0
+            and not other.job.state.is_final
+            and other.job.queue.priority < step.job.queue.priority
+        )
+
     def begin_incarnation(self, incarnation: int) -> None:
         """Reset the state reported by the previous incarnation."""
         self.incarnation = incarnation
--- a/tests/core/test_fleet_placement.py
+++ b/tests/core/test_fleet_placement.py
@@ -6,6 +6,7 @@
     JobCancelled,
     RosterEntry,
     StartResult,
+    TerminationReason,
     WorkersListed,
 )
 from marigoldpath_core.jobs import JobState, Progress
@@ -102,6 +103,63 @@
         )
 
 
+class PreemptedRoomTests(unittest.TestCase):
+    """Guards against a task that preempts the same runs for ever and never starts.
+
+    The room of the run that ends first went to the preempted task again.
+    """
+
+    def setUp(self):
+        self.harness = FleetHarness(entry("a", cpu=10_000))
+        self.harness.report_all()
+        small = step(width=2, cpu=4_000, checkpointable=True)
+        self.harness.accept(job(small, queue=BACKGROUND, job_id="00000000000000ab"))
+        self.first, self.second = self.harness.dispatch_starts()
+        for command in (self.first, self.second):
+            self.harness.confirm_start(command)
+        self.harness.accept(job(step(cpu=9_000)))
+        self.assertEqual(len(stops(self.harness.dispatch())), 2)
+
+    def test_the_room_of_a_preempted_run_waits_for_the_other_one(self):
+        end = ended(1, self.first, TerminationReason.STOPPED)
+        self.harness.report("a", [running(self.second)], [end])
+        self.assertEqual(self.harness.dispatch_starts(), [])
+        ends = [end, ended(2, self.second, TerminationReason.STOPPED)]
+        self.harness.report("a", ended=ends)
+        self.assertEqual(
+            [each.task.job_id for each in self.harness.dispatch_starts()], [JOB]
+        )
+
+    def test_more_urgent_tasks_and_tasks_of_the_same_priority_may_use_it(self):
+        end = ended(1, self.first, TerminationReason.STOPPED)
+        self.harness.report("a", [running(self.second)], [end])
+        self.harness.accept(job(step(), job_id="00000000000000ac"))
+        self.assertEqual(len(self.harness.dispatch_starts()), 1)
+
+    def test_the_room_is_free_again_once_the_task_no_longer_waits(self):
+        ends = [
+            ended(1, self.first, TerminationReason.STOPPED),
+            ended(2, self.second, TerminationReason.STOPPED),
+        ]
+        self.harness.report("a", ended=ends)
+        self.harness.handle(JobCancelled(JOB))
+        self.assertEqual(len(self.harness.dispatch_starts()), 2)
+
+    def test_the_room_is_not_kept_for_longer_than_a_stop_takes(self):
+        ends = [
+            ended(1, self.first, TerminationReason.STOPPED),
+            ended(2, self.second, TerminationReason.STOPPED),
+        ]
+        self.harness.entries = (entry("a", cpu=8_500),)
+        self.harness.handle(WorkersListed(self.harness.entries))
+        self.harness.report("a", ended=ends)
+        self.assertEqual(self.harness.dispatch_starts(), [])
+        self.harness.advance(2_000)
+        self.harness.commit()
+        self.harness.report_all()
+        self.assertEqual(len(self.harness.dispatch_starts()), 1)
+
+
 class CapacityChangeTests(unittest.TestCase):
     """A worker's capacity may shrink and grow while it runs tasks."""
 
