End a quarantine early for a task that no other worker can run

What callers could see: a job with nothing running for up to 6 s, the length of a quarantine, while the quarantined worker had all the room and the service was idle.

Cause: a quarantine excludes a worker for a fixed time, also if it is the only one that a task may run on.

Change: a task that has waited for 2 s, and has no other worker with room, ends the quarantine of one worker that has been excluded for 2 s or more, if less than half of the service is allocated. The worker stays on probation: one more failure quarantines it again.

Result: tests.core.test_fleet_avoidance, QuarantineTests: the new behaviour fails -> passes; that it lasts for a task with room elsewhere and on a busy service held before and holds now.

--- a/packages/core/src/marigoldpath_core/fleet/_avoidance.py
+++ b/packages/core/src/marigoldpath_core/fleet/_avoidance.py
@@ -6,9 +6,8 @@
 """
 
 from ._fleet import Fleet
-from ._pools import Pools
-from ._work import Step, Task
-from ._worker import Worker
+from ._pools import Pools, may_become_candidate
+from ._work import Task
 
 
 def excluded_workers(fleet: Fleet, pools: Pools, task: Task) -> set[str]:
@@ -21,7 +20,7 @@
     if not avoided or has_waited(fleet, task):
         return set()
     has_others = any(
-        worker.worker_id not in avoided and _may_run(task.step, worker)
+        worker.worker_id not in avoided and may_become_candidate(task.step, worker)
         for worker in pools.usable(task.step)
     )
     if not has_others:
@@ -47,17 +46,3 @@
     """Return whether a run was done on the worker since the task waits."""
     worker = fleet.workers.get(worker_id)
     return worker is not None and worker.last_done_ms > task.waiting_since_ms
-
-
-def _may_run(step: Step, worker: Worker) -> bool:
-    """Return whether the worker may be a candidate of the step, now or later."""
-    zone = step.job.zone
-    if zone and worker.entry.zone != zone:
-        return False
-    if step.job.queue.advice is None:
-        return True
-    is_refused = (
-        worker.worker_id in step.queried_workers
-        and worker.worker_id not in step.tickets
-    )
-    return not is_refused
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -4,6 +4,7 @@
 from ._avoidance import excluded_workers, is_stuck
 from ._crashes import is_suspect, may_try_on, settle_recorded_starts
 from ._fleet import Fleet
+from ._health import end_quarantine_for
 from ._placement import (
     Candidates,
     choose,
@@ -71,6 +72,7 @@
     candidates = find_candidates(fleet, pools, step)
     if not candidates.workers:
         _leave_zone_if_unsuitable(fleet, step)
+        _end_quarantine_if_stuck(fleet, pools, step)
         return
     waiting = step.waiting
     placed = 0
@@ -90,6 +92,7 @@
         candidates.racks[worker.entry.rack] += 1
     if placed == len(waiting) or fleet.request_zone_exit(step.job):
         return
+    _end_quarantine_if_stuck(fleet, pools, step)
     if not has_room(fleet, step, candidates):
         _preemption.preempt_for(fleet, pools, step, candidates)
 
@@ -109,6 +112,13 @@
     return worker
 
 
+def _end_quarantine_if_stuck(fleet: Fleet, pools: Pools, step: Step) -> None:
+    for task in step.waiting:
+        if is_stuck(fleet, pools, task):
+            end_quarantine_for(fleet, task)
+            return
+
+
 def _leave_zone_if_unsuitable(fleet: Fleet, step: Step) -> None:
     """Let the job leave its zone if the step may run on no worker of the zone.
 
@@ -126,6 +136,7 @@
     plan = _plan_gang(fleet, pools, step, candidates)
     if plan is None:
         _leave_zone_if_unsuitable(fleet, step)
+        _end_quarantine_if_stuck(fleet, pools, step)
         return
     number = fleet.next_run_number(*step.tasks)
     for task, worker in zip(step.tasks, plan):
--- a/packages/core/src/marigoldpath_core/fleet/_health.py
+++ b/packages/core/src/marigoldpath_core/fleet/_health.py
@@ -2,7 +2,8 @@
 
 from ._fleet import Fleet
 from ._messages import TerminationReason
-from ._work import Run, RunState
+from ._pools import may_become_candidate
+from ._work import Run, RunState, Task
 from ._worker import Worker
 
 
@@ -44,6 +45,7 @@
         or quarantined >= fleet.settings.max_quarantined_fraction * fleet_size
     ):
         return
+    worker.quarantined_ms = fleet.now_ms
     worker.quarantined_until_ms = fleet.now_ms + fleet.settings.quarantine_ms
     worker.is_on_probation = True
     worker.failures.clear()
@@ -52,6 +54,30 @@
     )
 
 
+def end_quarantine_for(fleet: Fleet, task: Task) -> None:
+    """End the quarantine of a worker with room for a task that has no other worker.
+
+    At most one worker is released, after `avoid_ms`. It stays on probation.
+    """
+    step = task.step
+    for worker in fleet.workers.values():
+        if (
+            not _is_quarantined(fleet, worker)
+            or fleet.now_ms - worker.quarantined_ms < fleet.settings.avoid_ms
+            or not worker.fits(step.need)
+            or not may_become_candidate(step, worker)
+        ):
+            continue
+        worker.quarantined_until_ms = fleet.now_ms
+        fleet.pools_outdated = fleet.needs_dispatch = True
+        fleet.log(
+            "quarantine_ended_early",
+            worker=worker.worker_id,
+            job=step.job.spec.job_id,
+        )
+        return
+
+
 def stop_stalled_runs(fleet: Fleet) -> None:
     """Stop the runs that make no progress, so that their tasks can run elsewhere."""
     for worker in fleet.workers.values():
--- a/packages/core/src/marigoldpath_core/fleet/_pools.py
+++ b/packages/core/src/marigoldpath_core/fleet/_pools.py
@@ -144,6 +144,22 @@
     return not label or label in worker.entry.labels
 
 
+def may_become_candidate(step: Step, worker: Worker) -> bool:
+    """Return whether the step may run on the worker, as far as is known.
+
+    The worker may be full or not usable now, or need a new ticket.
+    """
+    zone = step.job.zone
+    if worker.entry.service != step.job.queue.service or not has_label(step, worker):
+        return False
+    if zone and worker.entry.zone != zone:
+        return False
+    if step.job.queue.advice is None:
+        return True
+    worker_id = worker.worker_id
+    return worker_id in step.tickets or worker_id not in step.queried_workers
+
+
 def _labelled(step: Step, workers: dict[str, Worker]) -> list[Worker]:
     return [each for each in workers.values() if has_label(step, each)]
 
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -54,6 +54,8 @@
         self.orphaned_runs: set[tuple[TaskKey, int]] = set()
         self.failures: list[tuple[float, str]] = []
         self.quarantined_until_ms = 0.0
+        # When the worker was quarantined, or refused a start.
+        self.quarantined_ms = -math.inf
         # The step for which runs are preempted here, and until when their room is kept
         # for it.
         self.reserved_for: Step | None = None
--- a/tests/core/test_fleet_avoidance.py
+++ b/tests/core/test_fleet_avoidance.py
@@ -4,6 +4,7 @@
 
 from marigoldpath_core.fleet import (
     FleetSettings,
+    JobCancelled,
     RequestAdvice,
     StartResult,
     TerminationReason,
@@ -257,6 +258,69 @@
         self.assertEqual(self.wait(2 * AVOID_MS), [])
 
 
+class QuarantineTests(AvoidanceFixture):
+    """Guards against a quarantine that keeps the only worker with room from a task."""
+
+    def quarantine_roomy(self):
+        """Fail runs of two jobs on `roomy`, so that it is quarantined."""
+        for number in range(FleetSettings().quarantine_failures):
+            job_id = f"{number % 2 + 1:016x}"
+            self.harness.accept(job(step(width=3, required_label="b"), job_id=job_id))
+        commands = self.start()
+        for command in commands[1:4]:
+            self.end(command)
+        for number in (1, 2):
+            self.harness.handle(JobCancelled(f"{number:016x}"))
+
+    def set_up(self):
+        self.set_up_workers(entry("idle", cpu=9_000))
+        labels = {"full": ("a", "lasting"), "roomy": ("a", "b"), "idle": ("c",)}
+        self.harness.entries = tuple(
+            each._replace(labels=labels[each.worker_id])
+            for each in self.harness.entries
+        )
+        self.harness.handle(WorkersListed(self.harness.entries))
+        self.quarantine_roomy()
+
+    def test_it_ends_early_for_a_task_that_no_other_worker_can_run(self):
+        self.set_up()
+        self.harness.accept(job(step(required_label="b")))
+        self.assertEqual(self.wait(AVOID_MS - TICK_MS), [])
+        (command,) = self.wait(4 * TICK_MS)
+        self.assertEqual(command.worker_id, "roomy")
+
+    def test_it_lasts_for_a_task_that_has_room_elsewhere(self):
+        self.set_up()
+        self.harness.accept(job(step(required_label="c")))
+        (command,) = self.wait(AVOID_MS + 4 * TICK_MS)
+        self.assertEqual(command.worker_id, "idle")
+        self.harness.accept(job(step(required_label="b"), job_id="00000000000000ac"))
+        self.assertEqual(self.wait(AVOID_MS - TICK_MS), [])
+
+    def test_it_lasts_while_the_service_is_busy(self):
+        self.set_up()
+        busy = step(width=7, long_running=True, required_label="c")
+        self.harness.accept(job(busy, queue=LONG_RUNNING, job_id="00000000000000ac"))
+        self.assertEqual(len(self.start()), 7)
+        self.harness.accept(job(step(required_label="b")))
+        self.assertEqual(self.wait(AVOID_MS + 4 * TICK_MS), [])
+
+    def test_a_worker_that_refuses_starts_is_not_asked_at_once_again(self):
+        self.set_up()
+        self.harness.accept(job(step(required_label="b")))
+        self.wait(AVOID_MS)
+        refusals = 0
+        for _ in range(20):
+            self.harness.advance(TICK_MS)
+            for each in self.harness.entries:
+                self.report(each.worker_id)
+            self.harness.commit()
+            for command in self.harness.dispatch_starts():
+                self.harness.reply_to_start(command, StartResult.REFUSED)
+                refusals += 1
+        self.assertEqual(refusals, 2)
+
+
 class AvoidancePreemptionTests(AvoidanceFixture):
     """Guards against a run that is preempted for nothing."""
 
