Ask about the next incarnation of a worker that advice has refused

What callers could see: a step that may run on few workers waited for good, although a worker that may run it had come up.

Cause: the workers of an advice request were kept by their id, approved or not, and never asked about again. A new incarnation under the same id may be of another kind. An approval that came while the worker was not listed was dropped, and the worker still counted as asked.

Change: the incarnation that was asked about is kept, also for the tickets, and a reply about a worker that is not known is not kept. A restart makes the steps that have asked about all workers look again. The service's answer for one incarnation does not change, so that is not asked again.

--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -105,16 +105,18 @@
     if event.tickets is None or advice is None:
         fleet.log("advice_failed", job=event.job_id, step=event.step)
         return
-    step.queried_workers.update(event.workers)
     _count_approvals(fleet, step, event)
     until_ms = fleet.now_ms + advice.valid_ms - fleet.settings.ticket_margin_ms
     for worker_id in event.workers:
         worker = fleet.workers.get(worker_id)
         ticket_text = event.tickets.get(worker_id)
+        incarnation = step.requested_incarnations.get(worker_id, 0)
+        if worker is not None:
+            step.queried_workers[worker_id] = incarnation
         if ticket_text is None or worker is None:
             step.tickets.pop(worker_id, None)
         else:
-            step.tickets[worker_id] = Ticket(ticket_text, until_ms, worker.incarnation)
+            step.tickets[worker_id] = Ticket(ticket_text, until_ms, incarnation)
     fleet.needs_dispatch = True
     fleet.log(
         "advice_taken",
@@ -145,7 +147,11 @@
 def _send_request(fleet: Fleet, step: Step, workers: list[Worker]) -> None:
     advice = step.job.queue.advice
     assert advice is not None
-    selected = tuple(worker.worker_id for worker in workers[:MAX_WORKERS_PER_REQUEST])
+    workers = workers[:MAX_WORKERS_PER_REQUEST]
+    selected = tuple(worker.worker_id for worker in workers)
+    step.requested_incarnations = {
+        worker.worker_id: worker.incarnation for worker in workers
+    }
     step.is_request_in_flight = True
     step.requested_ms = fleet.now_ms
     if _is_slow(fleet, step):
@@ -204,7 +210,8 @@
         for worker in order:
             if zone and (worker.entry.zone == zone) is not is_home:
                 continue
-            if worker.worker_id not in step.queried_workers and has_label(step, worker):
+            is_queried = step.has_queried(worker.worker_id, worker.incarnation)
+            if not is_queried and has_label(step, worker):
                 yield worker
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_pools.py
+++ b/packages/core/src/marigoldpath_core/fleet/_pools.py
@@ -156,8 +156,9 @@
         return False
     if step.job.queue.advice is None:
         return True
-    worker_id = worker.worker_id
-    return worker_id in step.tickets or worker_id not in step.queried_workers
+    if worker.worker_id in step.tickets:
+        return True
+    return not step.has_queried(worker.worker_id, worker.incarnation)
 
 
 def _labelled(step: Step, workers: dict[str, Worker]) -> list[Worker]:
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -216,6 +216,9 @@
         )
     runs = [] if not worker.incarnation else list(worker.runs.values())
     worker.begin_incarnation(incarnation)
+    # A step that has asked about all workers has to look for new ones.
+    fleet.usable_worker_ids.pop(worker.entry.service, None)
+    fleet.pools_outdated = True
     fleet.record_unknown_jobs(worker, set())
     for run in runs:
         if run.was_reported:
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -189,7 +189,7 @@
 def _on_bad_ticket(fleet: Fleet, worker: Worker, run: Run, _event: object) -> None:
     step = run.task.step
     step.tickets.pop(worker.worker_id, None)
-    step.queried_workers.discard(worker.worker_id)
+    step.queried_workers.pop(worker.worker_id, None)
     step.exhausted_pool_ids = None
     fleet.abandon(run)
 
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -194,8 +194,11 @@
         # The number of tasks that are not done and have no run; its tasks update it.
         self.waiting_tasks = self.spec.width
         self.tickets: dict[str, Ticket] = {}
-        # The workers that were in an advice request, approved or not.
-        self.queried_workers: set[str] = set()
+        # The incarnations of the workers that were in an advice request, approved or
+        # not. The next incarnation may get another answer.
+        self.queried_workers: dict[str, int] = {}
+        # The incarnations of the workers in the newest advice request.
+        self.requested_incarnations: dict[str, int] = {}
         # The ids of the usable workers when all of them were last found to be queried.
         self.exhausted_pool_ids: frozenset[str] | None = None
         # Whether a worker reported a running task of the step to this leader that
@@ -211,6 +214,10 @@
         # first request is not delayed.
         self.requested_ms = -1e12
 
+    def has_queried(self, worker_id: str, incarnation: int) -> bool:
+        """Return whether an incarnation of a worker was in an advice request."""
+        return self.queried_workers.get(worker_id) == incarnation
+
     @property
     def key(self) -> tuple[str, int, int]:
         """Return the unique key of the step in the cell."""
--- a/tests/core/test_fleet_advice.py
+++ b/tests/core/test_fleet_advice.py
@@ -6,6 +6,8 @@
     RequestAdvice,
     StartResult,
     Tick,
+    WorkersListed,
+    WorkerUnresponsive,
 )
 from marigoldpath_core.jobs import AdvicePolicy
 from tests.core.fleet_fixture import (
@@ -63,6 +65,54 @@
         self.assertEqual(self.harness.dispatch_starts(), [])
 
 
+class RefusedWorkerTests(unittest.TestCase):
+    """Guards against a worker that the service refused once and is never asked again.
+
+    The answer holds for one incarnation: the next one may be of another kind.
+    """
+
+    def setUp(self):
+        self.harness = FleetHarness(entry("a"), entry("b"))
+        self.harness.report_all()
+        self.harness.accept(job(step(), queue=ADVISED))
+        (self.request,) = self.advice_requests()
+
+    def advice_requests(self):
+        self.harness.commit()
+        return [
+            each for each in self.harness.dispatch() if isinstance(each, RequestAdvice)
+        ]
+
+    def test_its_next_incarnation_is_asked_about(self):
+        self.harness.reply_with_advice(self.request, {})
+        self.harness.now_ms += 500
+        self.assertEqual(self.advice_requests(), [])
+        self.harness.report("a", incarnation=2_000, clock_ms=10)
+        (again,) = self.advice_requests()
+        self.assertEqual(again.workers, ("a",))
+
+    def test_a_worker_that_restarted_before_the_reply_is_asked_about(self):
+        self.harness.report("a", incarnation=2_000, clock_ms=10)
+        self.harness.reply_with_advice(self.request, {})
+        self.harness.now_ms += 500
+        (again,) = self.advice_requests()
+        self.assertEqual(again.workers, ("a",))
+
+    def test_a_worker_that_was_not_known_at_the_reply_is_asked_about(self):
+        """Its approval was dropped, because there was no worker to store it for."""
+        self.harness.handle(WorkerUnresponsive("a"))
+        self.harness.now_ms += 9_000
+        self.harness.handle(WorkersListed((entry("b"),)))
+        self.harness.advance(0)
+        self.assertEqual(self.harness.scheduler.workers, ("b",))
+        self.harness.reply_with_advice(self.request, {"a": "ticket"})
+        self.harness.handle(WorkersListed((entry("a"), entry("b"))))
+        self.harness.report_all()
+        self.harness.advance(0)
+        (again,) = self.advice_requests()
+        self.assertEqual(again.workers, ("a",))
+
+
 class RequestedWorkersTests(unittest.TestCase):
     """Guards against slow replies: each worker in a request adds to its duration."""
 
