Submit jobs with occurrences in the process soak, and lose two leaders

Change: a fifth of the jobs of the process soak have one to three occurrences; a test kills two leaders in a row. Whether a service is mostly free is found when a stuck task needs it, not with each pool.

--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/__init__.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/__init__.py
@@ -1,6 +1,6 @@
 """Simulate a cell: leaders, workers and a store on one clock, with faults."""
 
-from ._jobs import random_job
+from ._jobs import random_job, schedule_job
 from ._oracle import Oracle, SubmissionReply, Violation
 from ._search import FleetSearch
 from ._simulation import FleetSimulation, FleetSimulationSettings
@@ -17,4 +17,5 @@
     "SubmissionReply",
     "Violation",
     "random_job",
+    "schedule_job",
 ]
--- a/packages/bench/src/marigoldpath_bench/process_soak/_callers.py
+++ b/packages/bench/src/marigoldpath_bench/process_soak/_callers.py
@@ -6,7 +6,11 @@
 
 import curio
 
-from marigoldpath_bench.fleet_simulation import SubmissionReply, random_job
+from marigoldpath_bench.fleet_simulation import (
+    SubmissionReply,
+    random_job,
+    schedule_job,
+)
 from marigoldpath_bench.platform_fakes import job_body, parse_job_state
 from marigoldpath_core.jobs import AcceptedJob, JobState, Queue
 from marigoldpath_node.http import HttpResponse, NotSentError, ReplyLostError
@@ -24,6 +28,7 @@
 POLL_INTERVAL_S = (0.2, 1.0)
 CANCEL_SHARE = 0.08
 GANG_SHARE = 0.05
+SCHEDULED_SHARE = 0.2
 # A connection that ends without a reply within this time after the request was sent
 # is no violation (`loss-slack-ms`).
 DROP_TOLERANCE_S = 0.2
@@ -74,6 +79,8 @@
             prefix = self._random.choice([URGENT_PREFIX, BACKGROUND_PREFIX])
             gang_share = GANG_SHARE if prefix == BACKGROUND_PREFIX else 0.0
             spec = random_job(self._random, job_id, gang_share)
+            if self._random.random() < SCHEDULED_SHARE:
+                spec = schedule_job(self._random, spec, time.time() * 1_000)
             job = AcceptedJob(spec, QUEUES[prefix], 0, 0)
             self._cell.oracle.record_job(job, SubmissionReply.UNKNOWN)
             reply = await self._submit(prefix, job)
--- a/packages/core/src/marigoldpath_core/fleet/_pools.py
+++ b/packages/core/src/marigoldpath_core/fleet/_pools.py
@@ -44,7 +44,9 @@
         for worker_id, worker in fleet.workers.items():
             if worker.is_usable(fleet.now_ms):
                 usable.setdefault(worker.entry.service, {})[worker_id] = worker
-        self._busy_services = _find_busy_services(fleet)
+        self._fleet = fleet
+        # Found when it is first needed, which is rare.
+        self._busy_services: set[str] | None = None
         self._pools = {
             service: _build_pool(fleet, service, workers)
             for service, workers in usable.items()
@@ -56,6 +58,8 @@
 
     def is_mostly_free(self, service: str) -> bool:
         """Return whether less than half of a service's capacity is allocated."""
+        if self._busy_services is None:
+            self._busy_services = _find_busy_services(self._fleet)
         return service not in self._busy_services
 
     def usable(self, step: Step) -> list[Worker]:
--- a/tests/bench/test_process_failover.py
+++ b/tests/bench/test_process_failover.py
@@ -20,6 +20,13 @@
 DOWN_S = 3.5
 
 
+async def kill(host):
+    """Kill a host's process, and start it again after a while."""
+    host.kill()
+    await curio.sleep(DOWN_S)
+    host.start()
+
+
 class ScheduledJobFailoverTests(unittest.TestCase):
     """Guards against a new leader that runs reported tasks of an occurrence again.
 
@@ -29,7 +36,7 @@
 
     def lose_leader(self, lose):
         with tempfile.TemporaryDirectory() as folder:
-            cell = CellProcesses(Path(folder))
+            self.cell = cell = CellProcesses(Path(folder))
 
             async def action():
                 start_ms = int(time.time() * 1_000) + START_DELAY_MS
@@ -47,10 +54,13 @@
             self.assertEqual(cell.oracle.violations(states), [])
 
     def test_the_leader_is_killed(self):
+        self.lose_leader(kill)
+
+    def test_two_leaders_in_a_row_are_killed(self):
         async def lose(leader):
-            leader.kill()
-            await curio.sleep(DOWN_S)
-            leader.start()
+            await kill(leader)
+            await self.cell.wait_until_serving()
+            await kill(self.cell.leader())
 
         self.lose_leader(lose)
 
