--- a/packages/core/src/marigoldpath_core/fleet/_avoidance.py
+++ b/packages/core/src/marigoldpath_core/fleet/_avoidance.py
@@ -19,9 +19,10 @@
     avoided = task.avoided_workers
     if not avoided or has_waited(fleet, task):
         return set()
+    pool = pools.get(task.step.job.queue.service)
     has_others = any(
-        worker.worker_id not in avoided and may_become_candidate(task.step, worker)
-        for worker in pools.usable(task.step)
+        worker_id not in avoided and may_become_candidate(task.step, worker)
+        for worker_id, worker in pool.usable.items()
     )
     if not has_others:
         return set()
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -1,7 +1,7 @@
 """The scheduling pass: starts the waiting tasks that fit, the most urgent first."""
 
 from . import _advice, _preemption, _waiting
-from ._avoidance import excluded_workers, is_stuck
+from ._avoidance import excluded_workers, has_waited, is_stuck
 from ._crashes import is_suspect, may_try_on, settle_recorded_starts
 from ._fleet import Fleet
 from ._health import end_quarantine_for
@@ -11,7 +11,6 @@
     count_fitting_empty,
     count_fitting_now,
     find_candidates,
-    has_room,
 )
 from ._pools import Pools, current_pools
 from ._starts import send_recorded_starts, start_task
@@ -93,8 +92,7 @@
     if placed == len(waiting) or fleet.request_zone_exit(step.job):
         return
     _end_quarantine_if_stuck(fleet, pools, step)
-    if not has_room(fleet, step, candidates):
-        _preemption.preempt_for(fleet, pools, step, candidates)
+    _preemption.preempt_for(fleet, pools, step, candidates)
 
 
 def _choose_worker(
@@ -113,8 +111,10 @@
 
 
 def _end_quarantine_if_stuck(fleet: Fleet, pools: Pools, step: Step) -> None:
+    if not pools.is_mostly_free(step.job.queue.service):
+        return
     for task in step.waiting:
-        if is_stuck(fleet, pools, task):
+        if has_waited(fleet, task):
             end_quarantine_for(fleet, task)
             return
 
--- a/packages/core/src/marigoldpath_core/fleet/_preemption.py
+++ b/packages/core/src/marigoldpath_core/fleet/_preemption.py
@@ -4,7 +4,7 @@
 
 from ._avoidance import excluded_workers
 from ._fleet import Fleet
-from ._placement import Candidates
+from ._placement import Candidates, has_room
 from ._pools import Pools
 from ._work import Run, RunState, Step
 from ._worker import Worker
@@ -19,6 +19,9 @@
     """
     if step.job.queue.priority > 1 or step.spec.fills:
         return
+    if has_room(fleet, step, candidates):
+        # The waiting tasks avoid that worker, or are kept apart from others there.
+        return
     remaining_tasks = min(step.waiting_tasks, fleet.settings.max_preemptions)
     unused_workers = _unused_workers(fleet, pools, step)
     limit = step.spec.max_per_worker
