--- a/packages/core/src/marigoldpath_core/fleet/_health.py
+++ b/packages/core/src/marigoldpath_core/fleet/_health.py
@@ -6,6 +6,9 @@
 from ._work import Run, RunState, Task
 from ._worker import Worker
 
+# A quarantine does not end earlier for a task that has no other worker.
+MIN_QUARANTINE_MS = 500
+
 
 def record_termination(
     fleet: Fleet, worker: Worker, run: Run, kind: TerminationReason
@@ -57,13 +60,13 @@
 def end_quarantine_for(fleet: Fleet, task: Task) -> None:
     """End the quarantine of a worker with room for a task that has no other worker.
 
-    At most one worker is released, after `avoid_ms`. It stays on probation.
+    At most one worker is released. It stays on probation.
     """
     step = task.step
     for worker in fleet.workers.values():
         if (
             not _is_quarantined(fleet, worker)
-            or fleet.now_ms - worker.quarantined_ms < fleet.settings.avoid_ms
+            or fleet.now_ms - worker.quarantined_ms < MIN_QUARANTINE_MS
             or not worker.fits(step.need)
             or not may_become_candidate(step, worker)
         ):
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -197,9 +197,7 @@
 @result_handlers.register(StartResult.REFUSED)
 def _on_refused(fleet: Fleet, worker: Worker, run: Run, _event: object) -> None:
     run.task.avoided_workers.add(worker.worker_id)
-    pause_until_ms = fleet.now_ms + REFUSED_PAUSE_MS
-    worker.quarantined_ms = fleet.now_ms
-    worker.quarantined_until_ms = max(worker.quarantined_until_ms, pause_until_ms)
+    worker.paused_until_ms = fleet.now_ms + REFUSED_PAUSE_MS
     fleet.abandon(run)
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -54,8 +54,10 @@
         self.orphaned_runs: set[tuple[TaskKey, int]] = set()
         self.failures: list[tuple[float, str]] = []
         self.quarantined_until_ms = 0.0
-        # When the worker was quarantined, or refused a start.
+        # When the newest quarantine began.
         self.quarantined_ms = -math.inf
+        # Until when the worker gets no starts, because it refused one.
+        self.paused_until_ms = 0.0
         # The step for which runs are preempted here, and until when their room is kept
         # for it.
         self.reserved_for: Step | None = None
@@ -158,6 +160,7 @@
         self.orphaned_runs.clear()
         self.failures.clear()
         self.quarantined_until_ms = 0.0
+        self.paused_until_ms = 0.0
 
     def is_usable(self, now_ms: float) -> bool:
         """Return whether new runs may be placed on the worker."""
@@ -170,6 +173,7 @@
             # run could overload the worker.
             and not self.orphaned_runs
             and now_ms >= self.quarantined_until_ms
+            and now_ms >= self.paused_until_ms
         )
 
     def extend_lease(
