Move the adoption of runs into a module of its own

Change: _adoption.py has what a leader does with runs that it has not started; only workers that have reported count for a service that is mostly free; the incarnations are kept while the request is in flight.

--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -117,6 +117,7 @@
             step.tickets.pop(worker_id, None)
         else:
             step.tickets[worker_id] = Ticket(ticket_text, until_ms, incarnation)
+    step.requested_incarnations = {}
     fleet.needs_dispatch = True
     fleet.log(
         "advice_taken",
--- a/packages/core/src/marigoldpath_core/fleet/_pools.py
+++ b/packages/core/src/marigoldpath_core/fleet/_pools.py
@@ -103,7 +103,8 @@
     capacities: dict[str, list[Resources]] = {}
     free: dict[str, list[Resources]] = {}
     for worker in fleet.workers.values():
-        if worker.is_listed and not worker.is_unresponsive:
+        has_reported = worker.last_polled_ms is not None
+        if worker.is_listed and has_reported and not worker.is_unresponsive:
             service = worker.entry.service
             capacities.setdefault(service, []).append(worker.entry.capacity)
             free.setdefault(service, []).append(worker.free)
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -4,6 +4,7 @@
 
 from marigoldpath_core.jobs import JobState, TaskKey
 
+from ._adoption import adopt, may_still_load
 from ._crashes import (
     record_lost_worker,
     record_process_end,
@@ -11,18 +12,16 @@
     retract,
 )
 from ._fleet import Fleet, handlers
-from ._jobs import find_reported_task
 from ._messages import (
     RosterEntry,
     RunningTask,
-    StopRun,
     WorkerReport,
     WorkersListed,
     WorkerUnresponsive,
 )
 from ._roster import remove_from_roster
 from ._terminations import apply_termination
-from ._work import UNKNOWN_SPEED, Run, RunState, Task
+from ._work import Run, RunState
 from ._worker import Worker
 
 # A worker refuses a start after the start's time limit. A report from more than this
@@ -245,7 +244,7 @@
         if terminated.number <= worker.last_applied_termination:
             continue
         if terminated.number not in worker.applied_out_of_order:
-            if _may_still_load(fleet, worker, terminated.task.job_id):
+            if may_still_load(fleet, worker, terminated.task.job_id):
                 all_applied = False
                 continue
             apply_termination(fleet, worker, terminated)
@@ -265,7 +264,7 @@
     for row in event.running:
         run = worker.runs.get(row.task)
         if run is None or run.number != row.run:
-            run = _adopt(fleet, worker, row, orphaned_runs)
+            run = adopt(fleet, worker, row, orphaned_runs)
         if run is not None:
             listed.add(row.task)
             _update_run(fleet, run, row, event.clock_ms)
@@ -296,52 +295,6 @@
     return clock_ms > run.until_clock_ms + REFUSAL_MARGIN_MS
 
 
-def _adopt(
-    fleet: Fleet,
-    worker: Worker,
-    row: RunningTask,
-    orphaned_runs: set[tuple[TaskKey, int]],
-) -> Run | None:
-    """Return a new run for a reported task, or None if the task must not run there.
-
-    In the second case the run is orphaned. It is stopped, unless its job is not known
-    and could still be read from the store.
-    """
-    task = find_reported_task(fleet, row.task)
-    if task is not None and not task.done and task.run is None:
-        run = Run(task, row.run, worker.worker_id, task.step.need, worker.clock_ms)
-        run.state = RunState.RUNNING
-        if task.step.spec.fills:
-            run.speed_percent = UNKNOWN_SPEED
-        task.run = run
-        task.number = max(task.number, row.run)
-        worker.add(run)
-        return run
-    orphaned_runs.add((row.task, row.run))
-    job_id = row.task.job_id
-    if not _may_still_load(fleet, worker, job_id):
-        fleet.log(
-            "stray_run_stopping",
-            job=job_id,
-            task=tuple(row.task[1:]),
-            run=row.run,
-            worker=worker.worker_id,
-            job_known=fleet.is_known(job_id),
-            reason=_stray_reason(fleet, task, row),
-        )
-        fleet.emit(StopRun(worker.worker_id, worker.entry.address, row.task, row.run))
-    return None
-
-
-def _stray_reason(fleet: Fleet, task: Task | None, row: RunningTask) -> str:
-    if task is None:
-        return fleet.why_ignored(row.task)
-    if task.done:
-        return "the task is done"
-    assert task.run is not None
-    return f"run {task.run.number} is on {task.run.worker_id}"
-
-
 def _update_run(fleet: Fleet, run: Run, row: RunningTask, clock_ms: int) -> None:
     task = run.task
     run.confirmed_clock_ms = clock_ms
@@ -381,14 +334,6 @@
     return job_ids
 
 
-def _may_still_load(fleet: Fleet, worker: Worker, job_id: str) -> bool:
-    """Return whether a job that is not known could still be read from the store."""
-    if fleet.is_known(job_id):
-        return False
-    since_ms = worker.unknown_jobs.get(job_id, fleet.now_ms)
-    return fleet.jobs_read_ms < since_ms + fleet.settings.unknown_job_grace_ms
-
-
 def _remove_if_gone(fleet: Fleet, worker: Worker) -> None:
     if (
         worker.runs
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -197,7 +197,7 @@
         # The incarnations of the workers that were in an advice request, approved or
         # not. The next incarnation may get another answer.
         self.queried_workers: dict[str, int] = {}
-        # The incarnations of the workers in the newest advice request.
+        # The incarnations of the workers in the advice request in flight.
         self.requested_incarnations: dict[str, int] = {}
         # The ids of the usable workers when all of them were last found to be queried.
         self.exhausted_pool_ids: frozenset[str] | None = None
