Keep the reserve and quarantines for a job that makes progress

Advice allows a step a third of the workers, so background work fills those up to the reserve while the service is mostly free, and after 2 s it took the reserve that urgent tasks need on the same workers.

Change: a task is stuck only if its job has nothing running, which is what the platform's rule LOST asks for; each long-running task counts by itself.

--- a/packages/core/src/marigoldpath_core/fleet/_avoidance.py
+++ b/packages/core/src/marigoldpath_core/fleet/_avoidance.py
@@ -35,12 +35,18 @@
 
 
 def is_stuck(fleet: Fleet, pools: Pools, task: Task) -> bool:
-    """Return whether a task has waited for long although its service has much room.
+    """Return whether a job has nothing running although its service has much room.
 
-    On a busy service tasks wait for the workers that become free.
+    The task has waited for long. On a busy service tasks wait for the workers that
+    become free, and so do those of a job that is making progress. A long-running task
+    does not wait for the others of its job.
     """
-    service = task.step.job.queue.service
-    return has_waited(fleet, task) and pools.is_mostly_free(service)
+    if not has_waited(fleet, task):
+        return False
+    job = task.step.job
+    return pools.is_mostly_free(job.queue.service) and (
+        task.step.spec.long_running or not job.has_runs
+    )
 
 
 def _has_recovered(fleet: Fleet, task: Task, worker_id: str) -> bool:
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -1,7 +1,7 @@
 """The scheduling pass: starts the waiting tasks that fit, the most urgent first."""
 
 from . import _advice, _preemption, _waiting
-from ._avoidance import excluded_workers, has_waited, is_stuck
+from ._avoidance import excluded_workers, is_stuck
 from ._crashes import is_suspect, may_try_on, settle_recorded_starts
 from ._fleet import Fleet
 from ._health import end_quarantine_for
@@ -114,7 +114,7 @@
     if not pools.is_mostly_free(step.job.queue.service):
         return
     for task in step.waiting:
-        if has_waited(fleet, task):
+        if is_stuck(fleet, pools, task):
             end_quarantine_for(fleet, task)
             return
 
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -267,6 +267,13 @@
         """Return the availability zone the job is confined to, empty for none."""
         return "" if self.may_leave_zone else self.accepted.zone
 
+    @property
+    def has_runs(self) -> bool:
+        """Return whether any task of the job has a run."""
+        return any(
+            step.remaining_tasks > step.waiting_tasks for step in self.steps.values()
+        )
+
     @property
     def occurrences(self) -> int:
         """Return how many times the steps run."""
--- a/tests/core/test_fleet_avoidance.py
+++ b/tests/core/test_fleet_avoidance.py
@@ -248,6 +248,14 @@
         self.assertEqual(before, [])
         self.assertEqual([each.worker_id for each in after], ["full", "full"])
 
+    def test_the_reserve_is_kept_while_another_task_of_the_job_runs(self):
+        """The job makes progress, and urgent work may come to this worker."""
+        self.set_up_workers(entry("idle"), full_cpu=9_000)
+        spec = step(2, 3_500, required_label="lasting")
+        self.harness.accept(job(spec, queue=BACKGROUND))
+        self.assertEqual(len(self.start()), 1)
+        self.assertEqual(self.wait(2 * AVOID_MS), [])
+
     def test_the_reserve_is_kept_while_the_service_is_busy(self):
         self.set_up_workers(full_cpu=6_000)
         busy = step(width=9, long_running=True, required_label="a", max_per_worker=8)
