Kill the hosts of a process test before its fakes shut down

Change: the hosts are killed inside the run, also if the test fails, and the fakes get 0.5 s to see their connections close.

The failure was seen once and not brought about again; the traceback names the cause.

--- a/tests/bench/cell_processes.py
+++ b/tests/bench/cell_processes.py
@@ -15,6 +15,7 @@
 # The maximum wait for an expected reply; the tests normally need a fraction of it.
 TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.1
+SHUTDOWN_DELAY_S = 0.5
 HEADERS = {"host": SITE}
 
 
@@ -88,12 +89,14 @@
         """Start the cell, run the coroutine function `action`, and kill the hosts."""
 
         async def run():
-            await self.start()
-            await self.wait_until_serving()
-            await action()
-
-        try:
-            curio.run(run)
-        finally:
-            for host in self.hosts:
-                host.kill()
+            try:
+                await self.start()
+                await self.wait_until_serving()
+                await action()
+            finally:
+                # Hosts that keep running would connect to fakes that are shut down.
+                for host in self.hosts:
+                    host.kill()
+                await curio.sleep(SHUTDOWN_DELAY_S)
+
+        curio.run(run)
