--- a/review/7/case.py
+++ b/review/7/case.py
@@ -6,17 +6,17 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-2"))
-from cell import run_case  # noqa: E402
+from cell import BOUNDS, run_case  # noqa: E402
 from load import Load, is_done_within  # noqa: E402
 
-GANG = 800
+GANG = 600
 GANG_MS = 500
 WINDOWS = 11
 UNHEALTHY_S = 5.5
 PAUSE_S = 0.5
 STEP = {
     "count": GANG,
-    "cpu": 800,
+    "cpu": 1_000,
     "mem-mb": 128,
     "estimate-ms": GANG_MS,
     "gang": True,
@@ -25,6 +25,9 @@
 # a tenth of the machines in use, two at least.
 ENDS = 3
 MACHINES = 2
+# Rule 'Fault': a program doesn't hand back the processor. It is taken to be so if a
+# running process answers no readiness check for longer than a recovery may take.
+HANG_S = BOUNDS["recovery-s"]
 
 
 async def case(cell, is_troubled):
@@ -54,10 +57,12 @@
         cell.record(
             "platform",
             f"{host.name}: ended {host.kills} times over its memory,"
-            f" peak {host.peak_mb:.0f} MB",
+            f" peak {host.peak_mb:.0f} MB, at most {host.longest_silence_s:.0f} s"
+            " without an answer",
         )
     ended = [host for host in cell.hosts if host.kills >= ENDS]
-    is_faulty = len(ended) >= MACHINES
+    hung = [host for host in cell.hosts if host.longest_silence_s > HANG_S]
+    is_faulty = len(ended) >= MACHINES or bool(hung)
     cell.record("check", f"Fault: {is_faulty}")
     cell.record_runs(60)
     cell.record_logs(("leadership_won", "leader_loaded", "leadership_lost"), 12)
