--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,6 +1,7 @@
 """One job of a client that the users don't control ends every leader in turn."""
 
 import asyncio
+import os
 import secrets
 import sys
 from pathlib import Path
@@ -48,4 +49,7 @@
     return not lost and not is_faulty
 
 
-run_case(case, Path(__file__).resolve().parent)
+if __name__ == "__main__":
+    # TROUBLE=0 leaves out the disruption.
+    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    run_case(case, Path(__file__).resolve().parent, is_troubled)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """One unhealthy worker and a wide gang end the leader, and then the next one."""
 
 import asyncio
+import os
 import secrets
 import sys
 from pathlib import Path
@@ -78,4 +79,7 @@
 case.sizes = {"workers": 12}
 
 
-run_case(case, Path(__file__).resolve().parent)
+if __name__ == "__main__":
+    # TROUBLE=0 leaves out the disruption.
+    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    run_case(case, Path(__file__).resolve().parent, is_troubled)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """Lasting tasks that wait take all slow advice, and another job never starts."""
 
 import asyncio
+import os
 import secrets
 import sys
 from pathlib import Path
@@ -64,4 +65,7 @@
 case.sizes = {"hosts": 4, "workers": 12, "kinds": {1: KIND, 2: KIND}}
 
 
-run_case(case, Path(__file__).resolve().parent)
+if __name__ == "__main__":
+    # TROUBLE=0 leaves out the disruption.
+    is_troubled = os.environ.get("TROUBLE", "1") != "0"
+    run_case(case, Path(__file__).resolve().parent, is_troubled)
--- a/review/standins-2/cell.py
+++ b/review/standins-2/cell.py
@@ -485,12 +485,11 @@
             each.close()
 
 
-def run_case(case, folder):
+def run_case(case, folder, is_troubled):
     """Run a case for 115 s at most and exit with its result.
 
     `case(cell, is_troubled)` returns True if the rule held and False if it was broken.
     """
-    is_troubled = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
         main = asyncio.current_task()
