--- a/packages/core/src/marigoldpath_core/fleet/_adoption.py
+++ b/packages/core/src/marigoldpath_core/fleet/_adoption.py
@@ -6,7 +6,8 @@
 from ._jobs import find_reported_task
 from ._messages import RunningTask, StopRun
 from ._quotas import record_adopted
-from ._work import UNKNOWN_SPEED, Run, RunState, Task
+from ._run import UNKNOWN_SPEED, Run, RunState
+from ._work import Task
 from ._worker import Worker
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -12,7 +12,8 @@
 from ._placement import count_fitting_now, count_placed, has_capacity
 from ._pools import Pools, has_label
 from ._quotas import count_in_whole_quota
-from ._work import Run, Step, Ticket
+from ._run import Run
+from ._work import Step, Ticket
 from ._worker import Worker
 
 MAX_WORKERS_PER_REQUEST = 100
--- a/packages/core/src/marigoldpath_core/fleet/_copies.py
+++ b/packages/core/src/marigoldpath_core/fleet/_copies.py
@@ -18,9 +18,10 @@
 from ._placement import USELESS_FACTOR, choose, find_candidates
 from ._pools import Pools
 from ._quotas import allows_copy
+from ._run import Run, RunState
 from ._shares import is_excess
 from ._starts import start_copy
-from ._work import Job, Run, RunState, Step, Task
+from ._work import Job, Step, Task
 from ._worker import Worker
 
 straggler_rules: Registry = Registry("straggler rule")
--- a/packages/core/src/marigoldpath_core/fleet/_copy_state.py
+++ b/packages/core/src/marigoldpath_core/fleet/_copy_state.py
@@ -2,7 +2,8 @@
 
 from collections import deque
 
-from ._work import Run, Step
+from ._run import Run
+from ._work import Step
 
 
 class CopyState:
--- a/packages/core/src/marigoldpath_core/fleet/_crashes.py
+++ b/packages/core/src/marigoldpath_core/fleet/_crashes.py
@@ -11,7 +11,8 @@
 
 from ._fleet import Fleet
 from ._jobs import finish_job
-from ._work import Run, RunState, Step, Task
+from ._run import Run, RunState
+from ._work import Step, Task
 from ._worker import Worker
 
 # The blamed runs of this many workers are remembered, in case a worker turns out to be
--- a/packages/core/src/marigoldpath_core/fleet/_draining.py
+++ b/packages/core/src/marigoldpath_core/fleet/_draining.py
@@ -1,7 +1,7 @@
 """Evicts runs from draining workers."""
 
 from ._fleet import Fleet
-from ._work import Run, RunState
+from ._run import Run, RunState
 from ._worker import Worker
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -10,12 +10,13 @@
 from ._failing_images import FailingImages
 from ._messages import Effect, LogEvent, RosterEntry, StopRun
 from ._quota_state import QuotaState
+from ._run import Run, RunState
 from ._settings import FleetSettings
 from ._share_state import ShareState
 from ._speeds import Speeds
 from ._start_limit import StartLimit
 from ._usage import WorkspaceUsage
-from ._work import Job, Run, RunState, Step, Task
+from ._work import Job, Step, Task
 from ._worker import Worker
 
 if TYPE_CHECKING:
--- a/packages/core/src/marigoldpath_core/fleet/_health.py
+++ b/packages/core/src/marigoldpath_core/fleet/_health.py
@@ -3,7 +3,8 @@
 from ._fleet import Fleet
 from ._messages import TerminationReason
 from ._pools import may_become_candidate
-from ._work import Run, RunState, Task
+from ._run import Run, RunState
+from ._work import Task
 from ._worker import Worker
 
 # A quarantine does not end earlier for a task that has no other worker.
--- a/packages/core/src/marigoldpath_core/fleet/_place_waiting.py
+++ b/packages/core/src/marigoldpath_core/fleet/_place_waiting.py
@@ -16,7 +16,8 @@
 from ._fleet import Fleet
 from ._placement import USELESS_FACTOR, Candidates, free_for
 from ._pools import Pools
-from ._work import Run, RunState, Step, Task
+from ._run import Run, RunState
+from ._work import Step, Task
 from ._worker import Worker
 
 wait_policies: Registry = Registry("place wait policy")
--- a/packages/core/src/marigoldpath_core/fleet/_pools.py
+++ b/packages/core/src/marigoldpath_core/fleet/_pools.py
@@ -5,7 +5,8 @@
 from marigoldpath_core.jobs import Resources
 
 from ._fleet import Fleet
-from ._work import Run, Step
+from ._run import Run
+from ._work import Step
 from ._worker import Worker
 
 # A worker that became unusable stays in the pools for at most this time. Placement
--- a/packages/core/src/marigoldpath_core/fleet/_preemption.py
+++ b/packages/core/src/marigoldpath_core/fleet/_preemption.py
@@ -7,7 +7,8 @@
 from ._placement import Candidates, has_room
 from ._pools import Pools
 from ._quotas import count_allowed
-from ._work import Run, RunState, Step
+from ._run import Run, RunState
+from ._work import Step
 from ._worker import Worker
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -21,8 +21,8 @@
 )
 from ._quotas import find_stray
 from ._roster import remove_from_roster
+from ._run import Run, RunState
 from ._terminations import apply_termination
-from ._work import Run, RunState
 from ._worker import Worker
 
 # A worker refuses a start after the start's time limit. A report from more than this
--- a/packages/core/src/marigoldpath_core/fleet/_speeds.py
+++ b/packages/core/src/marigoldpath_core/fleet/_speeds.py
@@ -10,8 +10,9 @@
 from collections.abc import Hashable
 
 from ._estimate import Estimate
+from ._run import Run
 from ._settings import FleetSettings
-from ._work import Run, Step
+from ._work import Step
 from ._worker import Worker
 
 MAX_IMAGES = 256
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -8,7 +8,8 @@
 from ._messages import StartReplied, StartResult, StartRun, StopReplied
 from ._quotas import may_send
 from ._reports import mark_started
-from ._work import Run, RunState, Task
+from ._run import Run, RunState
+from ._work import Task
 from ._worker import Worker
 
 result_handlers: Registry = Registry("start result")
--- a/packages/core/src/marigoldpath_core/fleet/_terminations.py
+++ b/packages/core/src/marigoldpath_core/fleet/_terminations.py
@@ -9,7 +9,8 @@
 from ._fleet import Fleet
 from ._jobs import complete_task, find_reported_task, finish_job
 from ._messages import TerminatedRun, TerminationReason
-from ._work import Run, Task
+from ._run import Run
+from ._work import Task
 from ._worker import Worker
 
 # The number of durations that a step keeps. Their median needs no more.
--- a/packages/core/src/marigoldpath_core/fleet/_throttling.py
+++ b/packages/core/src/marigoldpath_core/fleet/_throttling.py
@@ -5,7 +5,7 @@
 
 from ._fleet import Fleet
 from ._messages import ThrottleRun
-from ._work import Run, RunState
+from ._run import Run, RunState
 from ._worker import Worker
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_usage.py
+++ b/packages/core/src/marigoldpath_core/fleet/_usage.py
@@ -4,7 +4,7 @@
 
 from marigoldpath_core.jobs import Resources
 
-from ._work import Run
+from ._run import Run
 
 NOTHING = Resources()
 
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -7,9 +7,10 @@
 
 from ._estimate import Estimate
 from ._messages import WorkerEntry
+from ._run import Run
 from ._settings import FleetSettings
 from ._usage import WorkspaceUsage
-from ._work import Run, Step
+from ._work import Step
 
 # The variance of the logarithm of how much workers of one kind differ in speed.
 INITIAL_WORKER_VARIANCE = 0.15**2
--- a/tests/core/test_fleet_pools.py
+++ b/tests/core/test_fleet_pools.py
@@ -6,7 +6,7 @@
 from marigoldpath_core.fleet import WorkerUnresponsive
 from marigoldpath_core.fleet._capacity import count_fitting
 from marigoldpath_core.fleet._pools import POOL_LIFETIME_MS, Pools, current_pools
-from marigoldpath_core.fleet._work import Run
+from marigoldpath_core.fleet._run import Run
 from marigoldpath_core.jobs import Resources
 from tests.core.fleet_fixture import FleetHarness, entry, job, step
 
