--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -47,6 +47,7 @@
         queue=queue.name,
         age_ms=_age_ms(fleet, job),
         steps=[step.width for step in job.spec.steps],
+        occurrences=job.occurrences,
         accepted_epoch=accepted.epoch,
     )
     if job.zone and fleet.majority_reported_ms and not _suits_home_zone(fleet, job):
