--- a/packages/bench/src/marigoldpath_bench/process_soak/_hosts.py
+++ b/packages/bench/src/marigoldpath_bench/process_soak/_hosts.py
@@ -47,6 +47,12 @@
         """Whether the process exists, paused or not."""
         return self._process is not None and self._process.exit_status is None
 
+    @property
+    def pid(self) -> int:
+        """The id of the last process; there must be one."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def age_s(self) -> float:
         """Seconds since the last start of the process."""
--- a/packages/core/src/marigoldpath_core/fleet/_admission.py
+++ b/packages/core/src/marigoldpath_core/fleet/_admission.py
@@ -200,7 +200,7 @@
     return PendingWork(
         queue.service,
         queue.priority,
-        fleet.now_ms > step.job.due_ms,
+        fleet.now_ms > step.due_ms,
         step.waiting_tasks,
         _work(step),
     )
--- a/packages/core/src/marigoldpath_core/fleet/_adoption.py
+++ b/packages/core/src/marigoldpath_core/fleet/_adoption.py
@@ -3,8 +3,8 @@
 from marigoldpath_core.jobs import TaskKey
 
 from ._fleet import Fleet
-from ._jobs import find_reported_task
 from ._messages import RunningTask, StopRun
+from ._occurrences import find_reported_task
 from ._quotas import record_adopted
 from ._run import UNKNOWN_SPEED, Run, RunState
 from ._work import Task
--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -323,11 +323,10 @@
     job = step.job
     return [
         other
-        for (occurrence, _), other in job.steps.items()
-        if occurrence == step.occurrence
-        and step.number in other.spec.after
-        and all(
-            number == step.number or job.steps[occurrence, number].remaining_tasks == 0
+        for other in job.successors(step)
+        if all(
+            number == step.number
+            or job.steps[step.occurrence, number].remaining_tasks == 0
             for number in other.spec.after
         )
     ]
@@ -339,7 +338,7 @@
     The percentage of a run is as old as the last report of its worker.
     """
     remaining_ms = 0.0
-    for task in step.tasks:
+    for task in step.known_tasks:
         if task.run is not None:
             task_ms = min(_remaining_run_ms(fleet, run) for run in task.runs)
             remaining_ms = max(remaining_ms, task_ms)
--- a/packages/core/src/marigoldpath_core/fleet/_copies.py
+++ b/packages/core/src/marigoldpath_core/fleet/_copies.py
@@ -21,7 +21,7 @@
 from ._run import Run, RunState
 from ._shares import is_excess
 from ._starts import start_copy
-from ._work import Job, Step, Task
+from ._work import Step, Task
 from ._worker import Worker
 
 straggler_rules: Registry = Registry("straggler rule")
@@ -147,7 +147,7 @@
         if fleet.open_steps.get(step.key) is not step:
             continue
         steps.append(step)
-        examined += len(step.tasks)
+        examined += step.spec.width
         found.extend(_stragglers_of(fleet, step))
     return found
 
@@ -155,7 +155,7 @@
 def _stragglers_of(fleet: Fleet, step: Step) -> Iterator[Straggler]:
     # Tasks that wait need the capacity more than a copy. While the step is blocked, a
     # copy that a previous leader started may be on a worker that has not reported yet.
-    if step.waiting_tasks or fleet.is_blocked(step) or not _is_of_use(fleet, step.job):
+    if step.waiting_tasks or fleet.is_blocked(step) or not _is_of_use(fleet, step):
         return
     if is_excess(fleet, step.job) or not allows_copy(fleet, step):
         return
@@ -164,7 +164,7 @@
     shortest_ms = min(
         (*step.done_run_ms, *measured.values(), step.spec.estimate_ms or math.inf)
     )
-    for task in step.tasks:
+    for task in step.known_tasks:
         run = task.run
         if run is None or not _may_get_copy(task, run):
             continue
@@ -207,10 +207,11 @@
     )
 
 
-def _is_of_use(fleet: Fleet, job: Job) -> bool:
+def _is_of_use(fleet: Fleet, step: Step) -> bool:
     """Return whether the job is of use to its caller if it is done soon."""
+    job = step.job
     allowed_ms = job.queue.allowed_ms(job.spec.critical_path_ms)
-    return fleet.now_ms < job.due_ms + (USELESS_FACTOR - 1) * allowed_ms
+    return fleet.now_ms < step.due_ms + (USELESS_FACTOR - 1) * allowed_ms
 
 
 def _start_copy_of(fleet: Fleet, pools: Pools, straggler: Straggler) -> bool:
@@ -291,7 +292,7 @@
 
 
 def _measured_runs(step: Step) -> Iterator[tuple[Run, float]]:
-    for task in step.tasks:
+    for task in step.known_tasks:
         if task.run is not None:
             duration_ms = _measured_ms(task.run)
             if duration_ms is not None:
@@ -326,8 +327,9 @@
 
 
 def _urgency(straggler: Straggler) -> tuple[float, ...]:
-    job = straggler.run.task.step.job
-    return (job.queue.priority, job.due_ms)
+    step = straggler.run.task.step
+    job = step.job
+    return (job.queue.priority, step.due_ms)
 
 
 def _finite(remaining_ms: float) -> int | None:
--- a/packages/core/src/marigoldpath_core/fleet/_crashes.py
+++ b/packages/core/src/marigoldpath_core/fleet/_crashes.py
@@ -10,7 +10,7 @@
 from marigoldpath_core.jobs import JobState, RecordedStart
 
 from ._fleet import Fleet
-from ._jobs import finish_job
+from ._job_steps import finish_job
 from ._run import Run, RunState
 from ._work import Step, Task
 from ._worker import Worker
@@ -111,7 +111,7 @@
     """
     if not step.has_unsettled_starts:
         return True
-    for task in step.tasks:
+    for task in step.known_tasks:
         if task.recorded_start is None or task.run is not None or task.done:
             continue
         if not _settle(fleet, task, task.recorded_start) or step.job.state.is_final:
@@ -167,7 +167,7 @@
 
 def _counted_task(task: Task) -> Task:
     """Return the task that counts the crashes: the members of a gang share a count."""
-    return task.step.tasks[0] if task.step.spec.gang else task
+    return task.step.task(0) if task.step.spec.gang else task
 
 
 def _is_planned_for_other(task: Task, run: Run) -> bool:
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -128,7 +128,7 @@
     Among steps of the same urgency, those of workspaces within their fair share come
     first. A step that brings its workspace above it comes again, after these.
     """
-    waiting.sort(key=lambda step: (*_urgency(fleet, step), step.job.due_ms))
+    waiting.sort(key=lambda step: (*_urgency(fleet, step), step.due_ms))
     for _, group in groupby(waiting, key=lambda step: _urgency(fleet, step)):
         deferred = []
         fleet.shares.level = level
@@ -173,7 +173,7 @@
     job = step.job
     # Within a priority, jobs past their due time come last, because a late completion
     # is worth less than one on time.
-    late = not step.spec.long_running and fleet.now_ms > job.due_ms
+    late = not step.spec.long_running and fleet.now_ms > step.due_ms
     return is_excess(fleet, job), job.queue.priority, late
 
 
@@ -192,13 +192,13 @@
         return ""
     allowed = min(_quotas.count_allowed(fleet, step), count_within_share(fleet, step))
     wait = PlaceWait(fleet, pools, step, candidates)
-    waiting = step.waiting
+    waiting_tasks = step.waiting_tasks
     placed = 0
     # The worker that the last task did not use, as it waits for a better one. It is the
     # best one for the next task too.
     delayed_choice: Worker | None = None
-    for task in waiting:
-        if placed == allowed:
+    for task in step.waiting:
+        if placed == allowed or wait.is_full:
             break
         if fleet.start_limit.is_reached:
             # The tasks that are left do not lack capacity.
@@ -219,7 +219,11 @@
         candidates.placed[worker.worker_id] += 1
         candidates.racks[worker.entry.rack] += 1
     cause = _place_waiting.DATA_RACK_CAUSE if wait.delayed_tasks else ""
-    is_settled = placed == allowed or placed + wait.delayed_tasks == len(waiting)
+    is_settled = (
+        placed == allowed
+        or wait.is_full
+        or placed + wait.delayed_tasks == waiting_tasks
+    )
     if is_settled or fleet.request_zone_exit(step.job):
         return cause
     _end_quarantine_if_stuck(fleet, pools, step)
@@ -246,7 +250,9 @@
 def _end_quarantine_if_stuck(fleet: Fleet, pools: Pools, step: Step) -> None:
     if not pools.is_mostly_free(step.job.queue.service):
         return
-    for task in step.waiting:
+    for task in step.known_tasks:
+        if not task.is_waiting:
+            continue
         if is_stuck(fleet, pools, task):
             end_quarantine_for(fleet, task)
             return
@@ -263,7 +269,7 @@
 
 def _place_gang(fleet: Fleet, pools: Pools, step: Step) -> str:
     """Start all tasks of a gang, or none of them."""
-    if any(task.run is not None for task in step.tasks):
+    if step.waiting_tasks < step.spec.width:
         return ""
     candidates = find_candidates(fleet, pools, step)
     plan = _plan_gang(fleet, pools, step, candidates)
@@ -273,8 +279,9 @@
         return ""
     if PlaceWait(fleet, pools, step, candidates).gang_must_wait(plan):
         return _place_waiting.ONE_RACK_CAUSE
-    number = fleet.next_run_number(*step.tasks)
-    for task, worker in zip(step.tasks, plan):
+    tasks = step.tasks
+    number = fleet.next_run_number(*tasks)
+    for task, worker in zip(tasks, plan):
         start_task(fleet, worker, task, number)
     return ""
 
@@ -283,7 +290,7 @@
     fleet: Fleet, pools: Pools, step: Step, candidates: Candidates
 ) -> list[Worker] | None:
     """Return a worker for each task of a gang, None if the gang does not fit."""
-    first = step.tasks[0]
+    first = step.task(0)
     plan = _plan_gang_on(fleet, step, candidates, first.avoided_workers)
     excluded = excluded_workers(fleet, pools, first)
     if plan is None and first.avoided_workers:
@@ -301,7 +308,7 @@
     *,
     keep_reserve: bool = True,
 ) -> list[Worker] | None:
-    count = len(step.tasks)
+    count = step.spec.width
     # The reserve for urgent work is kept free, unless the gang would not fit without it
     # even on workers with no other runs.
     fitting_when_empty = sum(
@@ -322,7 +329,7 @@
         for worker in candidates.workers
         if worker.worker_id not in excluded
         and fleet.is_startable(worker)
-        and may_try_on(fleet, step.tasks[0], worker)
+        and may_try_on(fleet, step.task(0), worker)
     ]
     plan: list[Worker] = []
     for capacity, worker in sort_for_gang(fleet, step, capacities):
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -8,6 +8,7 @@
 
 from ._copy_state import CopyState
 from ._failing_images import FailingImages
+from ._job import Job
 from ._messages import Effect, LogEvent, RosterEntry, StopRun
 from ._quota_state import QuotaState
 from ._run import Run, RunState
@@ -16,7 +17,7 @@
 from ._speeds import Speeds
 from ._start_limit import StartLimit
 from ._usage import WorkspaceUsage
-from ._work import Job, Step, Task
+from ._work import Step, Task
 from ._worker import Worker
 
 if TYPE_CHECKING:
@@ -132,9 +133,9 @@
         if job is None:
             return None
         step = job.steps.get((key.occurrence, key.step))
-        if step is None or key.task_index >= len(step.tasks):
+        if step is None or key.task_index >= step.spec.width:
             return None
-        return step.tasks[key.task_index]
+        return step.task(key.task_index)
 
     def why_ignored(self, key: TaskKey) -> str:
         """Return why a run of the task has no effect, empty if the task is open."""
@@ -146,8 +147,11 @@
             return "the job is not known"
         if self.task(key) is not None:
             return ""
-        if job.begun_occurrences <= key.occurrence < job.occurrences:
-            return "the occurrence has not begun"
+        if key.occurrence < job.occurrences:
+            if not job.is_begun(key.occurrence):
+                return "the occurrence has not begun"
+            if not job.is_open(key.occurrence):
+                return "the occurrence is done"
         return "the job has no such task"
 
     def next_run_number(self, *tasks: Task) -> int:
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -1,15 +1,16 @@
-"""Acceptance, cancellation and completion of jobs."""
+"""Acceptance and cancellation of jobs, and changes of the queues."""
 
-from marigoldpath_core.jobs import JobState, StepSpec, TaskKey
+from marigoldpath_core.jobs import JobState, StepSpec
 
 from ._capacity import count_fitting
 from ._fleet import Fleet, handlers
+from ._job import Job
+from ._job_steps import begin_occurrence, finish_job
 from ._messages import JobAccepted, JobCancelled, JobsRead, QueuesChanged
+from ._occurrences import restore_occurrences
 from ._pools import current_pools
 from ._quotas import record_ended_job, update_workspaces
 from ._shares import record_new_job
-from ._sizes import record_need
-from ._work import Job, Step, Task
 from ._worker import Worker
 
 
@@ -60,8 +61,8 @@
         fleet.scheduled_jobs[job_id] = job
         if progress is not None:
             # A commit replaces the stored progress, so it has to include that of all
-            # occurrences.
-            _begin_occurrences_through(fleet, job, progress.last_occurrence)
+            # open occurrences.
+            restore_occurrences(fleet, job, progress)
     else:
         begin_occurrence(fleet, job, 0)
 
@@ -98,130 +99,6 @@
     fleet.needs_dispatch = True
 
 
-def begin_due_occurrences(fleet: Fleet) -> None:
-    """Begin the occurrences whose start time has passed."""
-    for job in list(fleet.scheduled_jobs.values()):
-        spec = job.spec
-        while job.begun_occurrences < spec.occurrences:
-            due_ms = spec.start_ms + job.begun_occurrences * spec.interval_ms
-            if due_ms > fleet.wall_ms:
-                break
-            _begin_next_occurrence(fleet, job)
-
-
-def find_reported_task(fleet: Fleet, key: TaskKey) -> Task | None:
-    """Return the task of a run that a worker reported, None if no open job has it.
-
-    A run shows that a leader has begun its occurrence, so the occurrence begins here as
-    well, with those before it. This leader's clock may be behind, or its next Tick may
-    not have come yet.
-    """
-    job = fleet.jobs.get(key.job_id)
-    if job is None or job.state.is_final:
-        return None
-    if key.job_id in fleet.scheduled_jobs and _has_task(job, key):
-        _begin_occurrences_through(fleet, job, key.occurrence)
-    return fleet.task(key)
-
-
-def _has_task(job: Job, key: TaskKey) -> bool:
-    steps = job.spec.steps
-    return (
-        key.occurrence < job.occurrences
-        and key.step < len(steps)
-        and key.task_index < steps[key.step].width
-    )
-
-
-def _begin_occurrences_through(fleet: Fleet, job: Job, last: int) -> None:
-    first = job.begun_occurrences
-    last = min(last, job.spec.occurrences - 1)
-    if last < first:
-        return
-    fleet.log("occurrences_adopted", job=job.spec.job_id, first=first, last=last)
-    while job.begun_occurrences <= last:
-        _begin_next_occurrence(fleet, job)
-
-
-def _begin_next_occurrence(fleet: Fleet, job: Job) -> None:
-    job.due_ms = fleet.now_ms + _allowed_ms(job)
-    begin_occurrence(fleet, job, job.begun_occurrences)
-    if job.begun_occurrences >= job.spec.occurrences:
-        fleet.scheduled_jobs.pop(job.spec.job_id, None)
-
-
-def begin_occurrence(fleet: Fleet, job: Job, occurrence: int) -> None:
-    """Open the steps of an occurrence that have no incomplete predecessor."""
-    for step in job.begin_occurrence(occurrence):
-        if step.remaining_tasks and job.predecessors_done(step):
-            _open_step(fleet, step)
-    _finish_if_done(fleet, job)
-
-
-def complete_task(fleet: Fleet, task: Task) -> None:
-    """Mark a task as done; with its step's last task, open the steps that waited."""
-    if task.done:
-        return
-    step = task.step
-    job = step.job
-    task.done = True
-    task.checkpoint = ""
-    step.remaining_tasks -= 1
-    fleet.mark_dirty(job)
-    if step.remaining_tasks:
-        return
-    fleet.open_steps.pop(step.key, None)
-    for (occurrence, _), other in job.steps.items():
-        if occurrence != step.occurrence or not other.remaining_tasks:
-            continue
-        if step.number in other.spec.after and job.predecessors_done(other):
-            predecessors = [
-                job.steps[occurrence, number] for number in other.spec.after
-            ]
-            other.is_new_in_epoch = any(
-                each.seen_running or each.is_new_in_epoch for each in predecessors
-            )
-            _open_step(fleet, other)
-    _finish_if_done(fleet, job)
-
-
-def finish_job(fleet: Fleet, job: Job, state: JobState, reason: str) -> None:
-    """Set the final state of a job, stop its runs and queue the state for storage."""
-    job.state = state
-    record_ended_job(fleet, job.accepted, state)
-    fleet.scheduled_jobs.pop(job.spec.job_id, None)
-    for step in job.steps.values():
-        fleet.open_steps.pop(step.key, None)
-        for task in step.tasks:
-            for run in () if task.done else task.runs:
-                fleet.stop(run, state.value)
-    fleet.mark_dirty(job)
-    fleet.log(
-        "job_ended",
-        job=job.spec.job_id,
-        queue=job.queue.name,
-        state=state.value,
-        reason=reason,
-        late_ms=round(fleet.now_ms - job.due_ms),
-    )
-
-
-def _open_step(fleet: Fleet, step: Step) -> None:
-    step.opened_ms = fleet.now_ms
-    fleet.open_steps[step.key] = step
-    record_need(fleet, step)
-    if step.allows_copies:
-        fleet.copies.steps.append(step)
-    fleet.needs_dispatch = True
-
-
-def _finish_if_done(fleet: Fleet, job: Job) -> None:
-    if job.state.is_final or job.begun_occurrences < job.occurrences:
-        return
-    if all(step.remaining_tasks == 0 for step in job.steps.values()):
-        finish_job(fleet, job, JobState.DONE, "all tasks are done")
-
-
 def _suits_home_zone(fleet: Fleet, job: Job) -> bool:
     return _has_data_in_home_zone(fleet, job) and _fits_in_home_zone(fleet, job)
 
--- a/packages/core/src/marigoldpath_core/fleet/_place_waiting.py
+++ b/packages/core/src/marigoldpath_core/fleet/_place_waiting.py
@@ -39,6 +39,9 @@
 ZONE_EXIT_MS = 100
 # A gang examines only the racks with the most free room, which bounds the cost.
 MAX_RACKS = 4
+# At most this number of tasks of a step wait for a place at the same time, as the state
+# of each takes memory. Later tasks are examined once these start or their waits end.
+MAX_DELAYED_TASKS = 1_000
 DATA_RACK_CAUSE = "waiting for its data's rack"
 ONE_RACK_CAUSE = "waiting for room in one rack"
 
@@ -78,6 +81,11 @@
         self._free_ms: list[float] = []
         self.delayed_tasks = 0
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further task of the step may wait for a place."""
+        return self.delayed_tasks >= MAX_DELAYED_TASKS
+
     def must_wait(self, task: Task, worker: Worker) -> bool:
         """Return whether a task waits for the rack of its data instead of starting.
 
@@ -129,9 +137,9 @@
             default=math.inf,
         )
         free_in_ms = free_ms - self._fleet.now_ms
-        if not self._may_wait(step.tasks[0], saving_ms, free_in_ms, near_ms):
+        if not self._may_wait(step.task(0), saving_ms, free_in_ms, near_ms):
             return False
-        self.delayed_tasks = len(step.tasks)
+        self.delayed_tasks = step.spec.width
         return True
 
     def _may_wait(
@@ -156,7 +164,7 @@
         The job must meet the next deadline that it can meet with that start.
         """
         job = self._step.job
-        left_ms = job.due_ms - self._fleet.now_ms - near_ms
+        left_ms = self._step.due_ms - self._fleet.now_ms - near_ms
         left_ms -= self._fleet.speeds.chain_ms(self._step)
         if left_ms <= 0:
             allowed_ms = job.queue.allowed_ms(job.spec.critical_path_ms)
@@ -208,7 +216,7 @@
         """Return when all tasks of the step are expected to fit on the workers."""
         fleet, step = self._fleet, self._step
         fitting = sum(_count_fitting(fleet, step, worker) for worker in workers)
-        missing = len(step.tasks) - fitting
+        missing = step.spec.width - fitting
         free_ms = self._find_free_ms(workers, fleet.now_ms + longest_ms)
         return free_ms[missing - 1] if 0 < missing <= len(free_ms) else math.inf
 
--- a/packages/core/src/marigoldpath_core/fleet/_placement.py
+++ b/packages/core/src/marigoldpath_core/fleet/_placement.py
@@ -88,7 +88,7 @@
     job = step.job
     least_ms = work_ms / max(map(speeds.speed, workers), default=1.0)
     error_factor = speeds.error_factor(step)
-    left_ms = job.due_ms - fleet.now_ms - speeds.chain_ms(step)
+    left_ms = step.due_ms - fleet.now_ms - speeds.chain_ms(step)
     if left_ms < least_ms:
         allowed_ms = job.queue.allowed_ms(job.spec.critical_path_ms)
         left_ms += (USELESS_FACTOR - 1) * allowed_ms
@@ -105,7 +105,7 @@
 
 def count_placed(step: Step) -> Counter[str]:
     """Return the number of the step's runs on each worker."""
-    return Counter(run.worker_id for task in step.tasks for run in task.runs)
+    return Counter(run.worker_id for task in step.known_tasks for run in task.runs)
 
 
 def _with_ticket(fleet: Fleet, pools: Pools, step: Step) -> list[Worker]:
@@ -234,7 +234,7 @@
     """
     speed = fleet.speeds.speed if step.job.queue.priority == 0 else _equal_speed
     by_worker = sorted(capacities, key=lambda each: (-speed(each[1]), -each[0]))
-    count = len(step.tasks)
+    count = step.spec.width
     rooms: dict[str, int] = {}
     # The speed of the slowest worker that the gang uses in a rack.
     slowest: dict[str, float] = {}
--- a/packages/core/src/marigoldpath_core/fleet/_quotas.py
+++ b/packages/core/src/marigoldpath_core/fleet/_quotas.py
@@ -12,10 +12,11 @@
 )
 
 from ._fleet import Fleet
+from ._job import Job
 from ._messages import QueuesChanged
 from ._run import Run
 from ._usage import NOTHING, StrayRun, add_resources
-from ._work import Job, Step
+from ._work import Step
 from ._worker import Worker
 
 # The cause in the log line of tasks that their quota keeps from starting.
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -14,6 +14,7 @@
     _draining,
     _health,
     _jobs,
+    _occurrences,
     _reports,
     _starts,
     _terminations,
@@ -23,6 +24,7 @@
 from ._dispatch import dispatch
 from ._fleet import Fleet, handlers
 from ._messages import Commit, Effect, Event, RosterEntry, Tick
+from ._progress import progress_of
 from ._roster import update_roster
 from ._settings import FleetSettings
 from ._worker import Worker
@@ -236,7 +238,7 @@
             and not fleet.dirty
         }
         final = tuple(job_id for job_id, job in jobs.items() if job.state.is_final)
-        progress = {job_id: job.progress() for job_id, job in jobs.items()}
+        progress = {job_id: progress_of(job) for job_id, job in jobs.items()}
         removed_jobs = tuple(
             sorted(fleet.removed_jobs)[: max(0, limit - len(progress))]
         )
@@ -352,7 +354,7 @@
     fleet.wall_ms = event.wall_ms
     fleet.advice_hosts = event.advice_hosts
     _adjust_start_limit(fleet, event.lag_ms)
-    _jobs.begin_due_occurrences(fleet)
+    _occurrences.begin_due_occurrences(fleet)
     _reports.expire_leases(fleet)
     update_roster(fleet)
     if fleet.now_ms - fleet.runs_checked_ms >= RUN_CHECK_INTERVAL_MS:
--- a/packages/core/src/marigoldpath_core/fleet/_share_state.py
+++ b/packages/core/src/marigoldpath_core/fleet/_share_state.py
@@ -5,7 +5,7 @@
 from marigoldpath_core.jobs import Resources
 
 from ._arrivals import Arrivals
-from ._work import Job
+from ._job import Job
 
 
 class ShareLevel(NamedTuple):
--- a/packages/core/src/marigoldpath_core/fleet/_shares.py
+++ b/packages/core/src/marigoldpath_core/fleet/_shares.py
@@ -6,10 +6,11 @@
 from marigoldpath_core.jobs import AcceptedJob, Resources
 
 from ._fleet import Fleet
+from ._job import Job
 from ._pools import Pools
 from ._quotas import quota_of
 from ._share_state import NewJob, ShareLevel, TokenBucket, burst_of
-from ._work import Job, Step
+from ._work import Step
 
 # An excess job comes after all others until it has waited for this time, so that it
 # starts even if the service never has spare capacity.
--- a/packages/core/src/marigoldpath_core/fleet/_terminations.py
+++ b/packages/core/src/marigoldpath_core/fleet/_terminations.py
@@ -7,8 +7,9 @@
 
 from . import _health
 from ._fleet import Fleet
-from ._jobs import complete_task, find_reported_task, finish_job
+from ._job_steps import complete_task, finish_job
 from ._messages import TerminatedRun, TerminationReason
+from ._occurrences import find_reported_task
 from ._run import Run
 from ._work import Task
 from ._worker import Worker
@@ -44,7 +45,7 @@
         return
     task.number = max(task.number, terminated.run)
     if terminated.checkpoint and not task.done:
-        _set_checkpoint(task, terminated.checkpoint)
+        task.checkpoint = terminated.checkpoint
     termination_handlers.get(terminated.kind)(fleet, worker, task, terminated)
 
 
@@ -74,7 +75,7 @@
         return
     # All runs of one attempt of a gang have the same number. Its failures are recorded
     # on the gang's first task, so that each attempt is one failure.
-    counted = step.tasks[0] if step.spec.gang else task
+    counted = step.task(0) if step.spec.gang else task
     if terminated.run in counted.failed_runs:
         return
     counted.failed_runs.add(terminated.run)
@@ -108,9 +109,3 @@
         durations = run.task.step.done_run_ms
         durations.append(fleet.now_ms - run.started_ms)
         del durations[:-MAX_DONE_RUNS]
-
-
-def _set_checkpoint(task: Task, checkpoint: str) -> None:
-    # All tasks of a gang must resume from the same checkpoint.
-    for member in task.step.tasks if task.step.spec.gang else [task]:
-        member.checkpoint = checkpoint
--- a/packages/core/src/marigoldpath_core/fleet/_waiting.py
+++ b/packages/core/src/marigoldpath_core/fleet/_waiting.py
@@ -27,7 +27,7 @@
         or now_ms - step.opened_ms < LOG_DELAY_MS
     ):
         return
-    task = min(step.waiting, key=lambda each: each.waiting_since_ms)
+    task = step.longest_waiting_task()
     waited_ms = now_ms - task.waiting_since_ms
     if waited_ms < LOG_DELAY_MS:
         return
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -1,39 +1,39 @@
-"""The state of jobs, steps and tasks in memory."""
+"""The state of steps and tasks in memory."""
 
 import math
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
 
-from marigoldpath_core.jobs import (
-    AcceptedJob,
-    JobSpec,
-    JobState,
-    Progress,
-    Queue,
-    RecordedStart,
-    Resources,
-    StepSpec,
-    TaskKey,
-)
+from marigoldpath_core.jobs import RecordedStart, Resources, StepSpec, TaskKey
 
 from ._estimate import Estimate
 from ._run import Run
 
+if TYPE_CHECKING:
+    from ._job import Job
+
 # The variance of the logarithm of how much the tasks of one step take longer than those
 # of other steps with the same image.
 INITIAL_STEP_VARIANCE = 0.2**2
+# The state of a task in `Step._task_states`. A task has started if it has a run.
+WAITING, STARTED, DONE = 0, 1, 2
+# Translate the states to the digits of a binary number, and the digits to states.
+_DONE_DIGITS = bytes(ord("1") if state == DONE else ord("0") for state in range(256))
+_DONE_STATES = bytes(DONE if digit == ord("1") else WAITING for digit in range(256))
 
 
 class Task:
     """A task of one occurrence of a step.
 
     A task of a speculative step can have two runs: the primary one, `run`, and `copy`.
-    It has a copy only as long as it has a primary run.
+    It has a copy only as long as it has a primary run. The tasks of a gang start
+    together, so they share the workers that they avoid and their checkpoint.
     """
 
     __slots__ = (
-        "_done",
+        "_checkpoint",
         "_run",
         "avoided_workers",
-        "checkpoint",
         "copy",
         "crashed_runs",
         "failed_runs",
@@ -48,8 +48,8 @@
     def __init__(self, key: TaskKey, step: "Step") -> None:
         self.key = key
         self.step = step
-        self._done = False
         self._run: Run | None = None
+        self._checkpoint = ""
         # The second run, on another worker than `run`.
         self.copy: Run | None = None
         # The number of the newest run.
@@ -60,9 +60,10 @@
         # The numbers of the runs under which a worker probably crashed.
         self.crashed_runs: set[int] = set()
         self.recorded_start: RecordedStart | None = None
-        self.checkpoint = ""
         # The workers where a run of the task failed, stalled or was refused.
-        self.avoided_workers: set[str] = set()
+        self.avoided_workers: set[str] = (
+            step.gang_avoided_workers if step.spec.gang else set()
+        )
         # When its wait for a preferred place ends, None if it has not begun.
         self.place_wait_until_ms: float | None = None
         # When the last run that started was released.
@@ -71,13 +72,11 @@
     @property
     def done(self) -> bool:
         """Whether a run of the task is done."""
-        return self._done
+        return self.step.is_done(self.key.task_index)
 
     @done.setter
     def done(self, value: bool) -> None:
-        was_waiting = self.is_waiting
-        self._done = value
-        self.step.waiting_tasks += self.is_waiting - was_waiting
+        self.step.record_state(self, is_done=value)
 
     @property
     def run(self) -> Run | None:
@@ -86,9 +85,21 @@
 
     @run.setter
     def run(self, value: Run | None) -> None:
-        was_waiting = self.is_waiting
         self._run = value
-        self.step.waiting_tasks += self.is_waiting - was_waiting
+        self.step.record_state(self, is_done=self.done)
+
+    @property
+    def checkpoint(self) -> str:
+        """The newest checkpoint, from which the next run resumes; empty without one."""
+        step = self.step
+        return step.gang_checkpoint if step.spec.gang else self._checkpoint
+
+    @checkpoint.setter
+    def checkpoint(self, value: str) -> None:
+        if self.step.spec.gang:
+            self.step.gang_checkpoint = value
+        else:
+            self._checkpoint = value
 
     @property
     def runs(self) -> tuple[Run, ...]:
@@ -98,7 +109,7 @@
     @property
     def is_waiting(self) -> bool:
         """Return whether the task is not done and has no run."""
-        return not self._done and self._run is None
+        return not self.done and self._run is None
 
     @property
     def waiting_since_ms(self) -> float:
@@ -118,21 +129,22 @@
 
 
 class Step:
-    """One occurrence of a step."""
+    """One occurrence of a step.
+
+    A caller may submit a step with very many tasks. So a `Task` is created only for
+    those that have state: a run, failures or a checkpoint. All other tasks are one byte
+    in `_task_states`, and so are those that are done.
+    """
 
     def __init__(self, job: "Job", occurrence: int, number: int) -> None:
         self.job = job
         self.occurrence = occurrence
         self.number = number
         self.spec: StepSpec = job.spec.steps[number]
-        self.tasks = [
-            Task(TaskKey(job.spec.job_id, occurrence, number, task_index), self)
-            for task_index in range(self.spec.width)
-        ]
-        if self.spec.gang:
-            # Its tasks start together, so they avoid the same workers.
-            for task in self.tasks:
-                task.avoided_workers = self.tasks[0].avoided_workers
+        self._task_states = bytearray(self.spec.width)
+        self._tasks: dict[int, Task] = {}
+        self.gang_avoided_workers: set[str] = set()
+        self.gang_checkpoint = ""
         self.remaining_tasks = self.spec.width
         # When all steps that this one waits for were done.
         self.opened_ms = 0.0
@@ -190,133 +202,88 @@
         return self.spec.need
 
     @property
-    def waiting(self) -> list[Task]:
-        """Return the tasks that are not done and have no run."""
-        return [task for task in self.tasks if task.is_waiting]
-
-
-class Job:
-    """An accepted job whose final state, if any, is not stored yet."""
-
-    def __init__(self, accepted: AcceptedJob, progress: Progress | None) -> None:
-        self.accepted = accepted
-        self.state = JobState.QUEUED
-        self.steps: dict[tuple[int, int], Step] = {}
-        self.stored_progress = progress
-        # Whether the stored progress allows the job to run outside its zone, and
-        # whether that permission has been requested.
-        self.may_leave_zone = progress is not None and progress.may_leave_zone
-        self.zone_exit_requested = self.may_leave_zone
-        self.begun_occurrences = 0
-        self.due_ms = 0.0
-        # When it was accepted, on the leader's clock.
-        self.accepted_at_ms = 0.0
-        # Until when it comes after all other jobs, if its workspace sent it above its
-        # rate.
-        self.excess_until_ms = -math.inf
-        self.has_started = False
+    def due_ms(self) -> float:
+        """When its occurrence has to be done to be on time, on the leader's clock."""
+        return self.job.occurrence_due_ms(self.occurrence)
 
     @property
-    def spec(self) -> JobSpec:
-        """Return the job as the caller submitted it."""
-        return self.accepted.spec
+    def tasks(self) -> list[Task]:
+        """All tasks of the step.
 
-    @property
-    def queue(self) -> Queue:
-        """Return the policy of the job's queue."""
-        return self.accepted.queue
+        Their state takes memory from then on, so this is for gangs that start.
+        """
+        return [self.task(index) for index in range(self.spec.width)]
 
     @property
-    def zone(self) -> str:
-        """Return the availability zone the job is confined to, empty for none."""
-        return "" if self.may_leave_zone else self.accepted.zone
+    def known_tasks(self) -> list[Task]:
+        """The tasks that have state, among them all that have a run."""
+        return list(self._tasks.values())
 
     @property
-    def was_excess(self) -> bool:
-        """Return whether its workspace sent it above its rate, however long ago."""
-        return self.excess_until_ms > -math.inf
+    def waiting(self) -> Iterator[Task]:
+        """The tasks that are not done and have no run, in the order of their index.
 
-    @property
-    def has_runs(self) -> bool:
-        """Return whether any task of the job has a run."""
-        return any(
-            step.remaining_tasks > step.waiting_tasks for step in self.steps.values()
-        )
+        Each task that is yielded takes memory from then on.
+        """
+        index = self._task_states.find(WAITING)
+        while index >= 0:
+            yield self.task(index)
+            index = self._task_states.find(WAITING, index + 1)
 
     @property
-    def occurrences(self) -> int:
-        """Return how many times the steps run."""
-        return max(1, self.spec.occurrences)
-
-    def begin_occurrence(self, occurrence: int) -> list[Step]:
-        """Create the steps of an occurrence and restore their stored progress."""
-        steps = [
-            Step(self, occurrence, number) for number in range(len(self.spec.steps))
-        ]
-        for step in steps:
-            self.steps[occurrence, step.number] = step
-            if self.stored_progress is not None:
-                _restore(step, self.stored_progress)
-        self.begun_occurrences = max(self.begun_occurrences, occurrence + 1)
-        return steps
-
-    def predecessors_done(self, step: Step) -> bool:
-        """Return whether all steps that `step` waits for are done."""
-        return all(
-            self.steps[step.occurrence, number].remaining_tasks == 0
-            for number in step.spec.after
-        )
-
-    def progress(self) -> Progress:
-        """Return the progress to store."""
-        done: dict[tuple[int, int], int] = {}
-        failures: dict[tuple[int, int, int], tuple[int, ...]] = {}
-        checkpoints: dict[tuple[int, int, int], str] = {}
-        crashes: dict[tuple[int, int, int], tuple[int, ...]] = {}
-        recorded_starts: dict[tuple[int, int, int], RecordedStart] = {}
-        if self.state.is_final:
-            return Progress(self.state)
-        for (occurrence, number), step in self.steps.items():
-            mask = 0
-            for task in step.tasks:
-                task_index = task.key.task_index
-                if task.done:
-                    mask |= 1 << task_index
-                    continue
-                if task.crashed_runs:
-                    crashed = tuple(sorted(task.crashed_runs))
-                    crashes[occurrence, number, task_index] = crashed
-                if task.recorded_start is not None:
-                    recorded_starts[occurrence, number, task_index] = (
-                        task.recorded_start
-                    )
-                if task.failed_runs:
-                    failed = tuple(sorted(task.failed_runs))
-                    failures[occurrence, number, task_index] = failed
-                if task.checkpoint and task.run is None:
-                    checkpoints[occurrence, number, task_index] = task.checkpoint
-            if mask:
-                done[occurrence, number] = mask
-        return Progress(
-            self.state,
-            done,
-            failures,
-            checkpoints,
-            self.zone_exit_requested,
-            crashes,
-            recorded_starts,
-        )
-
-
-def _restore(step: Step, stored_progress: Progress) -> None:
-    mask = stored_progress.done.get((step.occurrence, step.number), 0)
-    for task in step.tasks:
-        key = (step.occurrence, step.number, task.key.task_index)
-        if mask >> task.key.task_index & 1:
-            task.done = True
-            step.remaining_tasks -= 1
-        task.failed_runs = set(stored_progress.failures.get(key, ()))
-        task.crashed_runs = set(stored_progress.crashes.get(key, ()))
-        task.recorded_start = stored_progress.recorded_starts.get(key)
-        step.has_unsettled_starts |= task.recorded_start is not None
-        task.checkpoint = stored_progress.checkpoints.get(key, "")
+    def done_mask(self) -> int:
+        """A bit mask of the tasks that are done."""
+        digits = self._task_states.translate(_DONE_DIGITS)
+        return int(digits[::-1], 2)
+
+    def restore_done(self, mask: int) -> None:
+        """Set the tasks in a bit mask to done, before any task has state."""
+        digits = f"{mask:0{self.spec.width}b}".encode()[::-1][: self.spec.width]
+        self._task_states = bytearray(digits.translate(_DONE_STATES))
+        self.waiting_tasks = self._task_states.count(WAITING)
+        self.remaining_tasks = self.waiting_tasks
+
+    def task(self, task_index: int) -> Task:
+        """Return a task by its index, which must be below the step's width."""
+        task = self._tasks.get(task_index)
+        if task is None:
+            key = TaskKey(
+                self.job.spec.job_id, self.occurrence, self.number, task_index
+            )
+            task = Task(key, self)
+            if not self.is_done(task_index):
+                self._tasks[task_index] = task
+        return task
+
+    def longest_waiting_task(self) -> Task:
+        """Return the waiting task that has waited longest; there must be one."""
+        oldest: Task | None = None
+        for index, task in self._tasks.items():
+            if self._task_states[index] == WAITING and (
+                oldest is None or task.waiting_since_ms < oldest.waiting_since_ms
+            ):
+                oldest = task
+        if oldest is not None and oldest.waiting_since_ms <= self.opened_ms:
+            return oldest
+        # A task without state waits since the step was opened.
+        first = next(self.waiting)
+        if oldest is None or first.waiting_since_ms < oldest.waiting_since_ms:
+            return first
+        return oldest
+
+    def is_done(self, task_index: int) -> bool:
+        """Return whether a run of a task is done."""
+        return self._task_states[task_index] == DONE
+
+    def record_state(self, task: Task, *, is_done: bool) -> None:
+        """Record whether a task is done or has a run, after one of these changed."""
+        index = task.key.task_index
+        was_waiting = self._task_states[index] == WAITING
+        if is_done:
+            self._task_states[index] = DONE
+            if task.run is None and task.copy is None:
+                self._tasks.pop(index, None)
+        else:
+            self._task_states[index] = WAITING if task.run is None else STARTED
+        is_waiting = self._task_states[index] == WAITING
+        self.waiting_tasks += is_waiting - was_waiting
--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -8,10 +8,7 @@
     AcceptedJob,
     AdvicePolicy,
     JobSpec,
-    JobState,
-    Progress,
     Queue,
-    RecordedStart,
     Resources,
     StepSpec,
 )
@@ -31,22 +28,6 @@
     workspace: str
 
 
-class ProgressData(TypedDict, total=False):
-    """The stored progress of a job, with the fields of `Progress`.
-
-    The tuples of numbers that are the keys are joined by dots. The bit masks in `done`
-    are hexadecimal. The values of `starts` are those of RecordedStart.
-    """
-
-    state: str
-    done: dict[str, str]
-    failures: dict[str, list[int]]
-    checkpoints: dict[str, str]
-    spread: bool
-    crashes: dict[str, list[int]]
-    starts: dict[str, list[Any]]
-
-
 class LeaderRow(NamedTuple):
     """The row that identifies the leader.
 
@@ -119,58 +100,6 @@
     )
 
 
-def encode_progress(progress: Progress) -> bytes:
-    """Encode a job's progress for the store."""
-    data: ProgressData = {"state": progress.state.value}
-    if progress.done:
-        data["done"] = {
-            _join_numbers(key): f"{mask:x}" for key, mask in progress.done.items()
-        }
-    if progress.failures:
-        data["failures"] = {
-            _join_numbers(key): [*runs] for key, runs in progress.failures.items()
-        }
-    if progress.checkpoints:
-        data["checkpoints"] = {
-            _join_numbers(key): text for key, text in progress.checkpoints.items()
-        }
-    if progress.may_leave_zone:
-        data["spread"] = True
-    if progress.crashes:
-        data["crashes"] = {
-            _join_numbers(key): [*runs] for key, runs in progress.crashes.items()
-        }
-    if progress.recorded_starts:
-        data["starts"] = {
-            _join_numbers(key): [*start]
-            for key, start in progress.recorded_starts.items()
-        }
-    return to_json(data)
-
-
-def decode_progress(value: bytes) -> Progress:
-    """Decode the stored progress of a job."""
-    data: ProgressData = json.loads(value)
-    return Progress(
-        JobState(data["state"]),
-        {_parse_pair(key): int(mask, 16) for key, mask in data.get("done", {}).items()},
-        {
-            _parse_triple(key): tuple(runs)
-            for key, runs in data.get("failures", {}).items()
-        },
-        {_parse_triple(key): text for key, text in data.get("checkpoints", {}).items()},
-        data.get("spread", False),
-        {
-            _parse_triple(key): tuple(runs)
-            for key, runs in data.get("crashes", {}).items()
-        },
-        {
-            _parse_triple(key): RecordedStart(*start)
-            for key, start in data.get("starts", {}).items()
-        },
-    )
-
-
 def encode_leader(row: LeaderRow) -> bytes:
     """Encode the leader's row for the store."""
     return to_json(row._asdict())
@@ -197,6 +126,11 @@
     }
 
 
+def from_json(value: bytes) -> Any:
+    """Decode JSON."""
+    return json.loads(value)
+
+
 def to_json(value: Any) -> bytes:
     """Encode a value as compact JSON."""
     return json.dumps(value, separators=(",", ":")).encode()
@@ -209,17 +143,3 @@
         for name, value in step._asdict().items()
         if name not in defaults or value != defaults[name]
     }
-
-
-def _join_numbers(key: tuple[int, ...]) -> str:
-    return ".".join(map(str, key))
-
-
-def _parse_pair(key: str) -> tuple[int, int]:
-    first, second = map(int, key.split("."))
-    return first, second
-
-
-def _parse_triple(key: str) -> tuple[int, int, int]:
-    first, second, third = map(int, key.split("."))
-    return first, second, third
--- a/packages/node/src/marigoldpath_node/cell/_commits.py
+++ b/packages/node/src/marigoldpath_node/cell/_commits.py
@@ -17,6 +17,8 @@
 from ._records import LEADER_ROW_KEY, commit_rows, progress_row_key
 from ._settings import CellSettings
 
+# The store accepts 100 entries in a transaction, among them the expected version.
+MAX_TRANSACTION_ROWS = 99
 NOTHING_TO_STORE = Commit({}, {}, None, ())
 
 
@@ -49,6 +51,8 @@
         self._commit_done = curio.Event()
         self._is_failing = False
         self._lock = curio.Lock()
+        # The number of stored rows of each progress that has more than one.
+        self._progress_parts: dict[str, int] = {}
 
     @property
     def committed_s(self) -> float:
@@ -60,9 +64,15 @@
         """Seconds since the last successful commit was sent."""
         return now_s() - self._committed_s
 
-    def use_scheduler(self, scheduler: FleetScheduler) -> None:
-        """Store the decisions of a scheduler from now on."""
+    def use_scheduler(
+        self, scheduler: FleetScheduler, progress_parts: dict[str, int]
+    ) -> None:
+        """Store the decisions of a scheduler from now on.
+
+        `progress_parts` are those of the stored state.
+        """
         self._scheduler = scheduler
+        self._progress_parts = dict(progress_parts)
 
     async def renew(self) -> bool:
         """Write the leader's row; return whether it still belongs to this leader."""
@@ -110,8 +120,7 @@
         row = self._row._replace(
             beat=self._row.beat + 1, released=released, successor=successor
         )
-        commit, rows = self._begin_commit(row)
-        removals = tuple(progress_row_key(job_id) for job_id in commit.removed_jobs)
+        commit, rows, removals = self._begin_commit(row)
         try:
             while True:
                 sent_s = now_s()
@@ -125,6 +134,7 @@
                 scheduler.commit_failed(commit)
             return False
         self._row, self._version = row, version
+        self._record_parts(commit, rows)
         self._metrics.observe_call("commit", now_s() - sent_s)
         self._committed_s = sent_s
         if self._is_failing:
@@ -134,23 +144,56 @@
             await self._record_success(scheduler, commit, sent_s)
         return True
 
-    def _begin_commit(self, row: LeaderRow) -> tuple[Commit, dict[RowKey, bytes]]:
-        """Return the changes to store and their rows, of `max_commit_bytes` at most.
+    def _begin_commit(
+        self, row: LeaderRow
+    ) -> tuple[Commit, dict[RowKey, bytes], tuple[RowKey, ...]]:
+        """Return the changes to store, their rows and the rows to remove.
 
-        The changes of one job are not divided.
+        The rows have `max_commit_bytes` at most, but the changes of one job are not
+        divided.
         """
+        max_row_bytes = self._settings.max_row_bytes
         if self._scheduler is None:
-            return NOTHING_TO_STORE, commit_rows(row, NOTHING_TO_STORE)
+            rows = commit_rows(row, NOTHING_TO_STORE, max_row_bytes)
+            return NOTHING_TO_STORE, rows, ()
         max_jobs = self._settings.max_jobs_per_commit
         while True:
             commit = self._scheduler.begin_commit(max_jobs)
-            rows = commit_rows(row, commit)
+            rows = commit_rows(row, commit, max_row_bytes)
+            removals = self._obsolete_rows(commit, rows)
             size_bytes = sum(len(value) for value in rows.values())
-            if size_bytes <= self._settings.max_commit_bytes or max_jobs == 1:
-                return commit, rows
+            is_small = (
+                size_bytes <= self._settings.max_commit_bytes
+                and len(rows) + len(removals) <= MAX_TRANSACTION_ROWS
+            )
+            if is_small or max_jobs == 1:
+                return commit, rows, removals
             self._scheduler.commit_failed(commit)
             max_jobs //= 2
 
+    def _obsolete_rows(
+        self, commit: Commit, rows: dict[RowKey, bytes]
+    ) -> tuple[RowKey, ...]:
+        """Return the rows of the jobs in a commit that it does not write again."""
+        keys = [
+            progress_row_key(job_id, part)
+            for job_id in (*commit.progress, *commit.removed_jobs)
+            for part in range(self._progress_parts.get(job_id, 1))
+        ]
+        return tuple(key for key in keys if key not in rows)
+
+    def _record_parts(self, commit: Commit, rows: dict[RowKey, bytes]) -> None:
+        for job_id in commit.removed_jobs:
+            self._progress_parts.pop(job_id, None)
+        for job_id in commit.progress:
+            parts = 1
+            while progress_row_key(job_id, parts) in rows:
+                parts += 1
+            if parts > 1:
+                self._progress_parts[job_id] = parts
+            else:
+                self._progress_parts.pop(job_id, None)
+
     async def _write(
         self, row: LeaderRow, rows: dict[RowKey, bytes], removals: tuple[RowKey, ...]
     ) -> int | None:
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -232,7 +232,7 @@
             self._queues_changed,
         )
         self._scheduler = scheduler
-        self._committer.use_scheduler(scheduler)
+        self._committer.use_scheduler(scheduler, stored.progress_parts)
         await self.handle(WorkersListed(loaded.entries))
         await self._poll_new_workers()
         sync = StateSync(
--- a/packages/node/src/marigoldpath_node/cell/_records.py
+++ b/packages/node/src/marigoldpath_node/cell/_records.py
@@ -1,5 +1,6 @@
 """Keys of a cell's rows in the store, and functions that read and write the rows."""
 
+from itertools import count, takewhile
 from typing import NamedTuple
 from zlib import crc32
 
@@ -13,11 +14,9 @@
     LeaderRow,
     decode_job,
     decode_leader,
-    decode_progress,
     decode_roster,
     encode_job,
     encode_leader,
-    encode_progress,
     encode_roster,
 )
 from ._ports import (
@@ -29,6 +28,7 @@
     StoreLostError,
     VersionedRows,
 )
+from ._progress_codec import decode_progress, decode_state, encode_progress
 
 JOBS_TABLE = "jobs"
 LEADER_TABLE = "lead"
@@ -50,6 +50,8 @@
 # Earlier builds stored jobs in fewer partitions.
 EARLIER_JOB_PARTITIONS = 8
 CANCEL_SUFFIX = ".cancel"
+# Between the id of a job and the number of a part of its progress after the first.
+PART_SEPARATOR = "."
 # Opening many connections at once overflows the accept queue of the store's listener.
 MAX_CONCURRENT_READS = 5
 SLOW_LINK_CONCURRENT_READS = 2
@@ -86,7 +88,8 @@
     """The stored state that a new leader loads.
 
     All changes of jobs up to the store's `version` are included. The jobs in
-    `unreadable` are stored, but one of their rows cannot be decoded.
+    `unreadable` are stored, but one of their rows cannot be decoded. `progress_parts`
+    has the number of rows of each progress that has more than one.
     """
 
     jobs: dict[str, StoredJob]
@@ -94,6 +97,7 @@
     roster: dict[str, RosterEntry]
     version: int
     unreadable: frozenset[str] = frozenset()
+    progress_parts: dict[str, int] = {}  # noqa: RUF012
 
 
 def job_row_key(job_id: str) -> RowKey:
@@ -112,9 +116,10 @@
     return key._replace(key=job_id + CANCEL_SUFFIX)
 
 
-def progress_row_key(job_id: str) -> RowKey:
-    """Return the key of the row with a job's progress."""
-    return RowKey(PROGRESS_TABLE, LEADER_PARTITION, job_id)
+def progress_row_key(job_id: str, part: int = 0) -> RowKey:
+    """Return the key of the row with a part of a job's progress."""
+    key = f"{job_id}{PART_SEPARATOR}{part}" if part else job_id
+    return RowKey(PROGRESS_TABLE, LEADER_PARTITION, key)
 
 
 async def write_job(store: Store, job: AcceptedJob) -> AcceptedJob:
@@ -204,10 +209,12 @@
     stored = await read_job(store, job_id)
     if stored is None:
         return None
-    result = await store.read(PROGRESS_TABLE, LEADER_PARTITION, job_id, job_id + "~")
+    result = await store.read(
+        PROGRESS_TABLE, LEADER_PARTITION, job_id, job_id + PART_SEPARATOR
+    )
     for row in result.rows:
         try:
-            state = decode_progress(row.value).state
+            state = decode_state(row.value)
         except UNREADABLE_ROW_ERRORS as error:
             raise StoreError(f"the progress of job {job_id}: {error!r}") from error
         if state.is_final:
@@ -311,19 +318,42 @@
         job_rows.extend(partition.rows)
     jobs, unreadable = decode_job_rows(job_rows)
     progress: dict[str, Progress] = {}
-    for row in progress_rows.rows:
+    parts = _group_parts(progress_rows.rows)
+    for job_id, rows in parts.items():
         try:
-            progress[row.key.key] = decode_progress(row.value)
+            progress[job_id] = decode_progress(rows)
         except UNREADABLE_ROW_ERRORS:
             # Without its progress, the job would run again from the start.
-            unreadable.add(row.key.key)
-            jobs.pop(row.key.key, None)
+            unreadable.add(job_id)
+            jobs.pop(job_id, None)
+    progress_parts = {
+        job_id: len(rows) for job_id, rows in parts.items() if len(rows) > 1
+    }
     roster: dict[str, RosterEntry] = {}
     for row in leader_rows.rows:
         if row.key in ROSTER_ROW_KEYS:
             roster.update(decode_roster(row.value))
     version = min(partition.version for partition in job_partitions)
-    return StoredState(jobs, progress, roster, version, frozenset(unreadable))
+    return StoredState(
+        jobs, progress, roster, version, frozenset(unreadable), progress_parts
+    )
+
+
+def _group_parts(rows: tuple[Row, ...]) -> dict[str, list[bytes]]:
+    """Return the parts of the progress of each job, in order.
+
+    A part that follows a missing one is omitted.
+    """
+    numbered: dict[str, dict[int, bytes]] = {}
+    for row in rows:
+        job_id, _, part = row.key.key.partition(PART_SEPARATOR)
+        number = int(part) if part.isdecimal() else 0
+        numbered.setdefault(job_id, {})[number] = row.value
+    grouped = {}
+    for job_id, parts in numbered.items():
+        numbers = takewhile(parts.__contains__, count())
+        grouped[job_id] = [parts[number] for number in numbers]
+    return grouped
 
 
 def group_job_rows(rows: tuple[Row, ...] | list[Row]) -> dict[str, StoredJob]:
@@ -364,11 +394,17 @@
     }
 
 
-def commit_rows(leader: LeaderRow, commit: Commit) -> dict[RowKey, bytes]:
-    """Return the rows that a leader writes in one transaction."""
+def commit_rows(
+    leader: LeaderRow, commit: Commit, max_row_bytes: int
+) -> dict[RowKey, bytes]:
+    """Return the rows that a leader writes in one transaction.
+
+    A longer progress than `max_row_bytes` takes several rows.
+    """
     rows = {LEADER_ROW_KEY: encode_leader(leader)}
     for job_id, progress in commit.progress.items():
-        rows[progress_row_key(job_id)] = encode_progress(progress)
+        for part, value in enumerate(encode_progress(progress, max_row_bytes)):
+            rows[progress_row_key(job_id, part)] = value
     if commit.roster is not None:
         rows.update(_roster_rows(commit.roster))
     return rows
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -16,7 +16,8 @@
 
     - A leader commits at least every `commit_interval_s`, the changes of at most
       `max_jobs_per_commit` jobs and `max_commit_bytes` at a time: a slow link must
-      carry a commit before its reply times out.
+      carry a commit before its reply times out. The progress of a job that is longer
+      than `max_row_bytes` is stored in several rows.
     - A candidate acquires the leader's row if the row did not change for
       `unresponsive_leader_timeout_s`, or for `refused_leader_timeout_s` if the leader's
       address refuses connections. `slow_store_factor` times the duration of a read from
@@ -102,6 +103,7 @@
     commit_retry_s: float = 0.15
     max_jobs_per_commit: int = 80
     max_commit_bytes: int = 262_144
+    max_row_bytes: int = 45_000
     tick_interval_s: float = 0.1
     min_dispatch_interval_s: float = 0.005
     poll_interval_s: float = 0.03
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -15,7 +15,9 @@
 from pathlib import Path
 
 from marigoldpath_cli import main
+from marigoldpath_core.fleet import FleetSettings
 from marigoldpath_node.api._registry import ROUTES
+from marigoldpath_node.cell import CellSettings
 from marigoldpath_node.exposition import CellMetrics
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -283,6 +285,15 @@
         )
         self.assertEqual(documented, {f"{method} {path}" for method, path in ROUTES})
 
+    def test_limits_of_a_cell(self) -> None:
+        text = read_section(read_page("reference/settings.md"), "Limits of a cell")
+        rows = re.findall(r"^\| (\w+) \| \w+ \| ([\d,.]+) \|", text, re.MULTILINE)
+        defaults = {**CellSettings._field_defaults, **FleetSettings._field_defaults}
+        self.assertTrue(rows)
+        for name, value in rows:
+            with self.subTest(field=name):
+                self.assertEqual(float(value.replace(",", "")), defaults[name])
+
 
 class TrackedFileTests(unittest.TestCase):
     """Guards against paths and package indexes of one machine in published files."""
