Log events of the scheduler that have very many effects

Its log could not tell whether the memory is that of commands to workers, of log lines or of replies. many_effects counts the effects of one event by kind if they are 1,000 or more.

--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -1,5 +1,6 @@
 """Runs the scheduler of the cell while this process is the leader."""
 
+from collections import Counter
 from typing import Any
 
 import curio
@@ -38,6 +39,9 @@
 from ._state_sync import StateSync
 from ._summary import JobsSummarizer, JobsSummary
 
+# An event with so many effects is logged.
+MANY_EFFECTS = 1_000
+
 
 class Leader:
     """One term of leadership.
@@ -196,12 +200,17 @@
         """Pass an event to the scheduler and execute the resulting effects."""
         assert self._scheduler is not None
         self._scheduler.handle(event, now_ms())
-        await self._run_effects()
+        await self._run_effects(type(event).__name__)
 
-    async def _run_effects(self) -> None:
+    async def _run_effects(self, cause: str) -> None:
+        """Execute the effects of an event or a scheduling pass."""
         scheduler = self._scheduler
         assert scheduler is not None
-        for effect in scheduler.take_effects():
+        effects = scheduler.take_effects()
+        if len(effects) >= MANY_EFFECTS:
+            counts = Counter(type(effect).__name__ for effect in effects)
+            self._log.warning("many_effects", cause=cause, **counts)
+        for effect in effects:
             await self._effect_runner.execute(effect)
         if scheduler.is_superseded:
             await self.end("a later epoch was found")
@@ -327,7 +336,7 @@
             # the time to the other tasks.
             pass_s = now_s() - pass_start_s
             pause_s = max(self._settings.min_dispatch_interval_s, pass_s)
-            await self._run_effects()
+            await self._run_effects("scheduling pass")
 
     def _count_workers(self) -> int:
         return 0 if self._scheduler is None else len(self._scheduler.workers)
