Stop each member of a gang once, and bound the tasks of commands

Cause: abandon() stopped every other member for each member that did not start, and stop() sent a command also to a run that is stopping. Each command was a task of the loop that waited for its turn.

Evidence: many_effects, added before, has one WorkerReport with 18,480 StopRun and 35 LogEvent. Ruled out by it: log lines (604 at most) and repeated starts (604 in all).

Change: the members of a gang run are stopped once. A stop is repeated only after retry_stop_ms, and not for a worker that does not reply. The same holds for stray runs, recorded starts and ends of gangs. Commands wait in a queue for each worker, with tasks only for those in flight, at the leader and at relays; one that is queued is not queued again; a start past its time limit is not sent. The effects of an event are executed in turns of 64.

The fake worker can refuse starts, and its share of failed runs is an attribute: 5% of failures failed the job of a process test before it was cancelled (3 of 10 runs).

--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_worker.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_worker.py
@@ -54,6 +54,7 @@
         self._oracle = oracle
         self._random = random
         self._rate = random.uniform(0.98, 1.0)
+        self.failed_run_share = 0.05
         self.incarnation_count = 0
         self.restart(0.0)
 
@@ -180,7 +181,7 @@
             command.task, command.run, self.worker_id, now_ms
         )
         run = _Run(record, spec, spec.estimate_ms * self._random.uniform(0.5, 1.5))
-        run.fails = self.fails_all_runs or self._random.random() < 0.05
+        run.fails = self.fails_all_runs or self._random.random() < self.failed_run_share
         self._runs[command.task] = run
         allocations = [each.spec.need for each in self._runs.values()]
         for available, *allocated in zip(self.capacity, *allocations):
--- a/packages/bench/src/marigoldpath_bench/platform_fakes/_worker.py
+++ b/packages/bench/src/marigoldpath_bench/platform_fakes/_worker.py
@@ -27,8 +27,9 @@
 class SimulatedWorkerServer(FakeServer):
     """Execute start and stop commands on a simulated worker and reply to polls.
 
-    The share `delayed_command_share` of the commands gets no reply and is executed some
-    seconds later. `advance_workers` terminates the runs that are due on all workers, so
+    A server that `is_unhealthy` refuses starts with the status 503. The share
+    `delayed_command_share` of the commands gets no reply and is executed some seconds
+    later. `advance_workers` terminates the runs that are due on all workers, so
     that the oracle does not count them as running when it checks a start.
     """
 
@@ -43,6 +44,7 @@
         super().__init__()
         self.worker_id = worker_id
         self.delayed_command_share = 0.0
+        self.is_unhealthy = False
         self.labels: tuple[str, ...] = ("a", "rack-1")
         self._oracle = oracle
         self._random = random
@@ -117,6 +119,8 @@
         return json_response(200, {**header, **lists})
 
     def _execute(self, name: str, body: Any) -> HttpResponse:
+        if name == "run-start" and self.is_unhealthy:
+            return json_response(503, {})
         if name == "run-start":
             return self._start(body)
         if name == "run-stop":
--- a/packages/core/src/marigoldpath_core/fleet/_adoption.py
+++ b/packages/core/src/marigoldpath_core/fleet/_adoption.py
@@ -1,5 +1,7 @@
 """Adopts the runs that a worker reports and this leader has not started."""
 
+import math
+
 from marigoldpath_core.jobs import TaskKey
 
 from ._fleet import Fleet
@@ -15,12 +17,13 @@
     fleet: Fleet,
     worker: Worker,
     row: RunningTask,
-    orphaned_runs: set[tuple[TaskKey, int]],
+    orphaned_runs: dict[tuple[TaskKey, int], float],
 ) -> Run | None:
     """Return a new run for a reported task, or None if the task must not run there.
 
-    In the second case the run is orphaned. It is stopped, unless its job is not known
-    and could still be read from the store.
+    In the second case the run is added to `orphaned_runs` with the time of its newest
+    stop command. It is stopped, unless its job is not known and could still be read
+    from the store. The command is repeated after `retry_stop_ms`.
     """
     task = find_reported_task(fleet, row.task)
     is_copy = task is not None and _may_be_second_run(worker, task)
@@ -36,10 +39,14 @@
         task.number = max(task.number, row.run)
         worker.add(run)
         record_adopted(fleet, run)
+        if task.step.spec.gang and run.number <= task.step.stopped_gang_run:
+            fleet.stop(run, "a member of the gang did not start")
         return run
-    orphaned_runs.add((row.task, row.run))
     job_id = row.task.job_id
-    if not may_still_load(fleet, worker, job_id):
+    stop_sent_ms = worker.orphaned_runs.get((row.task, row.run), -math.inf)
+    is_overdue = fleet.now_ms - stop_sent_ms > fleet.settings.retry_stop_ms
+    if is_overdue and not may_still_load(fleet, worker, job_id):
+        stop_sent_ms = fleet.now_ms
         fleet.log(
             "stray_run_stopping",
             job=job_id,
@@ -50,6 +57,7 @@
             reason=_orphan_reason(fleet, task, row),
         )
         fleet.emit(StopRun(worker.worker_id, worker.entry.address, row.task, row.run))
+    orphaned_runs[row.task, row.run] = stop_sent_ms
     return None
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -190,7 +190,7 @@
         return number < _first_run_number(self.epoch)
 
     def stop(self, run: Run, reason: str) -> None:
-        """Send a stop command.
+        """Send a stop command, unless one was sent within `retry_stop_ms`.
 
         The resources stay allocated until a report shows that the run terminated.
         """
@@ -200,6 +200,8 @@
         if run.state is RunState.PLANNED:
             self.release(run)
             return
+        if run.state is RunState.STOPPING and not self.is_stop_overdue(run):
+            return
         if run.state is not RunState.STOPPING:
             self.log(
                 "run_stopping",
@@ -215,6 +217,10 @@
             StopRun(run.worker_id, worker.entry.address, run.task.key, run.number)
         )
 
+    def is_stop_overdue(self, run: Run) -> bool:
+        """Return whether a stop has had no effect for so long that it is repeated."""
+        return self.now_ms - run.stop_sent_ms > self.settings.retry_stop_ms
+
     def release(self, run: Run) -> None:
         """Free the resources of a run.
 
@@ -276,13 +282,15 @@
     def abandon(self, run: Run) -> None:
         """Release a run that did not start, and stop the rest of its gang.
 
-        The other members would occupy their workers while they wait for this one.
+        The other members would occupy their workers while they wait for this one. They
+        are stopped once, however many members did not start.
         """
         step = run.task.step
         self.release(run)
-        if not step.spec.gang:
+        if not step.spec.gang or step.stopped_gang_run >= run.number:
             return
-        for member in step.tasks:
+        step.stopped_gang_run = run.number
+        for member in step.known_tasks:
             if member.run is not None and member.run.number == run.number:
                 self.stop(member.run, "a member of the gang did not start")
 
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -150,12 +150,16 @@
 
 
 def retry_stops(fleet: Fleet) -> None:
-    """Repeat the stops of runs that have not terminated after `retry_stop_ms`."""
+    """Repeat the stops of runs that have not terminated after `retry_stop_ms`.
+
+    Those of a worker that does not reply would only queue up. They are repeated once it
+    replies again.
+    """
     for worker in fleet.workers.values():
+        if worker.is_unresponsive:
+            continue
         for run in worker.runs.values():
-            if run.state is not RunState.STOPPING:
-                continue
-            if fleet.now_ms - run.stop_sent_ms > fleet.settings.retry_stop_ms:
+            if run.state is RunState.STOPPING and fleet.is_stop_overdue(run):
                 fleet.stop(run, "repeated")
 
 
@@ -231,6 +235,8 @@
             fleet.release(run)
             continue
         run.confirmed_clock_ms = run.until_clock_ms = None
+        # A stop that was sent to the previous incarnation does not count.
+        run.stop_sent_ms = -math.inf
         late_ms = settings.max_command_delay_ms + settings.longest_lease_ms
         worker.extend_lease(settings, late_ms, fleet.now_ms)
         fleet.stop(run, "the worker restarted while the start was in flight")
@@ -267,7 +273,7 @@
     fleet: Fleet, worker: Worker, event: WorkerReport, all_applied: bool
 ) -> None:
     listed = set()
-    orphaned_runs: set[tuple[TaskKey, int]] = set()
+    orphaned_runs: dict[tuple[TaskKey, int], float] = {}
     for row in event.running:
         run = worker.runs.get(row.task)
         if run is None or run.number != row.run:
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -75,7 +75,8 @@
     So it is if the quota of its workspace was lowered.
     """
     for run in list(fleet.planned_runs.values()):
-        if not run.is_recorded:
+        # A run may be released while its gang is stopped.
+        if not run.is_recorded or fleet.planned_runs.get(run.task.key) is not run:
             continue
         worker = fleet.workers.get(run.worker_id)
         start = run.task.recorded_start
--- a/packages/core/src/marigoldpath_core/fleet/_terminations.py
+++ b/packages/core/src/marigoldpath_core/fleet/_terminations.py
@@ -54,7 +54,7 @@
     fleet: Fleet, _worker: Worker, task: Task, _terminated: TerminatedRun
 ) -> None:
     step = task.step
-    if step.spec.long_running:
+    if step.spec.long_running or not step.remaining_tasks:
         return
     # One termination with this reason is reported for a whole gang, and it completes
     # all of the gang's tasks. Any other task can have other runs on other workers,
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -145,6 +145,8 @@
         self._tasks: dict[int, Task] = {}
         self.gang_avoided_workers: set[str] = set()
         self.gang_checkpoint = ""
+        # The number of the newest run of a gang whose members were all stopped.
+        self.stopped_gang_run = 0
         self.remaining_tasks = self.spec.width
         # When all steps that this one waits for were done.
         self.opened_ms = 0.0
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -66,8 +66,8 @@
         self.drain_observed_ms: float | None = None
         self.is_on_probation = False
         # Runs in the newest report that must not run on this worker, or whose job is
-        # not known.
-        self.orphaned_runs: set[tuple[TaskKey, int]] = set()
+        # not known, and when the newest stop command was sent to each.
+        self.orphaned_runs: dict[tuple[TaskKey, int], float] = {}
         # The time, job and image of the recent failures.
         self.failures: list[tuple[float, str, str]] = []
         self.quarantined_until_ms = 0.0
--- a/packages/node/src/marigoldpath_node/cell/_effect_runner.py
+++ b/packages/node/src/marigoldpath_node/cell/_effect_runner.py
@@ -1,5 +1,6 @@
 """Executes the scheduler's effects: commands to workers, advice requests, log lines."""
 
+from functools import partial
 from typing import Any, Protocol
 
 from marigoldpath_core.fleet import (
@@ -8,6 +9,8 @@
     Event,
     LogEvent,
     RequestAdvice,
+    StartReplied,
+    StartResult,
     StartRun,
     StopRun,
     ThrottleRun,
@@ -16,8 +19,11 @@
 from marigoldpath_core.registry import Registry
 
 from ._clock import now_s
+from ._command_queue import CommandQueue
 from ._followers import Followers
 from ._ports import CellDependencies, FencedError, WorkerFailedError
+from ._relayed_workers import RelayedWorkerClient
+from ._settings import CellSettings
 
 effect_handlers: Registry = Registry("fleet effect")
 
@@ -48,11 +54,15 @@
 
     def __init__(
         self,
+        settings: CellSettings,
         dependencies: CellDependencies,
+        workers: RelayedWorkerClient,
         followers: Followers,
         term: LeadershipTerm,
     ) -> None:
-        self._workers = dependencies.workers
+        self._workers = workers
+        self._queue = CommandQueue(term.spawn, workers.max_commands_in_flight)
+        self._max_start_wait_s = settings.fleet.start_window_ms / 1_000
         self._metrics = dependencies.metrics
         self._log = dependencies.log
         self._followers = followers
@@ -64,19 +74,20 @@
 
     @effect_handlers.register(StartRun)
     async def _handle_start(self, command: StartRun) -> None:
-        await self._term.spawn(self._send_start, command)
+        send = partial(self._send_start, command, now_s())
+        await self._queue.add(command.worker_id, send)
 
     @effect_handlers.register(StopRun)
     async def _handle_stop(self, command: StopRun) -> None:
-        await self._term.spawn(
-            self._send_command, command.worker_id, self._workers.stop, command
-        )
+        await self._queue_command(command, self._workers.stop)
 
     @effect_handlers.register(ThrottleRun)
     async def _handle_throttle(self, command: ThrottleRun) -> None:
-        await self._term.spawn(
-            self._send_command, command.worker_id, self._workers.throttle, command
-        )
+        await self._queue_command(command, self._workers.throttle)
+
+    async def _queue_command(self, command: StopRun | ThrottleRun, call: Any) -> None:
+        send = partial(self._send_command, command.worker_id, call, command)
+        await self._queue.add(command.worker_id, send, command)
 
     @effect_handlers.register(RequestAdvice)
     async def _handle_advice_request(self, request: RequestAdvice) -> None:
@@ -89,8 +100,16 @@
             self._metrics.count_termination(str(log_event.fields["kind"]))
         self._log.info(log_event.event, **log_event.fields)
 
-    async def _send_start(self, command: StartRun) -> None:
+    async def _send_start(self, command: StartRun, queued_s: float) -> None:
         started_s = now_s()
+        if started_s - queued_s > self._max_start_wait_s:
+            # The worker would refuse it by its time limit.
+            await self._term.handle(
+                StartReplied(
+                    command.worker_id, command.task, command.run, StartResult.EXPIRED
+                )
+            )
+            return
         reply = await self._workers.start(command, self._term.epoch)
         self._metrics.observe_call("start", now_s() - started_s)
         await self._term.handle(reply)
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -1,11 +1,12 @@
 """Runs the scheduler of the cell while this process is the leader."""
 
-from collections import Counter
+from collections import Counter, deque
 from typing import Any
 
 import curio
 
 from marigoldpath_core.fleet import (
+    Effect,
     Event,
     FleetScheduler,
     JobAccepted,
@@ -41,6 +42,8 @@
 
 # An event with so many effects is logged.
 MANY_EFFECTS = 1_000
+# Other tasks run after this number of effects.
+EFFECTS_PER_TURN = 64
 
 
 class Leader:
@@ -80,7 +83,12 @@
         self._summarizer = JobsSummarizer()
         self._term_start_s = now_s()
         self._polled_workers: set[str] = set()
-        self._effect_runner = EffectRunner(dependencies, followers, self)
+        self._effect_runner = EffectRunner(
+            settings, dependencies, self._workers, followers, self
+        )
+        # The effects that have not been executed, in the order of their events.
+        self._effects: deque[Effect] = deque()
+        self._is_executing = False
         self._dispatch_event = curio.Event()
         self._term_ended = curio.Event()
         self._tasks: set[curio.Task] = set()
@@ -210,8 +218,8 @@
         if len(effects) >= MANY_EFFECTS:
             counts = Counter(type(effect).__name__ for effect in effects)
             self._log.warning("many_effects", cause=cause, **counts)
-        for effect in effects:
-            await self._effect_runner.execute(effect)
+        self._effects.extend(effects)
+        await self._execute_effects()
         if scheduler.is_superseded:
             await self.end("a later epoch was found")
         if scheduler.needs_dispatch:
@@ -219,6 +227,24 @@
         if scheduler.needs_commit:
             await self._committer.wake()
 
+    async def _execute_effects(self) -> None:
+        """Execute the effects that wait, unless another task is doing so.
+
+        Other tasks run in between, as one event can have very many effects.
+        """
+        if self._is_executing:
+            return
+        self._is_executing = True
+        executed = 0
+        try:
+            while self._effects:
+                await self._effect_runner.execute(self._effects.popleft())
+                executed += 1
+                if executed % EFFECTS_PER_TURN == 0:
+                    await curio.sleep(0)
+        finally:
+            self._is_executing = False
+
     async def end(self, reason: str) -> None:
         """End the term because of a newer leader or an error."""
         if not self._term_ended.is_set():
--- a/packages/node/src/marigoldpath_node/cell/_relay_server.py
+++ b/packages/node/src/marigoldpath_node/cell/_relay_server.py
@@ -1,12 +1,13 @@
 """Relays the commands of a leader on another host to workers."""
 
 import math
+from functools import partial
 from typing import Any
 
 import curio
 
 from ._clock import now_s
-from ._command_limits import CommandLimits
+from ._command_queue import CommandQueue
 from ._ports import FencedError, WorkerClient, WorkerFailedError
 from ._relay_codec import (
     KINDS,
@@ -83,7 +84,10 @@
         self._settings = settings
         self._workers = workers
         self._log = log
-        self._limits = CommandLimits(settings.max_commands_per_worker)
+        self._queue = CommandQueue(
+            partial(curio.spawn, daemon=True),
+            lambda _worker_id: settings.max_commands_per_worker,
+        )
         self._sessions: dict[str, RelaySession] = {}
 
     async def accept_commands(self, data: dict[str, Any]) -> dict[str, Any]:
@@ -106,9 +110,12 @@
             )
             return {"accepted": False, "replies": session.take_replies()}
         for number, command in commands:
-            await curio.spawn(
-                self._execute, session, number, command, epoch, daemon=True
-            )
+            send = partial(self._execute, session, number, command, epoch)
+            if isinstance(command, PollCommand):
+                # A poll waits for terminations, so it must not delay commands.
+                await curio.spawn(send, daemon=True)
+            else:
+                await self._queue.add(command.worker_id, send)
         return {"accepted": True, "replies": session.take_replies()}
 
     async def take_replies(self, data: dict[str, Any]) -> dict[str, Any]:
@@ -139,7 +146,8 @@
         self, session: RelaySession, number: int, command: Command, epoch: int
     ) -> None:
         try:
-            reply = RelayReply(RelayStatus.DONE, await self._send(command, epoch))
+            value = await execute(self._workers, command, epoch)
+            reply = RelayReply(RelayStatus.DONE, value)
         except FencedError as error:
             reply = RelayReply(RelayStatus.FENCED, reason=str(error))
         except WorkerFailedError as error:
@@ -150,10 +158,3 @@
             reply = RelayReply(RelayStatus.LOST, reason="unexpected error")
         encoded = encode_reply(KINDS[type(command)], reply)
         await session.add_reply(number, encoded)
-
-    async def _send(self, command: Command, epoch: int) -> Any:
-        if isinstance(command, PollCommand):
-            # A poll waits for terminations, so it must not occupy a slot.
-            return await execute(self._workers, command, epoch)
-        async with self._limits.slot(command.worker_id):
-            return await execute(self._workers, command, epoch)
--- a/packages/node/src/marigoldpath_node/cell/_relayed_workers.py
+++ b/packages/node/src/marigoldpath_node/cell/_relayed_workers.py
@@ -24,7 +24,6 @@
 )
 
 from ._clock import now_s
-from ._command_limits import CommandLimits
 from ._followers import Followers
 from ._peers import PeerClient
 from ._ports import CellDependencies, FencedError, RelayFailedError
@@ -54,7 +53,6 @@
         self._peers = peers
         self._epoch = epoch
         self._session = os.urandom(8).hex()
-        self._limits = CommandLimits(settings.max_commands_per_worker)
         self._is_active = False
         self._relays: tuple[str, ...] = ()
         self._channels: dict[str, RelayChannel] = {}
@@ -146,6 +144,15 @@
     def _call_directly(self, worker_id: str) -> None:
         self._direct_until_s[worker_id] = now_s() + self._settings.relay_bypass_s
 
+    def max_commands_in_flight(self, worker_id: str) -> int:
+        """Return how many commands to a worker may wait for a reply.
+
+        A relay sends a few of them at a time, and takes them in batches.
+        """
+        if self._channel(worker_id) is None:
+            return self._settings.max_commands_per_worker
+        return self._settings.max_relayed_commands
+
     async def poll(self, worker_id: str, epoch: int, poll: WorkerPoll) -> WorkerReport:
         """Poll a worker and return its report.
 
@@ -162,8 +169,7 @@
         """Send a command to start a run, and return its result."""
         channel = self._channel(command.worker_id)
         if channel is None:
-            async with self._limits.slot(command.worker_id):
-                return await self._direct.start(command, epoch)
+            return await self._direct.start(command, epoch)
         reply = await self._call(channel, command)
         if reply.status is RelayStatus.DONE:
             if reply.value.result is StartResult.NOT_SENT:
@@ -182,8 +188,7 @@
         """
         channel = self._channel(command.worker_id)
         if channel is None:
-            async with self._limits.slot(command.worker_id):
-                return await self._direct.stop(command, epoch)
+            return await self._direct.stop(command, epoch)
         return _value(await self._call(channel, command))
 
     async def throttle(self, command: ThrottleRun, epoch: int) -> None:
@@ -193,8 +198,7 @@
         """
         channel = self._channel(command.worker_id)
         if channel is None:
-            async with self._limits.slot(command.worker_id):
-                await self._direct.throttle(command, epoch)
+            await self._direct.throttle(command, epoch)
         else:
             _value(await self._call(channel, command))
 
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -53,6 +53,9 @@
     `max_writers` followers, to store a job. Each submission earns `retry_budget_ratio`
     of such a further attempt, and `max_retry_budget` attempts can be saved up.
 
+    At most `max_commands_per_worker` commands to a worker are in flight, and
+    `max_relayed_commands` through a relay, which sends a few at a time.
+
     A leader that lags sends its commands to workers in batches through other hosts,
     its relays. A channel to a relay exchanges a batch in each direction at most every
     `min_relay_interval_s`, or less often, up to `max_relay_interval_s`, if the relays
@@ -115,6 +118,7 @@
     cleanup_interval_s: float = 5.0
     leader_row_read_interval_s: float = 0.25
     max_commands_per_worker: int = 3
+    max_relayed_commands: int = 64
     write_retry_s: float = 0.1
     refused_write_timeout_s: float = 0.35
     max_remembered_jobs: int = 2_000
--- a/tests/bench/test_process_large_jobs.py
+++ b/tests/bench/test_process_large_jobs.py
@@ -1,4 +1,4 @@
-"""Tests of the real program: one job as large as a caller's number."""
+"""Tests of the real program: one job that is as large as a caller likes."""
 
 import tempfile
 import unittest
@@ -27,14 +27,20 @@
 class LargeJobTests(unittest.TestCase):
     """Guards against one accepted job that takes the memory of every leader.
 
-    A leader began all due occurrences at once and kept an object for each task.
+    A leader began all due occurrences at once, kept an object for each task, and sent
+    stops by the square of the width of a gang.
     """
 
-    def check(self, spec):
+    def check(self, spec, unhealthy_workers=0):
         with tempfile.TemporaryDirectory() as folder:
             cell = CellProcesses(Path(folder))
 
             async def action():
+                for worker in cell.workers:
+                    # So many runs would fail the job before it is cancelled.
+                    worker.worker.failed_run_share = 0.0
+                for worker in cell.workers[:unhealthy_workers]:
+                    worker.is_unhealthy = True
                 await cell.submit(spec)
                 await curio.sleep(SETTLE_S)
                 ordinary = JobSpec(ORDINARY_JOB, ORDINARY_JOB, (SMALL,))
@@ -58,6 +64,11 @@
         step = StepSpec(10_000, Resources(8_000, 64, 0), estimate_ms=500)
         self.check(JobSpec(LARGE_JOB, LARGE_JOB, (step,) * 100))
 
+    def test_a_wide_gang_that_a_worker_refuses(self):
+        """Guards against stops by the square of the gang's width."""
+        step = StepSpec(600, Resources(100, 64, 0), estimate_ms=600_000, gang=True)
+        self.check(JobSpec(LARGE_JOB, LARGE_JOB, (step,)), unhealthy_workers=1)
+
 
 if __name__ == "__main__":
     unittest.main()
