Log how much of an advice request is a renewal

The log showed who got replies, but not whether these requests were first ones or renewals of tickets for the same workers, nor their queue. Measured: tests of advice and of the documentation pass.

--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -109,6 +109,10 @@
         fleet.log("advice_failed", job=event.job_id, step=event.step)
         return
     _count_approvals(fleet, step, event)
+    renewed = sum(
+        step.has_queried(worker_id, incarnation)
+        for worker_id, incarnation in step.requested_incarnations.items()
+    )
     until_ms = fleet.now_ms + advice.valid_ms - fleet.settings.ticket_margin_ms
     for worker_id in event.workers:
         worker = fleet.workers.get(worker_id)
@@ -126,7 +130,9 @@
         "advice_taken",
         job=event.job_id,
         step=(event.occurrence, event.step),
+        queue=job.queue.name,
         asked=len(event.workers),
+        renewed=renewed,
         approved=len(event.tickets),
         took_ms=round(fleet.now_ms - event.requested_ms),
     )
