Take turns for advice, scheduling passes and commits

Cause: scarce calls were taken in a fixed order, by urgency or by id, by what cannot be placed now. Steps of priority 0 and 1 renewed each ticket that expired, also for a full worker, and used each slow request that became free.

Evidence: 132 replies, all for the lasting queue, 108 of them renewals alone. Ruled out: refusals and time-outs of the service (none), tickets without placement (none).

Change: a slow request for a worker with room that the step has not requested goes by urgency; all others go in turn, and those without room leave the last one free. A pass examines the 30 most urgent steps and 30 others in turn. A commit takes the jobs that have waited longest, ends are acknowledged while other jobs keep changing, and a part of a commit is for the removal of expired jobs. The tasks of a step whose advice let nothing start do not fill the queue of a lagging leader.

--- a/packages/core/src/marigoldpath_core/fleet/_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_advice.py
@@ -3,7 +3,6 @@
 A ticket is the service's permission to start tasks of a step on an approved worker.
 """
 
-import math
 from collections.abc import Iterator, Sequence
 from itertools import chain
 
@@ -13,6 +12,7 @@
 from ._pools import Pools, has_label
 from ._quotas import count_in_whole_quota
 from ._run import Run
+from ._slow_advice import choose_requests, request_limit
 from ._work import Step, Ticket
 from ._worker import Worker
 
@@ -44,7 +44,7 @@
     """
     if (
         step.job.queue.advice is None
-        or not _may_request(fleet, step)
+        or not _is_request_due(fleet, step)
         or not step.waiting_tasks
     ):
         return
@@ -52,12 +52,29 @@
         # Each request takes the processor time of a start. The tickets that are left
         # suffice for the few starts that a lagging leader sends.
         return
-    to_renew = _workers_to_renew(fleet, pools, step) if step.tickets else []
-    selected = [*to_renew, *_workers_to_add(fleet, pools, step)]
+    if _is_slow(fleet, step):
+        fleet.slow_advice.candidates.append(step)
+        return
+    selected = _select_workers(fleet, pools, step)
     if selected:
         _send_request(fleet, step, selected)
-        if _is_slow(fleet, step):
-            pools.requested_worker_ids.update(worker.worker_id for worker in selected)
+
+
+def send_slow_requests(fleet: Fleet, pools: Pools) -> None:
+    """Send the slow requests of a scheduling pass, for as many steps as possible."""
+
+    def select(step: Step) -> list[Worker]:
+        return _select_workers(fleet, pools, step)
+
+    for step, selected in choose_requests(fleet, select):
+        _send_request(fleet, step, selected)
+        pools.requested_worker_ids.update(worker.worker_id for worker in selected)
+
+
+def _select_workers(fleet: Fleet, pools: Pools, step: Step) -> list[Worker]:
+    """Return the workers of a request: those to renew and those to add."""
+    to_renew = _workers_to_renew(fleet, pools, step) if step.tickets else []
+    return [*to_renew, *_workers_to_add(fleet, pools, step)]
 
 
 def prefetch(fleet: Fleet, pools: Pools) -> None:
@@ -98,7 +115,7 @@
 
     A request without a reply changes no ticket.
     """
-    fleet.slow_requests.pop(event[:3], None)
+    fleet.slow_advice.in_flight.pop(event[:3], None)
     job = fleet.jobs.get(event.job_id)
     step = job.steps.get((event.occurrence, event.step)) if job is not None else None
     if job is None or step is None:
@@ -125,6 +142,7 @@
         else:
             step.tickets[worker_id] = Ticket(ticket_text, until_ms, incarnation)
     step.requested_incarnations = {}
+    step.fruitless_replies += 1
     fleet.needs_dispatch = True
     fleet.log(
         "advice_taken",
@@ -142,16 +160,18 @@
     return any(ticket.until_ms > fleet.now_ms for ticket in step.tickets.values())
 
 
+def _is_request_due(fleet: Fleet, step: Step) -> bool:
+    if step.is_request_in_flight:
+        return False
+    return fleet.now_ms - step.requested_ms >= ADVICE_RETRY_MS
+
+
 def _may_request(fleet: Fleet, step: Step) -> bool:
-    if step.is_request_in_flight or fleet.now_ms - step.requested_ms < ADVICE_RETRY_MS:
+    if not _is_request_due(fleet, step):
         return False
     if not _is_slow(fleet, step):
         return True
-    # The service processes one request of each host at a time. Slow requests may use
-    # only some of the hosts. The others stay free for fast requests, because the leader
-    # alone cannot send all of those.
-    limit = math.ceil(fleet.settings.slow_advice_share * fleet.advice_hosts)
-    return len(fleet.slow_requests) < limit
+    return len(fleet.slow_advice.in_flight) < request_limit(fleet)
 
 
 def _send_request(fleet: Fleet, step: Step, workers: list[Worker]) -> None:
@@ -162,10 +182,11 @@
     step.requested_incarnations = {
         worker.worker_id: worker.incarnation for worker in workers
     }
+    step.asked_workers.update(step.requested_incarnations)
     step.is_request_in_flight = True
     step.requested_ms = fleet.now_ms
     if _is_slow(fleet, step):
-        fleet.slow_requests[step.key] = selected
+        fleet.slow_advice.in_flight[step.key] = selected
     fleet.emit(RequestAdvice(*step.key, selected, advice.cost_ms(len(selected))))
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_dispatch.py
+++ b/packages/core/src/marigoldpath_core/fleet/_dispatch.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Iterator
-from itertools import groupby, islice
+from itertools import groupby
 from typing import NamedTuple
 
 from . import _advice, _copies, _holds, _place_waiting, _preemption, _quotas, _waiting
@@ -33,6 +33,10 @@
 from ._work import Step, Task
 from ._worker import Worker
 
+# After so many advice requests that let no task start, the tasks of a step do not count
+# as those that will use the next starts.
+MAX_FRUITLESS_REPLIES = 2
+
 
 class HeldBack(NamedTuple):
     """The steps that quotas hold back in a scheduling pass.
@@ -46,6 +50,16 @@
     sizes: set[_quotas.StepSize]
 
 
+class StartQueue(NamedTuple):
+    """The tasks that will use the next starts, and whether they use all for a while.
+
+    They are waiting tasks of urgent steps that do not lack capacity.
+    """
+
+    tasks: int
+    is_full: bool
+
+
 def dispatch(fleet: Fleet) -> None:
     """Start waiting tasks on workers with free capacity and request advice."""
     fleet.needs_dispatch = False
@@ -54,30 +68,15 @@
     fleet.rack_demand.clear()
     send_recorded_starts(fleet)
     pools = current_pools(fleet)
-    # The waiting tasks of more urgent steps that do not lack capacity.
-    queued_tasks = 0
-    is_limited = False
     waiting = [step for step in fleet.open_steps.values() if step.waiting_tasks]
     level = find_share_level(fleet, pools, waiting)
     held_back = HeldBack({}, set())
     steps = _steps_in_order(fleet, pools, waiting, level, held_back)
-    for step in islice(steps, fleet.settings.max_steps_per_pass):
-        if fleet.is_blocked(step):
-            _waiting.log_if_due(fleet, pools, step, "workers have not reported")
-            continue
-        if not settle_recorded_starts(fleet, step):
-            _waiting.log_if_due(fleet, pools, step, "recorded starts are not settled")
-            continue
-        if fleet.start_limit.is_queue_full(queued_tasks):
-            # Advice for less urgent steps would expire before they can start.
-            is_limited = True
-            break
-        _start_or_prepare(fleet, pools, step)
-        if step.is_request_in_flight or fleet.start_limit.is_reached:
-            queued_tasks += step.waiting_tasks
-    if not is_limited:
+    queue = _examine(fleet, pools, steps)
+    if not queue.is_full:
         _prepare_held_back(fleet, pools, held_back)
-    if is_limited or (queued_tasks and fleet.start_limit.is_reached):
+    _advice.send_slow_requests(fleet, pools)
+    if queue.is_full or (queue.tasks and fleet.start_limit.is_reached):
         fleet.start_limit.record_limited(fleet.now_ms)
     if level is not None:
         record_shares(fleet, level)
@@ -85,6 +84,45 @@
     _advice.prefetch(fleet, pools)
 
 
+def _examine(fleet: Fleet, pools: Pools, steps: Iterator[Step]) -> StartQueue:
+    """Start tasks of the steps, or prepare that, in the order of their urgency.
+
+    Not all steps are examined in each pass.
+    """
+    rotation = fleet.rotation
+    rotation.begin_pass()
+    queued_tasks = 0
+    for step in steps:
+        if rotation.is_pass_complete:
+            return StartQueue(queued_tasks, is_full=False)
+        if not rotation.admit(step) or not _may_start_tasks(fleet, pools, step):
+            continue
+        if fleet.start_limit.is_queue_full(queued_tasks):
+            # Advice for less urgent steps would expire before they can start.
+            return StartQueue(queued_tasks, is_full=True)
+        _start_or_prepare(fleet, pools, step)
+        if fleet.start_limit.is_reached or _expects_advice(step):
+            queued_tasks += step.waiting_tasks
+    rotation.end_round()
+    return StartQueue(queued_tasks, is_full=False)
+
+
+def _may_start_tasks(fleet: Fleet, pools: Pools, step: Step) -> bool:
+    """Return whether it is known that no other run of the waiting tasks exists."""
+    if fleet.is_blocked(step):
+        _waiting.log_if_due(fleet, pools, step, "workers have not reported")
+        return False
+    if not settle_recorded_starts(fleet, step):
+        _waiting.log_if_due(fleet, pools, step, "recorded starts are not settled")
+        return False
+    return True
+
+
+def _expects_advice(step: Step) -> bool:
+    """Return whether the reply to a request will probably let tasks start."""
+    return step.is_request_in_flight and step.fruitless_replies < MAX_FRUITLESS_REPLIES
+
+
 def _start_or_prepare(fleet: Fleet, pools: Pools, step: Step) -> None:
     """Start the tasks of a step that fit, and request advice for the others."""
     cause = ""
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -6,16 +6,19 @@
 from marigoldpath_core.jobs import JobState, Queue, TaskKey
 from marigoldpath_core.registry import Registry
 
+from ._advice_state import SlowAdviceState
 from ._copy_state import CopyState
 from ._failing_images import FailingImages
 from ._job import Job
 from ._messages import Effect, LogEvent, RosterEntry, StopRun
 from ._quota_state import QuotaState
+from ._rotation import StepRotation
 from ._run import Run, RunState
 from ._settings import FleetSettings
 from ._share_state import ShareState
 from ._speeds import Speeds
 from ._start_limit import StartLimit
+from ._unstored import UnstoredJobs
 from ._usage import WorkspaceUsage
 from ._work import Step, Task
 from ._worker import Worker
@@ -65,7 +68,7 @@
         self.open_steps: dict[tuple[str, int, int], Step] = {}
         self.scheduled_jobs: dict[str, Job] = {}
         self.effects: list[Effect] = []
-        self.dirty: set[str] = set()
+        self.unstored_jobs = UnstoredJobs()
         self.roster = dict(roster)
         self.roster_dirty = False
         self.stored_roster = dict(roster)
@@ -88,13 +91,12 @@
         # When the newest write of this leader's row that succeeded was sent.
         self.row_confirmed_ms = now_ms
         self.superseded = False
-        self.advice_hosts = 0
         # The processors that the tasks examined in this pass need in the rack of their
         # data, in millicores.
         self.rack_demand: dict[str, int] = {}
-        # The workers of the slow advice requests in flight, by step.
-        self.slow_requests: dict[tuple[str, int, int], tuple[str, ...]] = {}
+        self.slow_advice = SlowAdviceState()
         self.start_limit = StartLimit(settings, now_ms)
+        self.rotation = StepRotation(settings.max_steps_per_pass)
         self.speeds = Speeds(settings)
         self.failing_images = FailingImages()
         # The largest needs of the tasks of each service.
@@ -301,7 +303,7 @@
 
     def mark_dirty(self, job: Job) -> None:
         """Include the job's progress in the next commit."""
-        self.dirty.add(job.spec.job_id)
+        self.unstored_jobs.add(job.spec.job_id)
         self.needs_commit = True
 
     @property
--- a/packages/core/src/marigoldpath_core/fleet/_pools.py
+++ b/packages/core/src/marigoldpath_core/fleet/_pools.py
@@ -138,7 +138,7 @@
         fleet.pools_outdated = False
     pools.requested_worker_ids = {
         worker_id
-        for worker_ids in fleet.slow_requests.values()
+        for worker_ids in fleet.slow_advice.in_flight.values()
         for worker_id in worker_ids
     }
     return pools
--- a/packages/core/src/marigoldpath_core/fleet/_preemption.py
+++ b/packages/core/src/marigoldpath_core/fleet/_preemption.py
@@ -19,8 +19,7 @@
     little work are stopped: those that save a checkpoint, and those with little
     progress.
     """
-    # What a workspace sends above its rate must not stop the runs of others.
-    if step.job.queue.priority > 1 or step.spec.fills or step.job.was_excess:
+    if not _may_preempt(step):
         return
     if has_room(fleet, step, candidates):
         # The waiting tasks avoid that worker, or are kept apart from others there.
@@ -52,6 +51,16 @@
             remaining_tasks -= 1
 
 
+def could_preempt(fleet: Fleet, step: Step, worker: Worker) -> bool:
+    """Return whether a task of the step would fit if less urgent runs were stopped."""
+    return _may_preempt(step) and bool(_runs_to_preempt(fleet, step, worker))
+
+
+def _may_preempt(step: Step) -> bool:
+    # What a workspace sends above its rate must not stop the runs of others.
+    return step.job.queue.priority <= 1 and not (step.spec.fills or step.job.was_excess)
+
+
 def _unused_workers(fleet: Fleet, pools: Pools, step: Step) -> set[str]:
     """Return the workers that no waiting task of the step would use now."""
     unused: set[str] | None = None
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -34,6 +34,9 @@
 # several times longer.
 RUN_CHECK_INTERVAL_MS = 300
 
+# The share of a commit that the removal of expired jobs may use while many jobs change.
+REMOVAL_SHARE = 0.125
+
 _MODULES_WITH_HANDLERS = (_advice, _terminations, _jobs, _reports, _starts)
 
 
@@ -219,9 +222,9 @@
     def begin_commit(self, limit: int) -> Commit:
         """Return the changes to store, for at most `limit` jobs."""
         fleet = self._fleet
-        job_ids = sorted(fleet.dirty)[:limit]
-        fleet.dirty.difference_update(job_ids)
-        fleet.needs_commit = bool(fleet.dirty)
+        reserved = min(len(fleet.removed_jobs), int(limit * REMOVAL_SHARE))
+        job_ids = fleet.unstored_jobs.take(limit - reserved)
+        fleet.needs_commit = bool(fleet.unstored_jobs)
         jobs = {job_id: fleet.jobs[job_id] for job_id in job_ids}
         roster = dict(fleet.roster) if fleet.roster_dirty else None
         fleet.roster_dirty = False
@@ -232,11 +235,11 @@
         ends = {
             worker.worker_id: (worker.incarnation, worker.last_applied_termination)
             for worker in fleet.workers.values()
-            # The worker may remove a termination only after all its effects on jobs
-            # are stored.
             if worker.last_applied_termination > worker.last_stored_termination
-            and not fleet.dirty
         }
+        # A worker may remove a termination only after all its effects on jobs are
+        # stored.
+        ends = fleet.unstored_jobs.take_ends(job_ids, ends)
         final = tuple(job_id for job_id, job in jobs.items() if job.state.is_final)
         progress = {job_id: progress_of(job) for job_id, job in jobs.items()}
         removed_jobs = tuple(
@@ -296,7 +299,9 @@
     def commit_failed(self, commit: Commit) -> None:
         """Include the changes of a failed commit in the next commit."""
         fleet = self._fleet
-        fleet.dirty |= {job_id for job_id in commit.progress if job_id in fleet.jobs}
+        fleet.unstored_jobs.put_back(
+            job_id for job_id in commit.progress if job_id in fleet.jobs
+        )
         fleet.removed_jobs.update(commit.removed_jobs)
         fleet.roster_dirty |= commit.roster is not None
         fleet.needs_commit = True
@@ -352,7 +357,7 @@
 @handlers.register(Tick)
 def _handle_tick(fleet: Fleet, event: Tick) -> None:
     fleet.wall_ms = event.wall_ms
-    fleet.advice_hosts = event.advice_hosts
+    fleet.slow_advice.hosts = event.advice_hosts
     _adjust_start_limit(fleet, event.lag_ms)
     _occurrences.begin_due_occurrences(fleet)
     _reports.expire_leases(fleet)
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -20,6 +20,8 @@
     A new job may leave its zone at once if the width of one of its steps is more than
     `home_zone_fraction` of the tasks that fit there, because the advice service refuses
     some of the workers.
+    A scheduling pass examines `max_steps_per_pass` waiting steps. Half of them are the
+    most urgent ones, and the others are taken in turn.
     An advice request is slow if it is expected to take `slow_advice_ms` or more. At
     most `slow_advice_share` of the hosts send slow requests at the same time.
     The leader's process lags if a timer fires more than `max_lag_ms` late. Between
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -33,6 +33,7 @@
     run = Run(task, number, worker.worker_id, task.step.need, clock_ms)
     task.run = run
     task.number = number
+    task.step.fruitless_replies = 0
     worker.add(run)
     if not is_recorded_first:
         _send_start(fleet, worker, run)
--- a/packages/core/src/marigoldpath_core/fleet/_work.py
+++ b/packages/core/src/marigoldpath_core/fleet/_work.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from ._job import Job
+    from ._worker import Worker
 
 # The variance of the logarithm of how much the tasks of one step take longer than those
 # of other steps with the same image.
@@ -160,10 +161,20 @@
         # The incarnations of the workers that were in an advice request, approved or
         # not. The next incarnation may get another answer.
         self.queried_workers: dict[str, int] = {}
+        # The same for the workers in any advice request, also without a reply.
+        self.asked_workers: dict[str, int] = {}
+        # Whether it was examined for a slow advice request, after which that is done
+        # once for each Tick.
+        self.examined_for_advice = False
         # The incarnations of the workers in the advice request in flight.
         self.requested_incarnations: dict[str, int] = {}
         # The ids of the usable workers when all of them were last found to be queried.
         self.exhausted_pool_ids: frozenset[str] | None = None
+        # The scheduling pass and the round of passes in which it was last examined.
+        self.examined_pass = -1
+        self.examined_round = -1
+        # The replies to advice requests since a task of the step was last started.
+        self.fruitless_replies = 0
         # The logarithm of how many times as long its tasks take as others of the image.
         self.time_error = Estimate(0.0, INITIAL_STEP_VARIANCE)
         # Whether a worker reported a running task of the step to this leader that
@@ -181,6 +192,10 @@
         # first request is not delayed.
         self.requested_ms = -1e12
 
+    def has_asked(self, worker: "Worker") -> bool:
+        """Return whether an incarnation of a worker was in a request that was sent."""
+        return self.asked_workers.get(worker.worker_id) == worker.incarnation
+
     def has_queried(self, worker_id: str, incarnation: int) -> bool:
         """Return whether an incarnation of a worker was in an advice request."""
         return self.queried_workers.get(worker_id) == incarnation
