Log to which poll a restarted worker replied

The log could not tell a renewal for the previous incarnation that the new one executed from a clock that runs slow or a lease by a start. The line is also written if the worker had no runs. Measured: tests of failover, starts, crashes and the documentation pass.

--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -50,7 +50,7 @@
         if entry.draining:
             worker.drain_observed_ms = fleet.now_ms
         if worker.incarnation and entry.incarnation > worker.incarnation:
-            _begin_incarnation(fleet, worker, entry.incarnation)
+            _begin_incarnation(fleet, worker, entry.incarnation, None)
     if not fleet.unreported_workers.keys() <= listed:
         fleet.lost_worker_before_term = True
     for worker in list(fleet.workers.values()):
@@ -68,7 +68,7 @@
     if not worker.is_unresponsive or event.polled_ms > worker.silent_since_ms:
         retract(fleet, event.worker_id, event.incarnation)
     if event.incarnation > worker.incarnation:
-        _begin_incarnation(fleet, worker, event.incarnation)
+        _begin_incarnation(fleet, worker, event.incarnation, event.polled_ms)
     if worker.is_unresponsive or worker.last_polled_ms is None:
         fleet.needs_dispatch = fleet.pools_outdated = True
     if worker.is_unresponsive:
@@ -203,15 +203,22 @@
         )
 
 
-def _begin_incarnation(fleet: Fleet, worker: Worker, incarnation: int) -> None:
+def _begin_incarnation(
+    fleet: Fleet, worker: Worker, incarnation: int, polled_ms: float | None
+) -> None:
     """Release the runs of a worker's previous incarnation.
 
+    The new one replied to a poll that was sent at `polled_ms`, None if the directory
+    names it.
+
     A run that the previous incarnation never reported stays allocated: its start
     command could still reach the new incarnation. That one does not refuse the command,
     because its clock is behind the time limit of the start. So the run must be stopped
     before its task can be started again.
     """
     settings = fleet.settings
+    if worker.incarnation:
+        _log_restart(fleet, worker, polled_ms)
     if worker.incarnation and not worker.is_gone:
         silent_ms = worker.silent_since_ms if worker.is_unresponsive else fleet.now_ms
         record_process_end(fleet, worker, silent_ms)
@@ -240,8 +247,21 @@
         late_ms = settings.max_command_delay_ms + settings.longest_lease_ms
         worker.extend_lease(settings, late_ms, fleet.now_ms)
         fleet.stop(run, "the worker restarted while the start was in flight")
-    if runs:
-        fleet.log("worker_restarted", worker=worker.worker_id, runs=len(runs))
+
+
+def _log_restart(fleet: Fleet, worker: Worker, polled_ms: float | None) -> None:
+    """Log a restart, and whether a poll for the previous incarnation was answered.
+
+    That poll may have renewed a lease, as the worker was not known to be silent.
+    """
+    fleet.log(
+        "worker_restarted",
+        worker=worker.worker_id,
+        runs=len(worker.runs),
+        was_silent=worker.is_unresponsive,
+        polled_ms_ago=None if polled_ms is None else round(fleet.now_ms - polled_ms),
+        lease_ms=round(worker.lease_expiry_ms - fleet.now_ms),
+    )
 
 
 def _apply_terminations(fleet: Fleet, worker: Worker, event: WorkerReport) -> bool:
