Fence commands that were meant for a worker's previous incarnation

Cause: the next incarnation of a worker has seen no fencing token and executes commands that were meant for the one before, with time limits on another clock. A renewal gave it the longest lease, and the leader counted its own, shorter one.

Ruled out: a slow clock (0.9 s beyond a margin that includes it) and the lease of a start (none was sent then).

Change: the fencing token is the epoch and the number of restarts that the leader has learned of. Once the new incarnation has replied to the next token, it refuses what was meant for the one before: renewals, starts, stops, throttles, acknowledgements. Until then the leader expects such commands, and afterwards the longest lease. Replies to earlier commands count for the earlier incarnation only. A successor counts the same for workers that restarted lately, before its first start.

--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
@@ -23,6 +23,7 @@
     WorkerPoll,
     WorkersListed,
     WorkerUnresponsive,
+    fencing_token,
 )
 from marigoldpath_core.jobs import (
     AcceptedJob,
@@ -393,15 +394,19 @@
             # The pooled connection closed when the worker restarted.
             self._schedule(50, lambda: self._fail_poll(leader, worker_id))
             return
-        report = self.workers[worker_id].poll(leader.epoch, command, self.now_ms)
+        token = fencing_token(leader.epoch, command.restarts)
+        report = self.workers[worker_id].poll(token, command, self.now_ms)
         if report is None:
-            leader.is_alive = False
+            if leader.scheduler.is_fenced(worker_id, command.restarts):
+                leader.is_alive = False
+            else:
+                self._schedule(50, lambda: self._poll(leader, worker_id))
             return
         if self._is_lost():
             self._schedule(700, lambda: self._fail_poll(leader, worker_id))
             return
         reply_ms = self._delay_ms()
-        report = report._replace(polled_ms=polled_ms)
+        report = report._replace(polled_ms=polled_ms, restarts=command.restarts)
         self._schedule(reply_ms, lambda: self._handle(leader, report))
         # A leader sends the next poll after it has read the reply to the last one.
         self._schedule(
@@ -454,7 +459,8 @@
                     self._start_reply(command, StartResult.INCARNATION_MISMATCH),
                 )
             return
-        result, clock_ms = worker.start(command, sender.epoch, spec, self.now_ms)
+        token = fencing_token(sender.epoch, command.restarts)
+        result, clock_ms = worker.start(command, token, spec, self.now_ms)
         if result is StartResult.STARTED and self.oracle.is_crashing(command.task):
             incarnation = worker.incarnation_count
             self._schedule(
@@ -479,7 +485,12 @@
         self, command: StartRun, result: StartResult, clock_ms: int = 0
     ) -> StartReplied:
         return StartReplied(
-            command.worker_id, command.task, command.run, result, clock_ms
+            command.worker_id,
+            command.task,
+            command.run,
+            result,
+            clock_ms,
+            command.restarts,
         )
 
     @effect_handlers.register(StopRun)
@@ -490,7 +501,14 @@
 
     def _execute_stop(self, leader: SimulatedLeader, command: StopRun) -> None:
         worker = self.workers[command.worker_id]
-        clock_ms = worker.stop(command, leader.epoch, self.now_ms)
+        token = fencing_token(leader.epoch, command.restarts)
+        clock_ms = worker.stop(command, token, self.now_ms)
         if clock_ms is not None and not self._is_lost():
-            reply = StopReplied(command.worker_id, command.task, command.run, clock_ms)
+            reply = StopReplied(
+                command.worker_id,
+                command.task,
+                command.run,
+                clock_ms,
+                command.restarts,
+            )
             self._send_to_leader(leader, reply)
--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_worker.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_worker.py
@@ -95,13 +95,13 @@
         )
 
     def poll(
-        self, epoch: int, command: WorkerPoll, now_ms: float
+        self, token: int, command: WorkerPoll, now_ms: float
     ) -> WorkerReport | None:
-        """Return the worker's report, or None if the epoch is fenced."""
+        """Return the worker's report, or None if the fencing token is too low."""
         self.advance(now_ms)
-        if epoch < self._fence:
+        if token < self._fence:
             return None
-        self._fence = epoch
+        self._fence = token
         if command.until_clock_ms is not None:
             self._extend_lease(command.until_clock_ms, now_ms)
         unacknowledged = []
@@ -124,14 +124,14 @@
         )
 
     def start(
-        self, command: StartRun, epoch: int, spec: StepSpec, now_ms: float
+        self, command: StartRun, token: int, spec: StepSpec, now_ms: float
     ) -> tuple[StartResult, int]:
         """Execute a start command; return the result and the worker's clock."""
         self.advance(now_ms)
         clock_ms = int(self._clock(now_ms))
-        if epoch < self._fence:
+        if token < self._fence:
             return StartResult.FENCED, clock_ms
-        self._fence = epoch
+        self._fence = token
         if command.until_clock_ms <= clock_ms:
             return StartResult.EXPIRED, clock_ms
         self._extend_lease(command.until_clock_ms, now_ms)
@@ -143,10 +143,10 @@
         self._start_run(command, spec, now_ms)
         return StartResult.STARTED, clock_ms
 
-    def stop(self, command: StopRun, epoch: int, now_ms: float) -> int | None:
+    def stop(self, command: StopRun, token: int, now_ms: float) -> int | None:
         """Execute a stop command; return the worker's clock, or None if fenced."""
         self.advance(now_ms)
-        if epoch < self._fence:
+        if token < self._fence:
             return None
         highest = self._highest_runs.get(command.task, 0)
         self._highest_runs[command.task] = max(highest, command.run)
--- a/packages/core/src/marigoldpath_core/fleet/__init__.py
+++ b/packages/core/src/marigoldpath_core/fleet/__init__.py
@@ -30,6 +30,7 @@
     WorkerReport,
     WorkersListed,
     WorkerUnresponsive,
+    fencing_token,
 )
 from ._rate_limit import MAX_LIMITED_WORKSPACES, RateRefusal, refuse_if_rate_limited
 from ._relay_assignment import choose_relays, find_relay
@@ -73,6 +74,7 @@
     "WorkerUnresponsive",
     "WorkersListed",
     "choose_relays",
+    "fencing_token",
     "find_refusal",
     "find_relay",
     "refuse_if_late",
--- a/packages/core/src/marigoldpath_core/fleet/_adoption.py
+++ b/packages/core/src/marigoldpath_core/fleet/_adoption.py
@@ -56,7 +56,15 @@
             job_known=fleet.is_known(job_id),
             reason=_orphan_reason(fleet, task, row),
         )
-        fleet.emit(StopRun(worker.worker_id, worker.entry.address, row.task, row.run))
+        fleet.emit(
+            StopRun(
+                worker.worker_id,
+                worker.entry.address,
+                row.task,
+                row.run,
+                worker.restarts,
+            )
+        )
     orphaned_runs[row.task, row.run] = stop_sent_ms
     return None
 
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -216,7 +216,13 @@
         run.state = RunState.STOPPING
         run.stop_sent_ms = self.now_ms
         self.emit(
-            StopRun(run.worker_id, worker.entry.address, run.task.key, run.number)
+            StopRun(
+                run.worker_id,
+                worker.entry.address,
+                run.task.key,
+                run.number,
+                worker.restarts,
+            )
         )
 
     def is_stop_overdue(self, run: Run) -> bool:
@@ -313,9 +319,24 @@
         The time is infinite until a majority of the workers has reported to this
         leader, because until then a previous leader could still renew leases.
         """
+        lease_ms = self.settings.longest_wait_ms(self.settings.lease_ms)
+        return self.previous_commands_end_ms + lease_ms
+
+    def previous_lease_expires_ms(self, worker_id: str) -> float:
+        """Return when the lease of a worker by previous leaders has expired.
+
+        That of a worker that restarted lately may be longer: a command that was meant
+        for its previous incarnation can be executed late, and its time limit is on
+        another clock.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is None or not worker.entry.incarnation or not self.wall_ms:
+            return self.previous_leases_expire_ms
         settings = self.settings
-        lease_ms = settings.lease_ms * (1 + settings.max_clock_drift)
-        return self.previous_commands_end_ms + lease_ms + settings.lease_margin_ms
+        age_ms = max(0, self.wall_ms - worker.entry.incarnation)
+        late_ms = settings.max_command_delay_ms - age_ms
+        lease_ms = settings.longest_wait_ms(settings.longest_lease_ms)
+        return max(self.previous_leases_expire_ms, self.now_ms + late_ms + lease_ms)
 
     @property
     def previous_commands_end_ms(self) -> float:
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -138,8 +138,9 @@
 class WorkerReport(NamedTuple):
     """A worker's reply to a poll; `clock_ms` is on the worker's clock.
 
-    The leader sent the poll at `polled_ms` of its monotonic clock. A leader that was
-    suspended reads replies late, so only that time shows how old the reply can be.
+    The leader sent the poll at `polled_ms` of its monotonic clock, with `restarts`. A
+    leader that was suspended reads replies late, so only that time shows how old the
+    reply can be.
     """
 
     worker_id: str
@@ -148,6 +149,7 @@
     running: tuple[RunningTask, ...]
     ended: tuple[TerminatedRun, ...]
     polled_ms: float = 0.0
+    restarts: int = 0
 
 
 class WorkerUnresponsive(NamedTuple):
@@ -163,17 +165,18 @@
 
 
 class StartReplied(NamedTuple):
-    """The result of StartRun; `clock_ms` is 0 without a reply."""
+    """The result of a StartRun with `restarts`; `clock_ms` is 0 without a reply."""
 
     worker_id: str
     task: TaskKey
     run: int
     result: StartResult
     clock_ms: int = 0
+    restarts: int = 0
 
 
 class StopReplied(NamedTuple):
-    """A worker acknowledged a stop.
+    """A worker acknowledged a StopRun with `restarts`.
 
     The run cannot start after `clock_ms` on the worker's clock.
     """
@@ -182,6 +185,7 @@
     task: TaskKey
     run: int
     clock_ms: int
+    restarts: int = 0
 
 
 class AdviceReplied(NamedTuple):
@@ -226,6 +230,20 @@
 )
 
 
+# How many restarts of one worker the fencing tokens of an epoch distinguish.
+MAX_COUNTED_RESTARTS = 999
+
+
+def fencing_token(epoch: int, restarts: int) -> int:
+    """Return the token of a command to a worker.
+
+    The token rises with the epoch, and within it with each restart of the worker that
+    the leader learns of. The new incarnation of a worker may receive commands that were
+    meant for the one before. It refuses them as soon as it has seen the next token.
+    """
+    return epoch * (MAX_COUNTED_RESTARTS + 1) + min(restarts, MAX_COUNTED_RESTARTS)
+
+
 class StartRun(NamedTuple):
     """Start a run; the worker refuses it after `until_clock_ms` on its clock.
 
@@ -243,6 +261,7 @@
     ticket: str
     until_clock_ms: int
     incarnation: int
+    restarts: int = 0
 
 
 class StopRun(NamedTuple):
@@ -252,6 +271,7 @@
     address: str
     task: TaskKey
     run: int
+    restarts: int = 0
 
 
 class ThrottleRun(NamedTuple):
@@ -262,6 +282,7 @@
     task: TaskKey
     run: int
     percent: int
+    restarts: int = 0
 
 
 class RequestAdvice(NamedTuple):
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -74,16 +74,13 @@
     if worker.is_unresponsive:
         _restart_stall_checks(worker, event.clock_ms)
     if worker.last_polled_ms is None:
-        if event.worker_id in fleet.unreported_workers and fleet.wall_ms:
-            age_ms = fleet.wall_ms - event.incarnation
-            fleet.lost_worker_before_term |= age_ms < NEW_INCARNATION_MS
-        # A previous leader could have renewed the lease until this leader's poll made
-        # the worker refuse commands of earlier epochs.
-        worker.extend_lease(fleet.settings, fleet.settings.lease_ms, fleet.now_ms)
+        _begin_reports(fleet, worker)
     worker.last_polled_ms = max(event.polled_ms, worker.last_polled_ms or 0.0)
     worker.is_unresponsive = worker.is_gone = False
     fleet.unreported_workers.pop(event.worker_id, None)
     _record_majority(fleet)
+    if not worker.is_restart_settled and event.restarts == worker.restarts:
+        _settle_restart(fleet, worker, event.clock_ms)
     is_newest = event.clock_ms >= worker.clock_ms
     if is_newest:
         worker.clock_ms, worker.clock_read_ms = event.clock_ms, fleet.now_ms
@@ -93,6 +90,34 @@
         _apply_running(fleet, worker, event, all_applied)
 
 
+def _begin_reports(fleet: Fleet, worker: Worker) -> None:
+    """Record what a previous leader may have left on a worker that reports now.
+
+    It could have renewed the lease until this leader's poll made the worker refuse
+    commands of earlier epochs. A new incarnation may have executed a renewal that was
+    meant for the one before, and grants the longest lease then.
+    """
+    settings = fleet.settings
+    age_ms = fleet.wall_ms - worker.incarnation
+    is_new = bool(fleet.wall_ms) and age_ms < NEW_INCARNATION_MS
+    if is_new and worker.worker_id in fleet.unreported_workers:
+        fleet.lost_worker_before_term = True
+    length_ms = settings.longest_lease_ms if is_new else settings.lease_ms
+    worker.extend_lease(settings, length_ms, fleet.now_ms)
+
+
+def _settle_restart(fleet: Fleet, worker: Worker, clock_ms: int) -> None:
+    """Record that no command for a previous incarnation will be executed any more.
+
+    The worker replied to a poll with the fencing token that follows its restart. The
+    starts that were in flight then are in its report, or never begin.
+    """
+    worker.settle_restart(fleet.settings, fleet.now_ms)
+    for run in worker.runs.values():
+        if run.until_clock_ms is None:
+            run.confirmed_clock_ms = clock_ms - 1
+
+
 @handlers.register(WorkerUnresponsive)
 def mark_unresponsive(fleet: Fleet, event: WorkerUnresponsive) -> None:
     """Exclude a worker from placement until it replies again."""
@@ -141,12 +166,23 @@
             release_runs(fleet, worker, "the worker's lease has expired")
         if not worker.is_listed:
             _remove_if_gone(fleet, worker)
-    if fleet.unreported_workers and fleet.now_ms > fleet.previous_leases_expire_ms:
-        fleet.log("unheard_workers_given_up", workers=sorted(fleet.unreported_workers))
-        for worker_id in fleet.unreported_workers:
-            remove_from_roster(fleet, worker_id)
-        fleet.unreported_workers.clear()
-        fleet.needs_dispatch = True
+    _give_up_unreported_workers(fleet)
+
+
+def _give_up_unreported_workers(fleet: Fleet) -> None:
+    """Stop waiting for workers on which all leases of previous leaders have expired."""
+    given_up = [
+        worker_id
+        for worker_id in fleet.unreported_workers
+        if fleet.now_ms > fleet.previous_lease_expires_ms(worker_id)
+    ]
+    if not given_up:
+        return
+    fleet.log("unheard_workers_given_up", workers=sorted(given_up))
+    for worker_id in given_up:
+        remove_from_roster(fleet, worker_id)
+        del fleet.unreported_workers[worker_id]
+    fleet.needs_dispatch = True
 
 
 def retry_stops(fleet: Fleet) -> None:
@@ -213,8 +249,9 @@
 
     A run that the previous incarnation never reported stays allocated: its start
     command could still reach the new incarnation. That one does not refuse the command,
-    because its clock is behind the time limit of the start. So the run must be stopped
-    before its task can be started again.
+    because its clock is behind the time limit of the start. So the run is stopped, and
+    its task is started again once the new incarnation refuses the command. Renewals for
+    the previous one could also still reach it.
     """
     settings = fleet.settings
     if worker.incarnation:
@@ -230,6 +267,8 @@
             entry.address, None, entry.zone
         )
     runs = [] if not worker.incarnation else list(worker.runs.values())
+    if worker.incarnation:
+        worker.expect_late_commands(settings, fleet.now_ms)
     worker.begin_incarnation(incarnation)
     fleet.speeds.forget_worker(worker)
     # A step that has asked about all workers has to look for new ones.
@@ -244,8 +283,6 @@
         run.confirmed_clock_ms = run.until_clock_ms = None
         # A stop that was sent to the previous incarnation does not count.
         run.stop_sent_ms = -math.inf
-        late_ms = settings.max_command_delay_ms + settings.longest_lease_ms
-        worker.extend_lease(settings, late_ms, fleet.now_ms)
         fleet.stop(run, "the worker restarted while the start was in flight")
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -45,13 +45,15 @@
 
     The worker extends its lease to `until_clock_ms` on its clock; None grants no lease.
     Terminations up to the number `last_acknowledged` are stored, so the worker may
-    remove them. The worker may delay its reply by up to `wait_ms`.
+    remove them. The worker may delay its reply by up to `wait_ms`. `restarts` is part
+    of the fencing token.
     """
 
     address: str
     until_clock_ms: int | None
     last_acknowledged: int
     wait_ms: int
+    restarts: int = 0
 
 
 class FleetScheduler:
@@ -183,9 +185,10 @@
             # The worker could have restarted. Its new incarnation numbers terminations
             # anew, so an acknowledgement meant for the previous one would remove
             # terminations that this leader has not read.
-            return WorkerPoll(address, None, 0, 0)
+            return WorkerPoll(address, None, 0, 0, worker.restarts)
         if not self.may_send_commands(now_ms):
-            return WorkerPoll(address, None, worker.last_stored_termination, 0)
+            acknowledged = worker.last_stored_termination
+            return WorkerPoll(address, None, acknowledged, 0, worker.restarts)
         worker.extend_lease(self._settings, self._settings.lease_ms, now_ms)
         until_clock_ms = worker.estimated_clock_ms(now_ms) + self._settings.lease_ms
         return WorkerPoll(
@@ -193,8 +196,18 @@
             until_clock_ms,
             worker.last_stored_termination,
             self._poll_wait_ms(worker, now_ms),
+            worker.restarts,
         )
 
+    def is_fenced(self, worker_id: str, restarts: int) -> bool:
+        """Return whether the refusal of a command shows a leader of a later epoch.
+
+        Otherwise it was meant for a previous incarnation of the worker, and the present
+        one has seen the next fencing token of this leader.
+        """
+        worker = self._fleet.workers.get(worker_id)
+        return worker is None or restarts >= worker.restarts
+
     def _poll_wait_ms(self, worker: Worker, now_ms: float) -> int:
         """Return how long a worker may delay its reply until a run terminates.
 
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -100,3 +100,7 @@
     remote_factor: float = 1.0
     learn_speeds: bool = True
     place_wait: str = "expected"
+
+    def longest_wait_ms(self, lease_ms: float) -> float:
+        """Return how long a lease may last, with the drift of the worker's clock."""
+        return lease_ms * (1 + self.max_clock_drift) + self.lease_margin_ms
--- a/packages/core/src/marigoldpath_core/fleet/_starts.py
+++ b/packages/core/src/marigoldpath_core/fleet/_starts.py
@@ -126,6 +126,7 @@
             ticket.text if ticket else "",
             run.until_clock_ms,
             worker.incarnation,
+            worker.restarts,
         )
     )
     fleet.log(
@@ -158,7 +159,12 @@
             worker=event.worker_id,
             result=event.result.value,
         )
-    result_handlers.get(event.result)(fleet, worker, run, event)
+    if event.restarts == worker.restarts:
+        result_handlers.get(event.result)(fleet, worker, run, event)
+    elif event.result not in (StartResult.STARTED, StartResult.UNKNOWN):
+        # It was meant for a previous incarnation and has not been executed. The result
+        # says nothing about the present one.
+        fleet.abandon(run)
 
 
 @handlers.register(StopReplied)
@@ -169,6 +175,9 @@
     """
     worker = fleet.workers.get(event.worker_id)
     run = worker.runs.get(event.task) if worker is not None else None
+    if worker is None or event.restarts != worker.restarts:
+        # It may be the reply of an incarnation that has ended, with its clock.
+        return
     if run is not None and run.number == event.run:
         run.confirmed_clock_ms = max(event.clock_ms, run.confirmed_clock_ms or 0)
 
--- a/packages/core/src/marigoldpath_core/fleet/_throttling.py
+++ b/packages/core/src/marigoldpath_core/fleet/_throttling.py
@@ -67,6 +67,7 @@
                 run.task.key,
                 run.number,
                 percent,
+                worker.restarts,
             )
         )
         fleet.log(
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -54,7 +54,14 @@
         self.silent_since_ms = 0.0
         # When the last start of a task under which a worker had crashed was sent.
         self.suspect_started_ms = -math.inf
-        self.lease_expiry_ms = 0.0
+        self._lease_expiry_ms = 0.0
+        # How often it has restarted in this term, and whether the present incarnation
+        # has replied to a command with that number.
+        self.restarts = 0
+        self.is_restart_settled = True
+        # Until when the present incarnation may hold a lease by a command that was
+        # meant for a previous one.
+        self._former_lease_expiry_ms = 0.0
         self.last_applied_termination = 0
         self.last_stored_termination = 0
         # The numbers above `last_applied_termination` whose terminations were applied
@@ -117,6 +124,11 @@
         """Return the millicores allocated to background runs (all but urgent ones)."""
         return self._background_cpu_millis
 
+    @property
+    def lease_expiry_ms(self) -> float:
+        """Return when all leases of the worker have expired for certain."""
+        return max(self._lease_expiry_ms, self._former_lease_expiry_ms)
+
     def update_entry(self, entry: WorkerEntry) -> None:
         """Apply a newer entry of the directory."""
         self._entry = entry
@@ -198,6 +210,9 @@
 
     def begin_incarnation(self, incarnation: int) -> None:
         """Reset the state reported by the previous incarnation."""
+        if self.incarnation:
+            self.restarts += 1
+            self.is_restart_settled = False
         self.incarnation = incarnation
         self.clock_ms = 0
         self.last_applied_termination = 0
@@ -231,12 +246,24 @@
         The worker's clock may run slow, so the drift and a margin are added to
         `length_ms`. The expiry is never moved to an earlier time.
         """
-        length_with_margin_ms = (
-            length_ms * (1 + settings.max_clock_drift) + settings.lease_margin_ms
-        )
-        self.lease_expiry_ms = max(
-            self.lease_expiry_ms, sent_ms + length_with_margin_ms
-        )
+        expiry_ms = sent_ms + settings.longest_wait_ms(length_ms)
+        self._lease_expiry_ms = max(self._lease_expiry_ms, expiry_ms)
+
+    def expect_late_commands(self, settings: FleetSettings, now_ms: float) -> None:
+        """Assume that commands for the previous incarnation are executed late.
+
+        Their time limits are on the clock of that incarnation, so the present one
+        limits a lease only by the longest one that it grants.
+        """
+        late_ms = settings.max_command_delay_ms
+        length_ms = settings.longest_wait_ms(settings.longest_lease_ms)
+        self._former_lease_expiry_ms = now_ms + late_ms + length_ms
+
+    def settle_restart(self, settings: FleetSettings, now_ms: float) -> None:
+        """Record that commands for previous incarnations are refused from now on."""
+        self.is_restart_settled = True
+        length_ms = settings.longest_wait_ms(settings.longest_lease_ms)
+        self._former_lease_expiry_ms = now_ms + length_ms
 
     def _adjust_allocated(self, run: Run, sign: int) -> None:
         need = run.need
--- a/packages/node/src/marigoldpath_node/cell/_effect_runner.py
+++ b/packages/node/src/marigoldpath_node/cell/_effect_runner.py
@@ -40,6 +40,10 @@
         """Pass an event to the scheduler."""
         ...
 
+    def is_fenced(self, worker_id: str, restarts: int) -> bool:
+        """Return whether the refusal of a command shows a leader of a later epoch."""
+        ...
+
     async def end(self, reason: str) -> None:
         """End the term."""
         ...
@@ -104,23 +108,23 @@
         started_s = now_s()
         if started_s - queued_s > self._max_start_wait_s:
             # The worker would refuse it by its time limit.
-            await self._term.handle(
-                StartReplied(
-                    command.worker_id, command.task, command.run, StartResult.EXPIRED
-                )
+            expired = StartReplied(
+                command.worker_id, command.task, command.run, StartResult.EXPIRED
             )
+            await self._term.handle(expired._replace(restarts=command.restarts))
             return
         reply = await self._workers.start(command, self._term.epoch)
         self._metrics.observe_call("start", now_s() - started_s)
-        await self._term.handle(reply)
+        await self._term.handle(reply._replace(restarts=command.restarts))
 
     async def _send_command(self, worker_id: str, call: Any, command: Any) -> None:
         try:
             reply = await call(command, self._term.epoch)
             if reply is not None:
-                await self._term.handle(reply)
+                await self._term.handle(reply._replace(restarts=command.restarts))
         except FencedError:
-            await self._term.end(f"worker {worker_id} has seen a later epoch")
+            if self._term.is_fenced(worker_id, command.restarts):
+                await self._term.end(f"worker {worker_id} has seen a later epoch")
         except WorkerFailedError as error:
             # The worker's next report shows whether the command was executed.
             self._log.info("order_failed", worker=worker_id, reason=repr(error))
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -245,6 +245,11 @@
         finally:
             self._is_executing = False
 
+    def is_fenced(self, worker_id: str, restarts: int) -> bool:
+        """Return whether the refusal of a command shows a leader of a later epoch."""
+        scheduler = self._scheduler
+        return scheduler is None or scheduler.is_fenced(worker_id, restarts)
+
     async def end(self, reason: str) -> None:
         """End the term because of a newer leader or an error."""
         if not self._term_ended.is_set():
@@ -386,6 +391,8 @@
             try:
                 report = await self._workers.poll(worker_id, self.epoch, poll)
             except FencedError:
+                if not self._scheduler.is_fenced(worker_id, poll.restarts):
+                    continue
                 await self.end(f"worker {worker_id} has seen a later epoch")
                 break
             except RelayFailedError as error:
@@ -405,7 +412,9 @@
                 await curio.sleep(pause_s)
                 continue
             failures = 0
-            await self.handle(report._replace(polled_ms=polled_ms))
+            await self.handle(
+                report._replace(polled_ms=polled_ms, restarts=poll.restarts)
+            )
             if self._scheduler.has_unstored_terminations(worker_id):
                 await self._committer.wait_for_commit()
             elif poll.until_clock_ms is not None:
--- a/packages/node/src/marigoldpath_node/cell/_relay_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_relay_codec.py
@@ -233,7 +233,7 @@
 
 @value_encoders.register(CommandKind.STOP)
 def _encode_stop_reply(reply: StopReplied) -> list[Any]:
-    return list(reply)
+    return [*reply[:4]]
 
 
 @value_decoders.register(CommandKind.STOP)
--- a/tests/adapter/test_adapter.py
+++ b/tests/adapter/test_adapter.py
@@ -14,6 +14,7 @@
     StopRun,
     TerminationReason,
     WorkerPoll,
+    fencing_token,
 )
 from marigoldpath_core.jobs import AdvicePolicy, Resources, TaskKey
 from marigoldpath_node.cell import (
@@ -395,7 +396,7 @@
 
     def test_a_fenced_poll_or_stop_raises(self):
         async def action(worker, client):
-            worker.fence = 9
+            worker.fence = fencing_token(9, 0)
             with self.assertRaises(FencedError):
                 await client.poll("w", 3, WorkerPoll(worker.address, None, 0, 0))
             with self.assertRaises(FencedError):
--- a/tests/core/fleet_fixture.py
+++ b/tests/core/fleet_fixture.py
@@ -104,7 +104,9 @@
         incarnation=1_000,
         clock_ms=None,
         polled_ms=None,
+        restarts=0,
     ):
+        """Report with the reply to a poll that was sent after `restarts` restarts."""
         clock_ms = int(self.now_ms) if clock_ms is None else clock_ms
         polled_ms = self.now_ms if polled_ms is None else polled_ms
         return self.handle(
@@ -115,6 +117,7 @@
                 tuple(running),
                 tuple(ended),
                 polled_ms,
+                restarts,
             )
         )
 
--- a/tests/core/simulated_cell.py
+++ b/tests/core/simulated_cell.py
@@ -28,6 +28,7 @@
     WorkerReport,
     WorkersListed,
     WorkerUnresponsive,
+    fencing_token,
 )
 from marigoldpath_core.jobs import JobState, Resources, TaskKey
 
@@ -289,6 +290,7 @@
     def send_poll(self, worker_id, poll):
         cell = self.cell
         sent_ms = cell.now_ms
+        token = fencing_token(self.epoch, poll.restarts)
         answered = []
 
         def receive(report):
@@ -297,11 +299,19 @@
             answered.append(True)
             self.polled.discard(worker_id)
             if report is None:
-                self.ended = True
+                self.ended = self.scheduler.is_fenced(worker_id, poll.restarts)
                 return
             clock_ms, incarnation, rows, ends = report
             self.handle(
-                WorkerReport(worker_id, clock_ms, incarnation, rows, ends, sent_ms)
+                WorkerReport(
+                    worker_id,
+                    clock_ms,
+                    incarnation,
+                    rows,
+                    ends,
+                    sent_ms,
+                    poll.restarts,
+                )
             )
 
         def reply(report):
@@ -315,7 +325,7 @@
             self.handle(WorkerUnresponsive(worker_id, "no reply"))
 
         worker = cell.workers[worker_id]
-        cell.send(self, worker_id, lambda: worker.receive_poll(poll, self.epoch, reply))
+        cell.send(self, worker_id, lambda: worker.receive_poll(poll, token, reply))
         cell.after(poll.wait_ms + POLL_TIMEOUT_MS, time_out)
 
     def send_start(self, command):
@@ -328,12 +338,18 @@
                 answered.append(True)
                 self.handle(
                     StartReplied(
-                        command.worker_id, command.task, command.run, result, clock_ms
+                        command.worker_id,
+                        command.task,
+                        command.run,
+                        result,
+                        clock_ms,
+                        command.restarts,
                     )
                 )
 
         def arrive():
-            result = worker.receive_start(command, self.epoch)
+            token = fencing_token(self.epoch, command.restarts)
+            result = worker.receive_start(command, token)
             clock_ms = worker.clock_ms
             cell.send(self, command.worker_id, lambda: receive(result, clock_ms))
 
@@ -345,9 +361,13 @@
         worker = cell.workers[command.worker_id]
 
         def arrive():
-            worker.receive_stop(command, self.epoch)
+            worker.receive_stop(command, fencing_token(self.epoch, command.restarts))
             event = StopReplied(
-                command.worker_id, command.task, command.run, worker.clock_ms
+                command.worker_id,
+                command.task,
+                command.run,
+                worker.clock_ms,
+                command.restarts,
             )
             cell.send(self, command.worker_id, lambda: self.handle(event))
 
--- a/tests/core/test_fleet_starts.py
+++ b/tests/core/test_fleet_starts.py
@@ -73,10 +73,20 @@
         self.assertEqual(self.harness.dispatch_starts(), [])
         self.harness.report("a", incarnation=2_000, clock_ms=400)
         self.assertEqual(self.harness.dispatch_starts(), [])
-        self.harness.handle(StopReplied("a", self.command.task, self.command.run, 410))
+        stopped = StopReplied("a", self.command.task, self.command.run, 410, restarts=1)
+        self.harness.handle(stopped)
         self.harness.report("a", incarnation=2_000, clock_ms=500)
         self.assertEqual(len(self.harness.dispatch_starts()), 1)
 
+    def test_a_start_in_flight_to_a_restarted_worker_is_refused_by_its_token(self):
+        """The worker has seen the fencing token that follows its restart."""
+        self.harness.now_ms += 1_500
+        self.harness.report("a", incarnation=2_000, clock_ms=5)
+        self.harness.report("a", incarnation=2_000, clock_ms=400)
+        self.assertEqual(self.harness.dispatch_starts(), [])
+        self.harness.report("a", incarnation=2_000, clock_ms=430, restarts=1)
+        self.assertEqual(len(self.harness.dispatch_starts()), 1)
+
     def test_a_reported_run_of_a_restarted_worker_starts_again_at_once(self):
         self.harness.now_ms += 1_500
         self.harness.report("a", running=[running(self.command)])
