Move restarts of workers and the execution of effects to their modules

What the restart of a worker means is in _incarnations.py, and the runner of effects keeps their order itself. A step with a first request for advice is examined again in the next pass, also between two Ticks, so that a request that becomes free does not wait for a Tick. The three plays of the test of former incarnations share their check.

--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -12,8 +12,8 @@
     retract,
 )
 from ._fleet import Fleet, handlers
+from ._incarnations import begin_incarnation, begin_reports, settle_restart
 from ._messages import (
-    RosterEntry,
     RunningTask,
     WorkerReport,
     WorkersListed,
@@ -28,9 +28,6 @@
 # A worker refuses a start after the start's time limit. A report from more than this
 # time later on the worker's clock proves whether the run was started.
 REFUSAL_MARGIN_MS = 50
-# An incarnation of a worker that began so recently may follow one that ended together
-# with the previous leader.
-NEW_INCARNATION_MS = 30_000
 
 
 @handlers.register(WorkersListed)
@@ -50,7 +47,7 @@
         if entry.draining:
             worker.drain_observed_ms = fleet.now_ms
         if worker.incarnation and entry.incarnation > worker.incarnation:
-            _begin_incarnation(fleet, worker, entry.incarnation, None)
+            begin_incarnation(fleet, worker, entry.incarnation, None)
     if not fleet.unreported_workers.keys() <= listed:
         fleet.lost_worker_before_term = True
     for worker in list(fleet.workers.values()):
@@ -68,19 +65,19 @@
     if not worker.is_unresponsive or event.polled_ms > worker.silent_since_ms:
         retract(fleet, event.worker_id, event.incarnation)
     if event.incarnation > worker.incarnation:
-        _begin_incarnation(fleet, worker, event.incarnation, event.polled_ms)
+        begin_incarnation(fleet, worker, event.incarnation, event.polled_ms)
     if worker.is_unresponsive or worker.last_polled_ms is None:
         fleet.needs_dispatch = fleet.pools_outdated = True
     if worker.is_unresponsive:
         _restart_stall_checks(worker, event.clock_ms)
     if worker.last_polled_ms is None:
-        _begin_reports(fleet, worker)
+        begin_reports(fleet, worker)
     worker.last_polled_ms = max(event.polled_ms, worker.last_polled_ms or 0.0)
     worker.is_unresponsive = worker.is_gone = False
     fleet.unreported_workers.pop(event.worker_id, None)
     _record_majority(fleet)
     if not worker.is_restart_settled and event.restarts == worker.restarts:
-        _settle_restart(fleet, worker, event.clock_ms)
+        settle_restart(fleet, worker, event.clock_ms)
     is_newest = event.clock_ms >= worker.clock_ms
     if is_newest:
         worker.clock_ms, worker.clock_read_ms = event.clock_ms, fleet.now_ms
@@ -90,34 +87,6 @@
         _apply_running(fleet, worker, event, all_applied)
 
 
-def _begin_reports(fleet: Fleet, worker: Worker) -> None:
-    """Record what a previous leader may have left on a worker that reports now.
-
-    It could have renewed the lease until this leader's poll made the worker refuse
-    commands of earlier epochs. A new incarnation may have executed a renewal that was
-    meant for the one before, and grants the longest lease then.
-    """
-    settings = fleet.settings
-    age_ms = fleet.wall_ms - worker.incarnation
-    is_new = bool(fleet.wall_ms) and age_ms < NEW_INCARNATION_MS
-    if is_new and worker.worker_id in fleet.unreported_workers:
-        fleet.lost_worker_before_term = True
-    length_ms = settings.longest_lease_ms if is_new else settings.lease_ms
-    worker.extend_lease(settings, length_ms, fleet.now_ms)
-
-
-def _settle_restart(fleet: Fleet, worker: Worker, clock_ms: int) -> None:
-    """Record that no command for a previous incarnation will be executed any more.
-
-    The worker replied to a poll with the fencing token that follows its restart. The
-    starts that were in flight then are in its report, or never begin.
-    """
-    worker.settle_restart(fleet.settings, fleet.now_ms)
-    for run in worker.runs.values():
-        if run.until_clock_ms is None:
-            run.confirmed_clock_ms = clock_ms - 1
-
-
 @handlers.register(WorkerUnresponsive)
 def mark_unresponsive(fleet: Fleet, event: WorkerUnresponsive) -> None:
     """Exclude a worker from placement until it replies again."""
@@ -239,68 +208,6 @@
         )
 
 
-def _begin_incarnation(
-    fleet: Fleet, worker: Worker, incarnation: int, polled_ms: float | None
-) -> None:
-    """Release the runs of a worker's previous incarnation.
-
-    The new one replied to a poll that was sent at `polled_ms`, None if the directory
-    names it.
-
-    A run that the previous incarnation never reported stays allocated: its start
-    command could still reach the new incarnation. That one does not refuse the command,
-    because its clock is behind the time limit of the start. So the run is stopped, and
-    its task is started again once the new incarnation refuses the command. Renewals for
-    the previous one could also still reach it.
-    """
-    settings = fleet.settings
-    if worker.incarnation:
-        _log_restart(fleet, worker, polled_ms)
-    if worker.incarnation and not worker.is_gone:
-        silent_ms = worker.silent_since_ms if worker.is_unresponsive else fleet.now_ms
-        record_process_end(fleet, worker, silent_ms)
-    if worker.incarnation and fleet.now_ms < fleet.previous_leases_expire_ms:
-        # Until it replies to this leader, the new incarnation also executes commands of
-        # the previous one.
-        entry = worker.entry
-        fleet.unreported_workers[worker.worker_id] = RosterEntry(
-            entry.address, None, entry.zone
-        )
-    runs = [] if not worker.incarnation else list(worker.runs.values())
-    if worker.incarnation:
-        worker.expect_late_commands(settings, fleet.now_ms)
-    worker.begin_incarnation(incarnation)
-    fleet.speeds.forget_worker(worker)
-    # A step that has asked about all workers has to look for new ones.
-    fleet.usable_worker_ids.pop(worker.entry.service, None)
-    fleet.pools_outdated = True
-    fleet.usage.replace_strays(worker.worker_id, ())
-    fleet.record_unknown_jobs(worker, set())
-    for run in runs:
-        if run.was_reported:
-            fleet.release(run)
-            continue
-        run.confirmed_clock_ms = run.until_clock_ms = None
-        # A stop that was sent to the previous incarnation does not count.
-        run.stop_sent_ms = -math.inf
-        fleet.stop(run, "the worker restarted while the start was in flight")
-
-
-def _log_restart(fleet: Fleet, worker: Worker, polled_ms: float | None) -> None:
-    """Log a restart, and whether a poll for the previous incarnation was answered.
-
-    That poll may have renewed a lease, as the worker was not known to be silent.
-    """
-    fleet.log(
-        "worker_restarted",
-        worker=worker.worker_id,
-        runs=len(worker.runs),
-        was_silent=worker.is_unresponsive,
-        polled_ms_ago=None if polled_ms is None else round(fleet.now_ms - polled_ms),
-        lease_ms=round(worker.lease_expiry_ms - fleet.now_ms),
-    )
-
-
 def _apply_terminations(fleet: Fleet, worker: Worker, event: WorkerReport) -> bool:
     """Apply the new terminations in a report; return whether all were applied.
 
--- a/packages/core/src/marigoldpath_core/fleet/_slow_advice.py
+++ b/packages/core/src/marigoldpath_core/fleet/_slow_advice.py
@@ -75,8 +75,8 @@
 ) -> tuple[list[Step], list[RepeatedRequest]]:
     """Return the steps with first requests, by urgency, and the repeated ones in turn.
 
-    Steps that have no worker to request are omitted. A step is examined once for each
-    Tick, as that takes longer than the rest of a scheduling pass.
+    Steps that have no worker to request are omitted. A step without a first request is
+    examined once for each Tick, as that takes longer than the rest of a pass.
     """
     first = []
     repeated = []
@@ -89,6 +89,8 @@
             continue
         with_room = [each for each in selected if _has_room(fleet, step, each)]
         if any(not step.has_asked(worker) for worker in with_room):
+            # It gets the next request that becomes free, also between two Ticks.
+            step.examined_for_advice = False
             first.append(step)
         elif fleet.prefetch_due:
             repeated.append(RepeatedRequest(step, bool(with_room)))
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -1,12 +1,10 @@
 """Runs the scheduler of the cell while this process is the leader."""
 
-from collections import Counter, deque
 from typing import Any
 
 import curio
 
 from marigoldpath_core.fleet import (
-    Effect,
     Event,
     FleetScheduler,
     JobAccepted,
@@ -40,11 +38,6 @@
 from ._state_sync import StateSync
 from ._summary import JobsSummarizer, JobsSummary
 
-# An event with so many effects is logged.
-MANY_EFFECTS = 1_000
-# Other tasks run after this number of effects.
-EFFECTS_PER_TURN = 64
-
 
 class Leader:
     """One term of leadership.
@@ -86,9 +79,6 @@
         self._effect_runner = EffectRunner(
             settings, dependencies, self._workers, followers, self
         )
-        # The effects that have not been executed, in the order of their events.
-        self._effects: deque[Effect] = deque()
-        self._is_executing = False
         self._dispatch_event = curio.Event()
         self._term_ended = curio.Event()
         self._tasks: set[curio.Task] = set()
@@ -214,12 +204,7 @@
         """Execute the effects of an event or a scheduling pass."""
         scheduler = self._scheduler
         assert scheduler is not None
-        effects = scheduler.take_effects()
-        if len(effects) >= MANY_EFFECTS:
-            counts = Counter(type(effect).__name__ for effect in effects)
-            self._log.warning("many_effects", cause=cause, **counts)
-        self._effects.extend(effects)
-        await self._execute_effects()
+        await self._effect_runner.run(scheduler.take_effects(), cause)
         if scheduler.is_superseded:
             await self.end("a later epoch was found")
         if scheduler.needs_dispatch:
@@ -227,24 +212,6 @@
         if scheduler.needs_commit:
             await self._committer.wake()
 
-    async def _execute_effects(self) -> None:
-        """Execute the effects that wait, unless another task is doing so.
-
-        Other tasks run in between, as one event can have very many effects.
-        """
-        if self._is_executing:
-            return
-        self._is_executing = True
-        executed = 0
-        try:
-            while self._effects:
-                await self._effect_runner.execute(self._effects.popleft())
-                executed += 1
-                if executed % EFFECTS_PER_TURN == 0:
-                    await curio.sleep(0)
-        finally:
-            self._is_executing = False
-
     def is_fenced(self, worker_id: str, restarts: int) -> bool:
         """Return whether the refusal of a command shows a leader of a later epoch."""
         scheduler = self._scheduler
--- a/tests/core/test_fleet_former_incarnation.py
+++ b/tests/core/test_fleet_former_incarnation.py
@@ -250,49 +250,47 @@
     limit was far ahead on the new clock, so the lease was longer than the leader knew.
     """
 
-    def test_the_same_leader(self):
+    def check(self, lose, for_ms):
+        """Play a restart, and then a loss, for each seed.
+
+        The task must start again in the end, but not beside its first run.
+        """
         started = 0
         for seed in range(SEEDS):
             play = Play(seed)
             play.run(play.rng.uniform(4_000, 9_000))
             play.crash(play.rng.uniform(300, 2_500))
-            play.run(play.rng.uniform(100, 2_500))
-            play.cut()
-            play.run(30_000)
+            lose(play)
+            play.run(for_ms)
             self.assertEqual(play.overlaps, [], seed)
             started += len(play.spare_starts) == 1
-        # The task starts again in the end.
         self.assertEqual(started, SEEDS)
 
+    def test_the_same_leader(self):
+        def lose(play):
+            play.run(play.rng.uniform(100, 2_500))
+            play.cut()
+
+        self.check(lose, 30_000)
+
     def test_a_successor(self):
         """The next leader cannot reach the worker at all."""
-        started = 0
-        for seed in range(SEEDS):
-            play = Play(seed)
-            play.run(play.rng.uniform(4_000, 9_000))
-            play.crash(play.rng.uniform(300, 2_500))
+
+        def lose(play):
             play.run(play.rng.uniform(100, 2_500))
             play.cut()
             play.replace_leader()
-            play.run(40_000)
-            self.assertEqual(play.overlaps, [], seed)
-            started += len(play.spare_starts) == 1
-        self.assertEqual(started, SEEDS)
+
+        self.check(lose, 40_000)
 
     def test_a_successor_that_reached_the_worker_once(self):
-        started = 0
-        for seed in range(SEEDS):
-            play = Play(seed)
-            play.run(play.rng.uniform(4_000, 9_000))
-            play.crash(play.rng.uniform(300, 2_500))
+        def lose(play):
             play.run(play.rng.uniform(100, 500))
             play.replace_leader()
             play.run(play.rng.uniform(50, 300))
             play.cut()
-            play.run(40_000)
-            self.assertEqual(play.overlaps, [], seed)
-            started += len(play.spare_starts) == 1
-        self.assertEqual(started, SEEDS)
+
+        self.check(lose, 40_000)
 
 
 class FencingTokenTests(unittest.TestCase):
