Raise the fencing token of a worker that was removed and is back

When it is back, the leader's token would be lower than the one that the worker has seen. It would refuse the leader, which would take that for a later epoch and end its term.

Change: the number is kept for the term and rises when the worker is listed again. The jobs whose progress is to be deleted are kept with the other unstored changes.

--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -51,7 +51,6 @@
         self.final_states: dict[str, JobState] = {}
         # When each job became final, oldest first.
         self.final_ms: dict[str, float] = {}
-        self.removed_jobs: set[str] = set()
         self.cancelled: set[str] = set()
         # When the last complete read of the stored jobs began.
         self.jobs_read_ms = -math.inf
@@ -59,6 +58,8 @@
         # job id. Their next report shows which of its tasks run or terminated there.
         self.unknown_job_workers: dict[str, set[str]] = {}
         self.workers: dict[str, Worker] = {}
+        # How often each worker that was removed had restarted in this term.
+        self.removed_restarts: dict[str, int] = {}
         self.queues: dict[str, Queue] = {}
         self.quotas = QuotaState()
         self.usage = WorkspaceUsage()
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -39,6 +39,8 @@
         worker = fleet.workers.get(entry.worker_id)
         if worker is None:
             worker = fleet.workers[entry.worker_id] = Worker(entry, fleet.usage)
+            # The fencing token must rise, also for a worker that was only cut off.
+            worker.restarts = fleet.removed_restarts.pop(entry.worker_id, -1) + 1
             fleet.log("worker_listed", worker=entry.worker_id, zone=entry.zone)
         elif entry.draining and not worker.entry.draining:
             fleet.log("worker_draining", worker=entry.worker_id)
@@ -338,5 +340,6 @@
     fleet.record_unknown_jobs(worker, set())
     fleet.speeds.forget_worker(worker)
     del fleet.workers[worker.worker_id]
+    fleet.removed_restarts[worker.worker_id] = worker.restarts
     remove_from_roster(fleet, worker.worker_id)
     fleet.log("worker_gone", worker=worker.worker_id)
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -235,7 +235,7 @@
     def begin_commit(self, limit: int) -> Commit:
         """Return the changes to store, for at most `limit` jobs."""
         fleet = self._fleet
-        reserved = min(len(fleet.removed_jobs), int(limit * REMOVAL_SHARE))
+        reserved = min(len(fleet.unstored_jobs.removed), int(limit * REMOVAL_SHARE))
         job_ids = fleet.unstored_jobs.take(limit - reserved)
         fleet.needs_commit = bool(fleet.unstored_jobs)
         jobs = {job_id: fleet.jobs[job_id] for job_id in job_ids}
@@ -256,9 +256,9 @@
         final = tuple(job_id for job_id, job in jobs.items() if job.state.is_final)
         progress = {job_id: progress_of(job) for job_id, job in jobs.items()}
         removed_jobs = tuple(
-            sorted(fleet.removed_jobs)[: max(0, limit - len(progress))]
+            sorted(fleet.unstored_jobs.removed)[: max(0, limit - len(progress))]
         )
-        fleet.removed_jobs.difference_update(removed_jobs)
+        fleet.unstored_jobs.removed.difference_update(removed_jobs)
         return Commit(progress, ends, roster, final, removed_jobs)
 
     def expired_jobs(self, now_ms: float, limit: int) -> tuple[str, ...]:
@@ -283,7 +283,7 @@
             fleet.final_ms.pop(job_id, None)
             fleet.cancelled.discard(job_id)
             fleet.quotas.ended_jobs.pop(job_id, None)
-        fleet.removed_jobs.update(job_ids)
+        fleet.unstored_jobs.removed.update(job_ids)
         fleet.needs_commit = True
 
     def commit_succeeded(self, commit: Commit, sent_ms: float, now_ms: float) -> None:
@@ -315,7 +315,7 @@
         fleet.unstored_jobs.put_back(
             job_id for job_id in commit.progress if job_id in fleet.jobs
         )
-        fleet.removed_jobs.update(commit.removed_jobs)
+        fleet.unstored_jobs.removed.update(commit.removed_jobs)
         fleet.roster_dirty |= commit.roster is not None
         fleet.needs_commit = True
 
--- a/packages/core/src/marigoldpath_core/fleet/_unstored.py
+++ b/packages/core/src/marigoldpath_core/fleet/_unstored.py
@@ -22,6 +22,8 @@
     """
 
     def __init__(self) -> None:
+        # The jobs whose progress is to be deleted.
+        self.removed: set[str] = set()
         self._job_ids: dict[str, None] = {}
         self._batch: AcknowledgementBatch | None = None
 
--- a/tests/core/test_fleet_former_incarnation.py
+++ b/tests/core/test_fleet_former_incarnation.py
@@ -314,6 +314,23 @@
         self.assertEqual((before, after), (0, 1))
         self.assertLess(fencing_token(1, before), fencing_token(1, after))
 
+    def test_the_token_of_a_worker_that_was_removed_and_is_back(self):
+        """Guards against a worker that refuses the leader, which then ends its term.
+
+        A worker that was only cut off has seen the token before its removal.
+        """
+        self.restart()
+        self.harness.report("a", incarnation=2_000, clock_ms=100, restarts=1)
+        self.harness.handle(WorkerUnresponsive("a", "timeout"))
+        self.harness.handle(WorkersListed(()))
+        for _ in range(200):
+            self.harness.advance(200)
+        self.assertEqual(self.harness.scheduler.workers, ())
+        back = entry("a", incarnation=2_000)
+        self.harness.handle(WorkersListed((back,)))
+        poll = self.harness.scheduler.next_poll("a", self.harness.now_ms)
+        self.assertGreater(poll.restarts, 1)
+
     def test_the_token_of_a_later_epoch_is_higher(self):
         self.assertLess(fencing_token(1, 10**6), fencing_token(2, 0))
 
