Limit the waiting steps of a job, not its tasks, before the next occurrence

Found by reading: with 32 waiting tasks as the limit, one gang of 40 tasks without room kept the small steps of the next occurrence from starting, although these were due and had room. Tasks without state are a byte each, so the number of steps bounds what is kept: 32 with waiting tasks, and 10,000 open ones.

--- a/packages/core/src/marigoldpath_core/fleet/_job.py
+++ b/packages/core/src/marigoldpath_core/fleet/_job.py
@@ -32,8 +32,6 @@
         self.begun_early: set[int] = set()
         # The number of incomplete steps of each open occurrence.
         self._incomplete_steps: dict[int, int] = {}
-        # The number of tasks of the open occurrences that are not done.
-        self.open_tasks = 0
         # When it is due if all its steps run once.
         self.due_ms = 0.0
         # When it was last logged that occurrences wait.
@@ -77,11 +75,6 @@
         """Return how many times the steps run."""
         return max(1, self.spec.occurrences)
 
-    @property
-    def tasks_per_occurrence(self) -> int:
-        """Return the number of tasks of all steps."""
-        return sum(step.width for step in self.spec.steps)
-
     @property
     def open_occurrences(self) -> list[int]:
         """Return the occurrences that have begun and are not done."""
@@ -121,7 +114,6 @@
             stored = self._stored_steps.pop((occurrence, step.number), None)
             if stored is not None:
                 restore_step(step, stored)
-        self.open_tasks += sum(step.remaining_tasks for step in steps)
         incomplete_steps = sum(step.remaining_tasks > 0 for step in steps)
         self._incomplete_steps[occurrence] = incomplete_steps
         self._record_begun(occurrence)
@@ -143,11 +135,6 @@
                 self.begun_early.discard(self.begun_occurrences)
                 self.begun_occurrences += 1
 
-    def record_done_task(self, step: Step) -> None:
-        """Count a task of a step that is done."""
-        step.remaining_tasks -= 1
-        self.open_tasks -= 1
-
     def complete_step(self, step: Step) -> None:
         """Record that all tasks of a step are done.
 
--- a/packages/core/src/marigoldpath_core/fleet/_job_steps.py
+++ b/packages/core/src/marigoldpath_core/fleet/_job_steps.py
@@ -28,7 +28,7 @@
     job = step.job
     task.done = True
     task.checkpoint = ""
-    job.record_done_task(step)
+    step.remaining_tasks -= 1
     fleet.mark_dirty(job)
     if step.remaining_tasks:
         return
--- a/packages/core/src/marigoldpath_core/fleet/_occurrences.py
+++ b/packages/core/src/marigoldpath_core/fleet/_occurrences.py
@@ -3,10 +3,12 @@
 A caller may submit a job with any number of occurrences, and very many of them may be
 due at once, also after a long time without a leader. So only some occurrences of a job
 are open at the same time, and the others begin as these make progress. A job that waits
-for this is logged as `occurrences_waiting`. Its next occurrence begins once its tasks
-have started or ended, or at once if none is open.
+for this is logged as `occurrences_waiting`. Its next occurrence begins once all tasks
+of an open step have started or ended, or at once if none is open.
 """
 
+from itertools import islice
+
 from marigoldpath_core.jobs import Progress, TaskKey
 
 from ._fleet import Fleet
@@ -25,22 +27,22 @@
 
 
 def _begin_due(fleet: Fleet, job: Job) -> None:
-    new_tasks = job.tasks_per_occurrence
-    waiting_tasks: int | None = None
+    new_steps = len(job.spec.steps)
+    waiting_steps: int | None = None
     # Those that workers reported have begun already.
     while not job.state.is_final and job.begun_occurrences < job.occurrences:
         if _due_ms(job, job.begun_occurrences) > fleet.wall_ms:
             return
-        if waiting_tasks is None:
-            waiting_tasks = _count_waiting(fleet, job)
+        if waiting_steps is None:
+            waiting_steps = _count_waiting(fleet, job)
         if job.open_occurrences and (
-            waiting_tasks >= fleet.settings.max_waiting_occurrence_tasks
-            or job.open_tasks + new_tasks > fleet.settings.max_open_occurrence_tasks
+            waiting_steps >= fleet.settings.max_waiting_occurrence_steps
+            or len(job.steps) + new_steps > fleet.settings.max_open_occurrence_steps
         ):
-            _log_waiting(fleet, job, waiting_tasks)
+            _log_waiting(fleet, job, waiting_steps)
             return
         begin_occurrence(fleet, job, job.begun_occurrences)
-        waiting_tasks += new_tasks
+        waiting_steps += new_steps
 
 
 def _due_ms(job: Job, occurrence: int) -> int:
@@ -48,21 +50,20 @@
 
 
 def _count_waiting(fleet: Fleet, job: Job) -> int:
-    """Return how many tasks of the job could start if a worker had room.
+    """Return how many steps of the job have tasks that could start with more room.
 
     The count ends at the limit to which it is compared.
     """
-    limit = fleet.settings.max_waiting_occurrence_tasks
-    waiting_tasks = 0
-    for step in job.steps.values():
-        if step.key in fleet.open_steps:
-            waiting_tasks += step.waiting_tasks
-            if waiting_tasks >= limit:
-                break
-    return waiting_tasks
+    limit = fleet.settings.max_waiting_occurrence_steps
+    waiting = (
+        step
+        for step in job.steps.values()
+        if step.waiting_tasks and step.key in fleet.open_steps
+    )
+    return sum(1 for _ in islice(waiting, limit))
 
 
-def _log_waiting(fleet: Fleet, job: Job, waiting_tasks: int) -> None:
+def _log_waiting(fleet: Fleet, job: Job, waiting_steps: int) -> None:
     if fleet.now_ms - job.waiting_logged_ms < LOG_INTERVAL_MS:
         return
     job.waiting_logged_ms = fleet.now_ms
@@ -72,8 +73,8 @@
         begun=job.begun_occurrences,
         occurrences=job.occurrences,
         open=len(job.open_occurrences),
-        open_tasks=job.open_tasks,
-        waiting_tasks=waiting_tasks,
+        open_steps=len(job.steps),
+        waiting_steps=waiting_steps,
     )
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -43,8 +43,8 @@
     long a task waits for a place in the rack of its data: `none`, `fixed`, `expected`.
     It has no effect if `remote_factor` is 1.
     A job whose steps run several times begins another occurrence that is due if none is
-    open. It also does if less than `max_waiting_occurrence_tasks` of its tasks wait for
-    a worker, and at most `max_open_occurrence_tasks` of its tasks would not be done.
+    open. It also does if less than `max_waiting_occurrence_steps` of its steps have
+    tasks that wait for a worker, and at most `max_open_occurrence_steps` would be open.
     `longest_lease_ms` is the longest lease that a worker grants. The state of a final
     job can be queried for `final_job_retention_ms`.
     """
@@ -84,8 +84,8 @@
     throttle_release_ms: int = 3_000
     throttle_release_ratio: float = 0.6
     max_steps_per_pass: int = 60
-    max_waiting_occurrence_tasks: int = 32
-    max_open_occurrence_tasks: int = 10_000
+    max_waiting_occurrence_steps: int = 32
+    max_open_occurrence_steps: int = 10_000
     max_lag_ms: float = 80.0
     min_starts_in_flight: int = 8
     max_starts_in_flight: int = 512
