--- a/tests/adapter/test_process.py
+++ b/tests/adapter/test_process.py
@@ -10,6 +10,7 @@
 
 from marigoldpath_bench.platform_fakes import FakeStore
 from marigoldpath_bench.platform_fakes import configuration as platform_configuration
+from marigoldpath_core.fleet import fencing_token
 from marigoldpath_node.cell._summary import JobsSummarizer, JobsSummary
 from marigoldpath_node.http import HttpClient, HttpClientSettings
 from marigoldpath_node.observability import LineWriter
@@ -149,8 +150,8 @@
             )
 
         fleet = self.run_fleet(action)
-        epochs = [worker.fence for worker in fleet.workers]
-        self.assertEqual(epochs, [2, 2])
+        tokens = [worker.fence for worker in fleet.workers]
+        self.assertEqual(tokens, [fencing_token(2, 0)] * 2)
 
     def test_the_leadership_is_transferred_to_a_much_larger_host(self):
         async def action(fleet):
