Execute the effects of an event at once unless they are very many

Cause by reading: the runner executed 64 effects of all events together in a turn of the loop. The leader of 1,500 workers has thousands of effects a second and a loop with long turns, so its commands fell behind for ever.

The order between events with more effects is not kept, which the protocol of runs tolerates.

--- a/packages/node/src/marigoldpath_node/cell/_effect_runner.py
+++ b/packages/node/src/marigoldpath_node/cell/_effect_runner.py
@@ -1,6 +1,6 @@
 """Executes the scheduler's effects: commands to workers, advice requests, log lines."""
 
-from collections import Counter, deque
+from collections import Counter
 from functools import partial
 from typing import Any, Protocol
 
@@ -31,8 +31,9 @@
 effect_handlers: Registry = Registry("fleet effect")
 # An event with so many effects is logged.
 MANY_EFFECTS = 1_000
-# Other tasks run after this number of effects.
-EFFECTS_PER_TURN = 64
+# Other tasks run after this number of effects. A scheduling pass that uses all starts in
+# flight has fewer, as these would expire while a busy loop takes its turns.
+EFFECTS_PER_TURN = 2_000
 
 
 class LeadershipTerm(Protocol):
@@ -74,36 +75,25 @@
         self._workers = workers
         self._queue = CommandQueue(term.spawn, workers.max_commands_in_flight)
         self._max_start_wait_s = settings.fleet.start_window_ms / 1_000
-        # The effects that have not been executed, in the order of their events.
-        self._effects: deque[Effect] = deque()
-        self._is_running = False
         self._metrics = dependencies.metrics
         self._log = dependencies.log
         self._followers = followers
         self._term = term
 
     async def run(self, effects: list[Effect], cause: str) -> None:
-        """Execute the effects of an event or a scheduling pass, after earlier ones.
+        """Execute the effects of an event or a scheduling pass.
 
-        Another task may be doing so already. Other tasks run in between, as one event
-        can have very many effects.
+        Other tasks run in between if there are very many. Those of later events may
+        then be executed before the last ones of this one, which workers tolerate: a run
+        that is stopped before its start arrives never begins.
         """
         if len(effects) >= MANY_EFFECTS:
             counts = Counter(type(effect).__name__ for effect in effects)
             self._log.warning("many_effects", cause=cause, **counts)
-        self._effects.extend(effects)
-        if self._is_running:
-            return
-        self._is_running = True
-        executed = 0
-        try:
-            while self._effects:
-                await self.execute(self._effects.popleft())
-                executed += 1
-                if executed % EFFECTS_PER_TURN == 0:
-                    await curio.sleep(0)
-        finally:
-            self._is_running = False
+        for number, effect in enumerate(effects, 1):
+            await self.execute(effect)
+            if number % EFFECTS_PER_TURN == 0:
+                await curio.sleep(0)
 
     async def execute(self, effect: Effect) -> None:
         """Start to execute an effect; do not wait for replies."""
