--- a/packages/node/src/marigoldpath_node/cell/_effect_runner.py
+++ b/packages/node/src/marigoldpath_node/cell/_effect_runner.py
@@ -31,8 +31,8 @@
 effect_handlers: Registry = Registry("fleet effect")
 # An event with so many effects is logged.
 MANY_EFFECTS = 1_000
-# Other tasks run after this number of effects. A scheduling pass has fewer, as its starts
-# would expire while a busy loop takes its turns.
+# Other tasks run after this number of effects. A scheduling pass has fewer, because its
+# starts would expire while a busy loop takes its turns.
 EFFECTS_PER_TURN = 2_000
 
 
