--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -262,6 +262,9 @@
         self.lapses = []
         self.on_start = None
         self.heartbeat_s = 0.0
+        # Cut off: no call gets through, and nothing is written to the store.
+        self.is_cut = False
+        self.held_s = 0.0
         self._boot()
 
     def _boot(self):
@@ -319,7 +322,7 @@
         while True:
             await asyncio.sleep(0.005)
             now = time.monotonic()
-            if now - last > 1.5 and self.store.mode != "busy":
+            if now - last > 1.5 and self.store.mode != "busy" and not self.is_cut:
                 last = now
                 self.write_entry()
             if self.running and self.clock_ms() > self.until_ms:
@@ -348,6 +351,8 @@
                                 min(until_ms, self.clock_ms() + BOUNDS["hold-max-ms"]))
 
     async def respond(self, method, target, headers, body):
+        if self.is_cut:
+            await asyncio.sleep(3600)
         if headers.get("x-expect-instance") != self.worker_id:
             return 421, {"clock-ms": self.clock_ms()}
         data = json.loads(body)
@@ -394,6 +399,7 @@
     async def _hold(self, data):
         born = self.born
         self._extend(data.get("until-ms"))
+        self.held_s = time.monotonic()
         seen = data.get("last-seen", 0)
         if seen > self.acked:
             self.acked = seen
@@ -412,6 +418,8 @@
                 break
         if self.born != born:
             raise NoAnswer
+        if self.is_cut:
+            await asyncio.sleep(3600)
         now = time.monotonic()
         running = []
         for run in self.running.values():
