--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -272,6 +272,7 @@
         self._t0 = time.monotonic()
         self.fence = 0
         self.until_ms = 0
+        self.lapsed_ms = -1
         self.running = {}
         self.finished = []
         self.count = 0
@@ -325,8 +326,10 @@
             if now - last > 1.5 and self.store.mode != "busy" and not self.is_cut:
                 last = now
                 self.write_entry()
-            if self.running and self.clock_ms() > self.until_ms:
-                self.lapses.append(now)
+            if self.clock_ms() > self.until_ms:
+                if not self.lapses or self.until_ms != self.lapsed_ms:
+                    self.lapses.append(now)
+                    self.lapsed_ms = self.until_ms
                 for task in list(self.running):
                     self._end(task, "lapsed")
                 continue
