--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,14 +11,15 @@
 
 WORKERS = 6
 CUT_S = 5.5
-# The first SIGTERM comes this long after the cut, the second GAP_S later.
-FIRST_S, GAP_S = 0.2, 3.6
+# The first SIGTERM comes this long after the cut. The second one comes this long after the
+# leader has read the list without the worker, or GAP_S after the first.
+FIRST_S, READ_S, GAP_S = 0.2, 0.25, 4.0
 EXPIRY_S = 4.5  # three heartbeat intervals of silence
 JOB = "5c0e7a21d94b36f8"
 STEPS = [{"count": 60, "cpu": 4_000, "mem-mb": 1_024, "estimate-ms": 9_000}]
 
 
-async def cut_off(cell, worker):
+async def cut_off(cell, worker, has_read):
     """Cut a worker off from all hosts and from the store; it runs on."""
     worker.is_cut = True
     cell.record.add("CUT", worker.worker_id, "running", len(worker.running),
@@ -26,9 +27,14 @@
     loop = asyncio.get_running_loop()
     silent_s = time.monotonic() - worker.heartbeat_s
 
+    async def note_read(method, path, query, body):
+        if path == "/v1/rows-get" and query.get("table") == "servers":
+            has_read.set()
+
     def expire():
         cell.store.drop("servers", worker.worker_id)
         cell.record.add("EXPIRED entry", worker.worker_id)
+        cell.store.on_call = note_read
 
     def heal():
         worker.is_cut = False
@@ -66,11 +72,16 @@
         # The cut comes soon after a renewal of its lease, late in a heartbeat interval.
         now = time.monotonic
         await until(lambda: now() - worker.heartbeat_s > 1.25 and now() - worker.held_s < 0.2, 20)
+        has_read = asyncio.Event()
         if trouble:
-            await cut_off(cell, worker)
+            await cut_off(cell, worker, has_read)
         await asyncio.sleep(FIRST_S)
         await stop_leader(cell)
-        await asyncio.sleep(GAP_S)
+        try:
+            await asyncio.wait_for(has_read.wait(), GAP_S)
+            await asyncio.sleep(READ_S)
+        except asyncio.TimeoutError:
+            pass
         await stop_leader(cell)
         for _ in range(40):
             answer = await cell.state(JOB, host=3)
