Log each removal of a worker from the stored roster

`worker_gone` does not say which leases the leader knew of, and `leader_loaded` only counts the roster.

The new line `roster_entry_removed` names the worker, the reason, whether it has reported since an earlier leader could have granted it a lease, and what may be left of the leases. No decision is changed.

--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -151,7 +151,7 @@
         return
     fleet.log("unheard_workers_given_up", workers=sorted(given_up))
     for worker_id in given_up:
-        remove_from_roster(fleet, worker_id)
+        remove_from_roster(fleet, worker_id, "leases of earlier leaders have expired")
         del fleet.unreported_workers[worker_id]
     fleet.needs_dispatch = True
 
@@ -339,7 +339,7 @@
     fleet.usage.replace_strays(worker.worker_id, ())
     fleet.record_unknown_jobs(worker, set())
     fleet.speeds.forget_worker(worker)
+    remove_from_roster(fleet, worker.worker_id, "the worker is gone")
     del fleet.workers[worker.worker_id]
     fleet.removed_restarts[worker.worker_id] = worker.restarts
-    remove_from_roster(fleet, worker.worker_id)
     fleet.log("worker_gone", worker=worker.worker_id)
--- a/packages/core/src/marigoldpath_core/fleet/_roster.py
+++ b/packages/core/src/marigoldpath_core/fleet/_roster.py
@@ -4,6 +4,8 @@
 before it starts tasks of jobs of earlier epochs. Otherwise it could run a task twice.
 """
 
+import math
+
 from ._fleet import Fleet
 from ._messages import RosterEntry
 from ._worker import Worker
@@ -28,16 +30,42 @@
         if required == current:
             continue
         if required is None:
-            del fleet.roster[worker.worker_id]
+            remove_from_roster(fleet, worker.worker_id, "no run is known there")
         else:
             fleet.roster[worker.worker_id] = required
-        fleet.roster_dirty = fleet.needs_commit = True
+            fleet.roster_dirty = fleet.needs_commit = True
 
 
-def remove_from_roster(fleet: Fleet, worker_id: str) -> None:
+def remove_from_roster(fleet: Fleet, worker_id: str, reason: str) -> None:
     """Remove a worker on which no task can be running any more."""
-    if fleet.roster.pop(worker_id, None) is not None:
-        fleet.roster_dirty = fleet.needs_commit = True
+    if fleet.roster.pop(worker_id, None) is None:
+        return
+    fleet.roster_dirty = fleet.needs_commit = True
+    _log_removal(fleet, worker_id, reason)
+
+
+def _log_removal(fleet: Fleet, worker_id: str, reason: str) -> None:
+    """Log a removal, and the leases that could show that it came too early.
+
+    `lease_ms` is left of the worker's lease by this leader, None if it granted none,
+    and `previous_lease_ms` of those by earlier leaders, None if that is not known or if
+    the worker has reported to this leader.
+    """
+    worker = fleet.workers.get(worker_id)
+    lease_ms = previous_lease_ms = None
+    if worker is not None and worker.lease_expiry_ms:
+        lease_ms = round(worker.lease_expiry_ms - fleet.now_ms)
+    expires_ms = fleet.previous_lease_expires_ms(worker_id)
+    if worker_id in fleet.unreported_workers and math.isfinite(expires_ms):
+        previous_lease_ms = round(expires_ms - fleet.now_ms)
+    fleet.log(
+        "roster_entry_removed",
+        worker=worker_id,
+        reason=reason,
+        has_reported=worker_id not in fleet.unreported_workers,
+        lease_ms=lease_ms,
+        previous_lease_ms=previous_lease_ms,
+    )
 
 
 def _may_get_starts(worker: Worker) -> bool:
