Log how the workers out of reach of a leader are counted

`workers_out_of_reach` had one number, of all workers that the leader knows.

It now has the listed workers, those that replied lately, those that never did, and the services of the listed ones. No decision is changed.

--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -3,6 +3,7 @@
 It applies events and returns effects. It does no input or output itself.
 """
 
+from collections import Counter
 from typing import NamedTuple
 
 from marigoldpath_core.jobs import JobState
@@ -37,6 +38,9 @@
 # The share of a commit that the removal of expired jobs may use while many jobs change.
 REMOVAL_SHARE = 0.125
 
+# The services in a log line that counts the workers by service.
+MAX_LOGGED_SERVICES = 5
+
 _MODULES_WITH_HANDLERS = (_advice, _terminations, _jobs, _reports, _starts)
 
 
@@ -56,6 +60,21 @@
     restarts: int = 0
 
 
+class WorkerCounts(NamedTuple):
+    """How many workers a leader knows, and how many count for its majority.
+
+    Of all `workers`, `listed` are in the directory now, `reachable` of these replied
+    recently, and `never_reported` of these have not replied to this leader at all.
+    `listed_by_service` has at most MAX_LOGGED_SERVICES services with most workers.
+    """
+
+    workers: int
+    listed: int
+    reachable: int
+    never_reported: int
+    listed_by_service: dict[str, int]
+
+
 class FleetScheduler:
     """The scheduler of one leader; `now_ms` is a monotonic clock in milliseconds.
 
@@ -150,24 +169,28 @@
 
     def is_majority_reachable(self, now_ms: float) -> bool:
         """Return whether a majority of the workers replied to this epoch recently."""
-        settings = self._settings
-        return self._has_majority(
-            now_ms - settings.majority_window_ms - settings.poll_wait_ms
+        return self._has_majority(self._oldest_reply_ms(now_ms))
+
+    def count_reachable(self, now_ms: float) -> WorkerCounts:
+        """Return the counts that decide `is_majority_reachable`."""
+        listed = [each for each in self._fleet.workers.values() if each.is_listed]
+        services = Counter(each.entry.service for each in listed)
+        return WorkerCounts(
+            workers=len(self._fleet.workers),
+            listed=len(listed),
+            reachable=_count_replied(listed, self._oldest_reply_ms(now_ms)),
+            never_reported=sum(each.last_polled_ms is None for each in listed),
+            listed_by_service=dict(services.most_common(MAX_LOGGED_SERVICES)),
         )
 
-    def _has_majority(self, oldest_ms: float) -> bool:
-        """Return whether most workers replied to polls sent at `oldest_ms` or later.
+    def _oldest_reply_ms(self, now_ms: float) -> float:
+        settings = self._settings
+        return now_ms - settings.majority_window_ms - settings.poll_wait_ms
 
-        A worker may check the epoch of a poll when it arrives, and reply later. So the
-        age of a reply counts from the time at which its poll was sent.
-        """
-        workers = [each for each in self._fleet.workers.values() if each.is_listed]
-        reachable = sum(
-            1
-            for each in workers
-            if each.last_polled_ms is not None and each.last_polled_ms >= oldest_ms
-        )
-        return reachable * 2 > len(workers)
+    def _has_majority(self, oldest_ms: float) -> bool:
+        """Return whether most workers replied to polls sent at `oldest_ms` or later."""
+        listed = [each for each in self._fleet.workers.values() if each.is_listed]
+        return _count_replied(listed, oldest_ms) * 2 > len(listed)
 
     def next_poll(self, worker_id: str, now_ms: float) -> WorkerPoll | None:
         """Return the parameters of a poll of the worker.
@@ -358,6 +381,19 @@
         return _admission.limit_workspaces(self._fleet)
 
 
+def _count_replied(workers: list[Worker], oldest_ms: float) -> int:
+    """Return how many workers replied to polls sent at `oldest_ms` or later.
+
+    A worker may check the epoch of a poll when it arrives, and reply later. So the age
+    of a reply counts from the time at which its poll was sent.
+    """
+    return sum(
+        1
+        for each in workers
+        if each.last_polled_ms is not None and each.last_polled_ms >= oldest_ms
+    )
+
+
 def _adjust_start_limit(fleet: Fleet, lag_ms: float) -> None:
     limit = fleet.start_limit
     was_lowest = limit.limit == fleet.settings.min_starts_in_flight
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -295,7 +295,8 @@
                 or not self._scheduler.workers
             ):
                 reached_s = now_s()
-        self._log.warning("workers_out_of_reach", workers=len(self._scheduler.workers))
+        counts = self._scheduler.count_reachable(now_ms())
+        self._log.warning("workers_out_of_reach", **counts._asdict())
         await self._transfer_leadership(self._followers.choose_successor())
 
     async def _tick_loop(self) -> None:
