Keep a worker in the roster until the leases of earlier leaders have ended

Cause: the leader that removes a worker which has left the directory asked only for the lease that it had granted itself. The second leader never heard of the worker, so it took "no lease known" for "no lease" and removed the row that its successor needs to wait for the worker.

The worker now stays, with its row, as long as `unreported_workers` has it: until it reports to this leader, or until the leases of earlier leaders have ended. Each leader that ends before that leaves the row, so the proof passes on over any number of hand-overs.

--- a/packages/bench/src/marigoldpath_bench/platform_fakes/_store.py
+++ b/packages/bench/src/marigoldpath_bench/platform_fakes/_store.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import time
+from collections import Counter
 from typing import Any, NamedTuple
 from urllib.parse import parse_qsl, urlsplit
 
@@ -24,7 +25,7 @@
 
 
 class FakeStore(FakeServer):
-    """Keep all rows in memory.
+    """Keep all rows in memory, and count the reads of each table.
 
     While `queued_statuses` is not empty, each request gets the next of these statuses.
     With `delays_writes`, the connection of a write is closed without a reply, and
@@ -37,6 +38,7 @@
         self.version = 0
         self.changes: list[dict[str, Any]] = []
         self.oldest_version = 0
+        self.read_counts: Counter[str] = Counter()
         self.queued_statuses: list[int] = []
         self.delays_writes = False
         self._delayed_writes: list[Any] = []
@@ -62,6 +64,16 @@
         self.version += 1
         self._store({"table": table, "part": part, "key": key, "value": text})
 
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row unconditionally, as the platform does with expired entries."""
+        self.version += 1
+        self._drop({"table": table, "part": "", "key": key})
+
+    def value(self, table: str, key: str, part: str = "") -> Any:
+        """Return the decoded JSON of a row, None if there is no such row."""
+        row = self.rows.get((table, part, key))
+        return None if row is None else json.loads(base64.b64decode(row["value"]))
+
     def discard_history(self) -> None:
         """Reply with 410 to queries for the changes up to now."""
         self.oldest_version = self.version
@@ -128,6 +140,7 @@
         return self.rows.get(key, {**missing, "ver": 0})
 
     def _get(self, query: dict[str, str]) -> HttpResponse:
+        self.read_counts[query["table"]] += 1
         found = [
             row
             for (table, part, key), row in sorted(self.rows.items())
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -330,10 +330,16 @@
 
 
 def _remove_if_gone(fleet: Fleet, worker: Worker) -> None:
+    """Remove an unlisted worker on which no lease of any leader can be valid.
+
+    This leader knows only the leases that it granted itself. A worker that has not
+    reported to it may hold one of an earlier leader.
+    """
     if (
         worker.runs
         or not worker.is_unresponsive
         or fleet.now_ms < worker.lease_expiry_ms
+        or worker.worker_id in fleet.unreported_workers
     ):
         return
     fleet.usage.replace_strays(worker.worker_id, ())
--- a/tests/bench/cell_processes.py
+++ b/tests/bench/cell_processes.py
@@ -1,5 +1,7 @@
 """A cell of entry hosts that run as processes, and jobs that a test submits."""
 
+import json
+import signal
 from pathlib import Path
 from random import Random
 
@@ -85,6 +87,42 @@
                         newest, found = won, host
         return found
 
+    def log_lines(self, event):
+        """Return the log lines of all hosts about an event, in the order of time."""
+        lines = []
+        for host in self.hosts:
+            text = (self._log_folder / f"{host.name}.log").read_text()
+            lines += [line for line in text.splitlines() if f'"{event}"' in line]
+        decoded = [json.loads(line) for line in lines]
+        return sorted(decoded, key=lambda each: each["timestamp"])
+
+    def stored_roster(self):
+        """Return the workers in the stored roster."""
+        rows = [each for each in self.store.rows if each[2].startswith("roster")]
+        return {
+            worker_id
+            for table, partition, key in rows
+            for worker_id in self.store.value(table, key, partition)
+        }
+
+    async def wait_for_next_leader(self, terms):
+        """Wait until this number of leaders has loaded the stored state."""
+        loaded = await self.wait_until(
+            lambda: len(self.log_lines("leader_loaded")) >= terms, TIMEOUT_S
+        )
+        assert loaded, "there is no new leader"
+
+    async def stop_leader(self):
+        """Send SIGTERM to the leader, and start its process again once it has ended."""
+        leader = self.leader()
+        leader.send_signal(signal.SIGTERM)
+
+        async def restart():
+            await self.wait_until(lambda: not leader.is_running, TIMEOUT_S)
+            leader.start()
+
+        await curio.spawn(restart, daemon=True)
+
     def run(self, action) -> None:
         """Start the cell, run the coroutine function `action`, and kill the hosts."""
 
--- a/tests/core/simulated_cell.py
+++ b/tests/core/simulated_cell.py
@@ -37,6 +37,7 @@
 COMMIT_MS = 60
 ROW_MS = 700
 READ_JOBS_MS = 1_500
+READ_DIRECTORY_MS = 1_000
 POLL_TIMEOUT_MS = 400
 # A task must not start later than this after it was acknowledged as done.
 MAX_LATE_START_MS = 1_000
@@ -230,8 +231,9 @@
         self.commit_in_flight = False
         self.committed_ms = cell.now_ms
         self.jobs_read_ms = cell.now_ms
+        self.directory_read_ms = cell.now_ms
         self.ended = False
-        self.handle(WorkersListed(tuple(each.entry for each in cell.workers.values())))
+        self.handle(WorkersListed(cell.listed_entries()))
         self.read_jobs()
 
     @property
@@ -273,6 +275,13 @@
             self.handle(Tick(int(now_ms)))
         if self.reaches_store and now_ms - self.jobs_read_ms >= READ_JOBS_MS:
             self.read_jobs()
+        if (
+            self.cell.rereads_directory
+            and self.reaches_store
+            and now_ms - self.directory_read_ms >= READ_DIRECTORY_MS
+        ):
+            self.directory_read_ms = now_ms
+            self.handle(WorkersListed(self.cell.listed_entries()))
         self.scheduler.dispatch(now_ms)
         self.execute()
         self.poll_workers()
@@ -373,6 +382,13 @@
 
         cell.send(self, command.worker_id, arrive)
 
+    def release(self):
+        """Store the remaining decisions and end, as a process does on SIGTERM."""
+        self.scheduler.retire()
+        commit = self.scheduler.begin_commit(100)
+        self.cell.store.apply(self.epoch, commit, self.cell.now_ms)
+        self.ended = True
+
     def commit(self):
         now_ms = self.cell.now_ms
         age_ms = now_ms - self.committed_ms
@@ -427,6 +443,12 @@
             for each in entries
         }
         self.store = Store({})
+        # Whether leaders read the directory again after their election.
+        self.rereads_directory = False
+        # The workers without an entry in the directory, and those that exchange no
+        # messages with any leader.
+        self.unlisted = set()
+        self.isolated = set()
         self.leaders = []
         self.loss = 0.0
         self.delay_ms = (1.0, 15.0)
@@ -457,9 +479,17 @@
         if self.random.random() >= self.loss:
             self.after(self.random.uniform(*self.delay_ms), action)
 
+    def listed_entries(self):
+        """Return the entries of the directory."""
+        return tuple(
+            each.entry
+            for worker_id, each in self.workers.items()
+            if worker_id not in self.unlisted
+        )
+
     def send(self, leader, worker_id, action):
         """Send a message between a leader and a worker."""
-        if not leader.ended and worker_id not in leader.unreachable:
+        if not leader.ended and worker_id not in leader.unreachable | self.isolated:
             self._deliver(action)
 
     def to_store(self, leader, action):
--- a/tests/core/test_fleet_failover.py
+++ b/tests/core/test_fleet_failover.py
@@ -314,6 +314,24 @@
         self.harness.advance(10)
         self.assertEqual(self.harness.commit().roster, {})
 
+    def test_an_unlisted_worker_that_never_reported_stays_until_its_lease_ends(self):
+        """Guards against a successor that does not wait for a worker that is cut off.
+
+        The leader granted the worker no lease, but an earlier one did.
+        """
+        harness = FleetHarness(entry("a"), entry("b"), entry("c"), epoch=2)
+        harness.report("b")
+        harness.report("c")
+        harness.handle(WorkerUnresponsive("a"))
+        harness.handle(WorkersListed((entry("b"), entry("c"))))
+        harness.advance(6_000)
+        harness.commit()
+        self.assertIn("a", harness.scheduler._fleet.roster)
+        harness.advance(1_000)
+        harness.advance(0)
+        self.assertEqual(set(harness.commit().roster), {"b", "c"})
+        self.assertEqual(set(harness.scheduler.workers), {"b", "c"})
+
     def test_no_task_starts_on_a_returned_worker_before_its_entry_is_stored(self):
         self.harness.handle(WorkerUnresponsive("a"))
         self.harness.handle(WorkerUnresponsive("b"))
--- /dev/null
+++ b/tests/core/test_fleet_handovers.py
@@ -0,0 +1,160 @@
+"""A seeded search over hand-overs while workers are cut off and run on."""
+
+import sys
+import unittest
+from collections import Counter
+from random import Random
+
+from tests.core.fleet_fixture import BACKGROUND, entry, job, step
+from tests.core.simulated_cell import Cell
+
+SEEDS = 40
+WORKERS = 6
+TASKS = 12
+TASK_MS = 9_000
+# How long a worker is cut off that is not gone for good.
+CUT_MS = 5_500
+# A worker's entry leaves the directory after three heartbeat intervals of 1.5 s, of
+# which nearly one has passed when it is cut off.
+EXPIRY_MS = (3_000, 3_100)
+# What is left of the lease of a worker that is cut off, which is 4.5 s long.
+MIN_LEASE_MS = 4_200
+# When the second hand-over comes after the cut: mostly after the entries are gone, and
+# before the leases have ended.
+SECOND_MS = (2_800, 4_200)
+# How long a released and a lost leader's row stays without a new leader.
+RELEASED_MS = (50, 200)
+LOST_MS = (1_000, 1_300)
+# All tasks are done within this time, whatever is lost.
+END_MS = 60_000
+
+
+class HandOverPlay:
+    """Leaders that replace each other while one or two workers are cut off.
+
+    Each leader is stopped, and releases its row, or it is killed. With `gone`, the
+    workers never come back.
+    """
+
+    def __init__(self, seed, *, gone=False):
+        self.random = random = Random(f"hand-overs {seed}")
+        names = [f"w{number}" for number in range(WORKERS)]
+        self.cell = cell = Cell(
+            f"hand-overs {seed}",
+            [entry(name, incarnation=0) for name in names],
+            rates={name: random.uniform(0.98, 1.02) for name in names},
+        )
+        cell.rereads_directory = True
+        cell.elect()
+        fields = {"cpu": 2_000, "estimate_ms": TASK_MS}
+        cell.submit(job(step(TASKS, **fields), queue=BACKGROUND))
+        self.run_for(random.uniform(700, 1_500))
+        self.cut = self.choose_workers(random.choice([1, 2]))
+        self.cut_ms = cell.now_ms
+        # The runs of the workers that are cut off, which nobody else may start yet.
+        self.held = {key for name in self.cut for key, _ in cell.workers[name].runs}
+        # When the last of them was started elsewhere, None as long as it is not.
+        self.restarted_ms = None
+        cell.isolated.update(self.cut)
+        cell.after(random.uniform(*EXPIRY_MS), lambda: cell.unlisted.update(self.cut))
+        if not gone:
+            cell.after(CUT_MS, self.heal)
+
+    def choose_workers(self, count):
+        """Wait until leases were renewed; return up to `count` workers with one."""
+        while True:
+            self.cell.step()
+            renewed = [
+                name
+                for name, each in self.cell.workers.items()
+                if each.lease_clock_ms - each.clock_ms >= MIN_LEASE_MS
+            ]
+            if renewed:
+                return self.random.sample(renewed, min(count, len(renewed)))
+
+    def heal(self):
+        self.cell.isolated.difference_update(self.cut)
+        self.cell.unlisted.difference_update(self.cut)
+
+    def run_for(self, for_ms):
+        end_ms = self.cell.now_ms + for_ms
+        while self.cell.now_ms < end_ms:
+            self.cell.step()
+
+    def run(self, intervals_ms):
+        """Replace the leader after each interval; return the violated rules."""
+        cell = self.cell
+        for interval_ms in intervals_ms:
+            self.run_for(interval_ms)
+            self.replace_leader()
+        end_ms = cell.now_ms + END_MS
+        while cell.now_ms < end_ms and not self.is_over:
+            cell.step()
+            if self.restarted_ms is None and all(
+                cell.started[key] > 1 for key in self.held
+            ):
+                self.restarted_ms = cell.now_ms
+        if not self.is_over:
+            cell.found("not all tasks are done, or the roster has lost workers")
+        return cell.violations
+
+    def replace_leader(self):
+        leader = self.cell.leader
+        is_stopped = self.random.random() < 0.7
+        if is_stopped:
+            leader.release()
+        else:
+            leader.ended = True
+        self.run_for(self.random.uniform(*(RELEASED_MS if is_stopped else LOST_MS)))
+        self.cell.elect()
+
+    @property
+    def is_over(self):
+        """Whether all jobs are final, and the roster has no worker that is lost."""
+        return self.cell.is_idle and not self.cell.unlisted & set(
+            self.cell.store.roster
+        )
+
+
+def draw_intervals(seed):
+    """Return when the leaders are replaced, in milliseconds after each other."""
+    random = Random(f"intervals {seed}")
+    first_ms = random.uniform(100, 1_500)
+    second_ms = random.uniform(*SECOND_MS) - first_ms
+    others_ms = [random.uniform(200, 4_500) for _ in range(random.randint(0, 2))]
+    return [first_ms, second_ms, *others_ms]
+
+
+class HandOverTests(unittest.TestCase):
+    """Guards against a leader that takes a lease for ended because it never knew of it.
+
+    Its successors would start the tasks of a worker that is cut off while they run.
+    """
+
+    def test_no_task_of_a_worker_that_is_cut_off_runs_twice(self):
+        events = Counter()
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                play = HandOverPlay(seed)
+                self.assertEqual(play.run(draw_intervals(seed)), [])
+                events.update(play.cell.events)
+        # Without these events, the search would not examine what it is for.
+        self.assertGreater(events["unheard_workers_given_up"], 0)
+
+
+def search_many(seeds):
+    """Print the seeds that violate a rule."""
+    found = 0
+    for seed in range(seeds):
+        violations = HandOverPlay(seed).run(draw_intervals(seed))
+        if violations:
+            found += 1
+            print(f"{seed}: {violations[:3]}", flush=True)
+    print(f"{seeds} seeds, {found} with a violation", flush=True)
+    return found
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1:
+        sys.exit(bool(search_many(int(sys.argv[1]))))
+    unittest.main()
