List every job in the roster entry of a silent worker, and wait for restarted ones

- A worker goes silent after it reported a run of a job that this leader has not read yet, or a stray run.
Neither has resources allocated, so the entry was removed.
The entry now lists the jobs of all reported runs, until the worker's lease has ended.
- A worker goes silent after it reported an end.
A commit has the whole roster but a limited number of jobs, so the entry could be gone before the progress is stored, and the successor starts a task whose end is acknowledged later.
The entry stays until the end is stored.
- A worker restarts while commands of earlier leaders can still reach it.
This leader waits for its report, but its successor did not, as the entry may have been removed before.

--- a/packages/core/src/marigoldpath_core/fleet/_incarnations.py
+++ b/packages/core/src/marigoldpath_core/fleet/_incarnations.py
@@ -8,7 +8,7 @@
 
 from ._crashes import record_process_end
 from ._fleet import Fleet
-from ._messages import RosterEntry
+from ._roster import require_report
 from ._worker import Worker
 
 # An incarnation of a worker that began so recently may follow one that ended together
@@ -55,10 +55,7 @@
     if worker.incarnation and fleet.now_ms < fleet.previous_leases_expire_ms:
         # Until it replies to this leader, the new incarnation also executes commands of
         # the previous one.
-        entry = worker.entry
-        fleet.unreported_workers[worker.worker_id] = RosterEntry(
-            entry.address, None, entry.zone
-        )
+        require_report(fleet, worker)
     runs = [] if not worker.incarnation else list(worker.runs.values())
     if worker.incarnation:
         worker.expect_late_commands(settings, fleet.now_ms)
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -179,6 +179,7 @@
     record_lost_worker(fleet, worker)
     for run in list(worker.runs.values()):
         fleet.release(run)
+    worker.orphaned_runs.clear()
     fleet.usage.replace_strays(worker.worker_id, ())
     fleet.record_unknown_jobs(worker, set())
 
--- a/packages/core/src/marigoldpath_core/fleet/_roster.py
+++ b/packages/core/src/marigoldpath_core/fleet/_roster.py
@@ -19,7 +19,8 @@
     the jobs that could still be running there, and is removed if there are none.
     """
     for worker in fleet.workers.values():
-        if worker.last_polled_ms is None:
+        is_unreported = worker.worker_id in fleet.unreported_workers
+        if worker.last_polled_ms is None or is_unreported:
             # Until the worker reports, only the entry of the previous leader states
             # which jobs could be running there.
             continue
@@ -36,6 +37,15 @@
             fleet.roster_dirty = fleet.needs_commit = True
 
 
+def require_report(fleet: Fleet, worker: Worker) -> None:
+    """Wait for a report of a worker on which tasks of earlier leaders could begin."""
+    entry = RosterEntry(worker.entry.address, None, worker.entry.zone)
+    fleet.unreported_workers[worker.worker_id] = entry
+    if fleet.roster.get(worker.worker_id) != entry:
+        fleet.roster[worker.worker_id] = entry
+        fleet.roster_dirty = fleet.needs_commit = True
+
+
 def remove_from_roster(fleet: Fleet, worker_id: str, reason: str) -> None:
     """Remove a worker on which no task can be running any more."""
     if fleet.roster.pop(worker_id, None) is None:
@@ -87,9 +97,25 @@
     address, zone = worker.entry.address, worker.entry.zone
     if _may_get_starts(worker):
         return RosterEntry(address, None, zone)
-    jobs = {run.task.key.job_id for run in worker.runs.values()}
+    if worker.last_applied_termination > worker.last_stored_termination:
+        # A commit has the whole roster but not all progress, so the next leader could
+        # read neither the worker nor that its tasks are done.
+        return current
+    jobs = _jobs_on(worker)
     if not jobs:
         return None
     if current is not None and current.jobs is not None and jobs <= set(current.jobs):
         return current
     return RosterEntry(address, tuple(sorted(jobs)), zone)
+
+
+def _jobs_on(worker: Worker) -> set[str]:
+    """Return the jobs of all runs on a worker, also of those it should not have.
+
+    A job that this leader has not read is known to its successor, and so is one of
+    which it stops a run there.
+    """
+    jobs = {run.task.key.job_id for run in worker.runs.values()}
+    jobs.update(worker.unknown_jobs)
+    jobs.update(key.job_id for key, _ in worker.orphaned_runs)
+    return jobs
--- a/tests/core/test_fleet_failover.py
+++ b/tests/core/test_fleet_failover.py
@@ -3,6 +3,7 @@
 import unittest
 
 from marigoldpath_core.fleet import (
+    JobCancelled,
     JobsRead,
     LogEvent,
     RosterEntry,
@@ -332,6 +333,59 @@
         self.assertEqual(set(harness.commit().roster), {"b", "c"})
         self.assertEqual(set(harness.scheduler.workers), {"b", "c"})
 
+    def test_an_unresponsive_worker_is_stored_with_a_job_that_was_not_read(self):
+        """Guards against a successor that reads the job and starts it elsewhere."""
+        run = RunningTask(task(), 1, "", 30, 0)
+        self.harness.report("a", running=[run])
+        self.harness.handle(WorkerUnresponsive("a"))
+        self.harness.advance(10)
+        self.assertEqual(self.harness.commit().roster["a"].jobs, (JOB,))
+        # Its lease has ended, and with it the run.
+        self.harness.advance(6_000)
+        self.harness.advance(10)
+        self.assertNotIn("a", self.harness.commit().roster)
+
+    def test_an_unresponsive_worker_stays_until_its_terminations_are_stored(self):
+        """Guards against a row that is removed before the progress is stored.
+
+        A commit has the whole roster, but a limited number of jobs.
+        """
+        other = "00000000000000ab"
+        self.harness.accept(job(step(cpu=10_000)))
+        (start,) = self.harness.dispatch_starts()
+        self.harness.confirm_start(start)
+        self.harness.commit()
+        worker_id = start.worker_id
+        self.harness.accept(job(step(), job_id=other))
+        self.harness.handle(JobCancelled(other))
+        self.harness.report(worker_id, ended=[ended(1, start)])
+        self.harness.handle(WorkerUnresponsive(worker_id))
+        self.harness.advance(10)
+        scheduler = self.harness.scheduler
+        first = scheduler.begin_commit(1)
+        scheduler.commit_succeeded(first, self.harness.now_ms, self.harness.now_ms)
+        is_stored = JOB in first.progress
+        self.assertEqual(worker_id in scheduler._fleet.roster, not is_stored)
+        self.harness.commit()
+        self.harness.advance(10)
+        self.assertNotIn(worker_id, self.harness.commit().roster)
+
+    def test_a_worker_that_restarted_is_stored_until_it_has_reported_again(self):
+        """Guards against a successor that does not wait for an earlier leader's starts.
+
+        The new incarnation executes them until it has replied to a later leader.
+        """
+        entries = [entry("a"), entry("b"), entry("c")]
+        harness = FleetHarness(*entries, epoch=2)
+        harness.report_all()
+        harness.handle(WorkerUnresponsive("a"))
+        harness.advance(10)
+        self.assertNotIn("a", harness.commit().roster)
+        entries[0] = entry("a", incarnation=2_000)
+        harness.handle(WorkersListed(tuple(entries)))
+        harness.advance(10)
+        self.assertEqual(harness.commit().roster["a"].jobs, None)
+
     def test_no_task_starts_on_a_returned_worker_before_its_entry_is_stored(self):
         self.harness.handle(WorkerUnresponsive("a"))
         self.harness.handle(WorkerUnresponsive("b"))
--- a/tests/core/test_fleet_handovers.py
+++ b/tests/core/test_fleet_handovers.py
@@ -2,7 +2,6 @@
 
 import sys
 import unittest
-from collections import Counter
 from random import Random
 
 from tests.core.fleet_fixture import BACKGROUND, entry, job, step
@@ -55,6 +54,8 @@
         self.held = {key for name in self.cut for key, _ in cell.workers[name].runs}
         # When the last of them was started elsewhere, None as long as it is not.
         self.restarted_ms = None
+        # The leaders that were elected while workers that are cut off ran tasks.
+        self.elected_in_lease = 0
         cell.isolated.update(self.cut)
         cell.after(random.uniform(*EXPIRY_MS), lambda: cell.unlisted.update(self.cut))
         if not gone:
@@ -106,6 +107,8 @@
         else:
             leader.ended = True
         self.run_for(self.random.uniform(*(RELEASED_MS if is_stopped else LOST_MS)))
+        workers = [self.cell.workers[name] for name in self.cell.isolated]
+        self.elected_in_lease += any(each.runs for each in workers)
         self.cell.elect()
 
     @property
@@ -132,14 +135,14 @@
     """
 
     def test_no_task_of_a_worker_that_is_cut_off_runs_twice(self):
-        events = Counter()
+        third_leaders = 0
         for seed in range(SEEDS):
             with self.subTest(seed=seed):
                 play = HandOverPlay(seed)
                 self.assertEqual(play.run(draw_intervals(seed)), [])
-                events.update(play.cell.events)
-        # Without these events, the search would not examine what it is for.
-        self.assertGreater(events["unheard_workers_given_up"], 0)
+                third_leaders += play.elected_in_lease > 1
+        # Without these, the search would not examine what it is for.
+        self.assertGreater(third_leaders, SEEDS / 4)
 
 
 def search_many(seeds):
