Let the wait for a lost worker go on after a hand-over

A worker that is gone for good held its tasks as long as leaders changed: each new leader waited 6.8 s again for the leases of all earlier ones. And without a majority of the workers a leader waited without end, however certain it was that its predecessors had ended.

Ruled out: ends of leases in the roster, as clocks of hosts differ and each renewal would be a write; a limit on how long a majority is an authority, as a long outage would end all work.

- The leader's row now says which earlier leaders have ended, and how long ago.
That passes on from row to row, so no clocks are compared.
It follows from a majority as before, or from a predecessor that knew it and that has released its row, or whose address refuses connections or belongs to another process.
No reply proves nothing.
- The roster entry of a worker that does not report is marked with the epoch: no leader from then on has granted it a lease.
The next one counts only the time of the leaders before.
A worker that reports late gets leases and starts once the mark is no longer stored.

--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
@@ -8,6 +8,7 @@
 from marigoldpath_core.fleet import (
     Commit,
     Effect,
+    EndedLeaders,
     FleetScheduler,
     FleetSettings,
     JobAccepted,
@@ -84,6 +85,8 @@
         self.configuration_version = 0
         self.is_alive = True
         self.commit: Commit | None = None
+        # What the commit in flight says of the earlier leaders.
+        self.ended: tuple[EndedLeaders, ...] = ()
         self.partitioned_workers: set[str] = set()
         self.suspended_until_ms = 0.0
         # How long the leader will be suspended before it sends its next commands.
@@ -132,9 +135,14 @@
     def elect_leader(self) -> None:
         """Start a new leader with the jobs and the progress in the store."""
         store = self.store
-        epoch = store.acquire_leadership()
+        has_ended = not self.leaders or not self.leaders[-1].is_alive
+        epoch = store.acquire_leadership(has_ended)
         scheduler = FleetScheduler(
-            self.settings.fleet, epoch, store.roster, self.now_ms
+            self.settings.fleet,
+            epoch,
+            store.roster,
+            self.now_ms,
+            ended_leaders=store.ended,
         )
         settings = self.settings
         offset_ms = self._clock_random.uniform(
@@ -344,12 +352,13 @@
         self._schedule(80, lambda: self._commit(leader))
         if leader.commit is None:
             leader.commit = leader.scheduler.begin_commit(40)
+            leader.ended = leader.scheduler.ended_leaders(self.now_ms)
         if not self.is_store_up:
             return
         commit, sent_ms = leader.commit, self.now_ms
         expected = (leader.epoch, leader.heartbeat)
         applied = self.store.leader == (leader.epoch, leader.heartbeat + 1)
-        if not applied and not self.store.commit(expected, commit):
+        if not applied and not self.store.commit(expected, commit, leader.ended):
             leader.is_alive = False
             return
         if not self._is_lost():
--- a/packages/core/src/marigoldpath_core/fleet/__init__.py
+++ b/packages/core/src/marigoldpath_core/fleet/__init__.py
@@ -4,10 +4,12 @@
 """
 
 from ._admission import Backlog, Refusal, refuse_if_late
+from ._earlier_leaders import inherit_ended_leaders
 from ._messages import (
     AdviceReplied,
     Commit,
     Effect,
+    EndedLeaders,
     Event,
     JobAccepted,
     JobCancelled,
@@ -45,6 +47,7 @@
     "Backlog",
     "Commit",
     "Effect",
+    "EndedLeaders",
     "Event",
     "FleetScheduler",
     "FleetSettings",
@@ -77,6 +80,7 @@
     "fencing_token",
     "find_refusal",
     "find_relay",
+    "inherit_ended_leaders",
     "refuse_if_late",
     "refuse_if_rate_limited",
 ]
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -8,9 +8,10 @@
 
 from ._advice_state import SlowAdviceState
 from ._copy_state import CopyState
+from ._earlier_leaders import EarlierLeaders, find_unleased
 from ._failing_images import FailingImages
 from ._job import Job
-from ._messages import Effect, LogEvent, RosterEntry, StopRun
+from ._messages import Effect, EndedLeaders, LogEvent, RosterEntry, StopRun
 from ._quota_state import QuotaState
 from ._rotation import StepRotation
 from ._run import Run, RunState
@@ -42,9 +43,11 @@
         epoch: int,
         roster: dict[str, RosterEntry],
         now_ms: float,
+        ended_leaders: tuple[EndedLeaders, ...] = (),
     ) -> None:
         self.settings = settings
         self.epoch = epoch
+        self.earlier_leaders = EarlierLeaders(settings, epoch, ended_leaders, now_ms)
         self.now_ms = now_ms
         self.wall_ms = 0
         self.jobs: dict[str, Job] = {}
@@ -76,11 +79,8 @@
         # Workers on the roster that have not reported to this leader. Tasks that a
         # previous leader started could still be running there.
         self.unreported_workers = dict(roster)
-        # From this time on, a previous leader sends commands only while a majority of
-        # the workers replies to it.
-        self.began_leading_ms = now_ms
-        # None until a majority of the workers has reported to this leader.
-        self.majority_reported_ms: float | None = None
+        # The workers whose entry, as it could be stored, has `unleased_since`.
+        self.unleased_workers = find_unleased(roster)
         # Whether a worker on which tasks could be running has probably ended before it
         # reported to this leader.
         self.lost_worker_before_term = False
@@ -186,7 +186,7 @@
             return False
         if not self.is_earlier_run(run.number):
             return True
-        return self.now_ms >= self.previous_commands_end_ms
+        return self.now_ms >= self.earlier_leaders.commands_end_ms
 
     def is_earlier_run(self, number: int) -> bool:
         """Return whether an earlier leader started a run with this number."""
@@ -317,11 +317,9 @@
     def previous_leases_expire_ms(self) -> float:
         """Return when all leases granted by previous leaders have expired.
 
-        The time is infinite until a majority of the workers has reported to this
-        leader, because until then a previous leader could still renew leases.
+        The time is infinite as long as a previous leader could still renew leases.
         """
-        lease_ms = self.settings.longest_wait_ms(self.settings.lease_ms)
-        return self.previous_commands_end_ms + lease_ms
+        return self.earlier_leaders.leases_end_ms()
 
     def previous_lease_expires_ms(self, worker_id: str) -> float:
         """Return when the lease of a worker by previous leaders has expired.
@@ -330,29 +328,17 @@
         for its previous incarnation can be executed late, and its time limit is on
         another clock.
         """
+        entry = self.unreported_workers.get(worker_id)
+        unleased_since = 0 if entry is None else entry.unleased_since
+        expires_ms = self.earlier_leaders.leases_end_ms(unleased_since)
         worker = self.workers.get(worker_id)
         if worker is None or not worker.entry.incarnation or not self.wall_ms:
-            return self.previous_leases_expire_ms
+            return expires_ms
         settings = self.settings
         age_ms = max(0, self.wall_ms - worker.entry.incarnation)
         late_ms = settings.max_command_delay_ms - age_ms
         lease_ms = settings.longest_wait_ms(settings.longest_lease_ms)
-        return max(self.previous_leases_expire_ms, self.now_ms + late_ms + lease_ms)
-
-    @property
-    def previous_commands_end_ms(self) -> float:
-        """Return from when on no previous leader sends commands.
-
-        The time is infinite until a majority of the workers has reported to this
-        leader.
-        """
-        if self.majority_reported_ms is None:
-            return math.inf
-        settings = self.settings
-        return max(
-            self.began_leading_ms + settings.row_authority_ms,
-            self.majority_reported_ms + settings.majority_window_ms,
-        )
+        return max(expires_ms, self.now_ms + late_ms + lease_ms)
 
     def is_blocked(self, step: Step) -> bool:
         """Return whether a previous leader could have started tasks of the step.
@@ -426,6 +412,8 @@
         stored = self.stored_roster.get(worker_id)
         if current is None or stored is None:
             return False
+        if worker_id in self.unleased_workers:
+            return False
         return current.jobs is None and stored.jobs is None
 
     def is_startable(self, worker: Worker) -> bool:
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -51,7 +51,8 @@
         occurrences=job.occurrences,
         accepted_epoch=accepted.epoch,
     )
-    if job.zone and fleet.majority_reported_ms and not _suits_home_zone(fleet, job):
+    has_majority = fleet.earlier_leaders.majority_reported_ms is not None
+    if job.zone and has_majority and not _suits_home_zone(fleet, job):
         # Requested now, so that the permission is stored while the advice request is in
         # flight and causes no further delay.
         fleet.request_zone_exit(job)
--- a/packages/core/src/marigoldpath_core/fleet/_messages.py
+++ b/packages/core/src/marigoldpath_core/fleet/_messages.py
@@ -313,11 +313,21 @@
 
     If `jobs` is None, tasks of any job could be running there and new runs may be
     started. Otherwise no run may be started. `zone` is the worker's availability zone.
+    If `unleased_since` is not 0, no leader of that epoch or of a later one has granted
+    the worker a lease, and none may as long as the entry could be stored.
     """
 
     address: str
     jobs: tuple[str, ...] | None
     zone: str = ""
+    unleased_since: int = 0
+
+
+class EndedLeaders(NamedTuple):
+    """No leader of an epoch before `epoch` has sent a command for `elapsed_ms`."""
+
+    epoch: int
+    elapsed_ms: float
 
 
 class Commit(NamedTuple):
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -198,12 +198,13 @@
 
 def _record_majority(fleet: Fleet) -> None:
     """Record the time when a majority of the listed workers has reported."""
-    if fleet.majority_reported_ms is not None:
+    earlier_leaders = fleet.earlier_leaders
+    if earlier_leaders.majority_reported_ms is not None:
         return
     listed = [each for each in fleet.workers.values() if each.is_listed]
     reported = sum(1 for each in listed if each.last_polled_ms is not None)
     if reported * 2 > len(listed):
-        fleet.majority_reported_ms = fleet.now_ms
+        earlier_leaders.majority_reported_ms = fleet.now_ms
         fleet.log(
             "unheard_workers",
             workers=sorted(fleet.unreported_workers),
--- a/packages/core/src/marigoldpath_core/fleet/_roster.py
+++ b/packages/core/src/marigoldpath_core/fleet/_roster.py
@@ -37,6 +37,25 @@
             fleet.roster_dirty = fleet.needs_commit = True
 
 
+def mark_unleased(fleet: Fleet) -> None:
+    """Record in the roster that this leader has not granted a lease to some workers.
+
+    These are the ones that have never reported to it. The next leader then counts only
+    what earlier ones granted, and does not begin its wait anew. A worker that reports
+    gets leases again once its entry is stored without the mark.
+    """
+    if fleet.now_ms - fleet.earlier_leaders.began_ms < fleet.settings.unleased_mark_ms:
+        return
+    for worker_id, entry in fleet.unreported_workers.items():
+        worker = fleet.workers.get(worker_id)
+        has_reported = worker is not None and worker.last_polled_ms is not None
+        if entry.unleased_since or has_reported or worker_id not in fleet.roster:
+            continue
+        marked = entry._replace(unleased_since=fleet.epoch)
+        fleet.roster[worker_id] = fleet.unreported_workers[worker_id] = marked
+        fleet.roster_dirty = fleet.needs_commit = True
+
+
 def require_report(fleet: Fleet, worker: Worker) -> None:
     """Wait for a report of a worker on which tasks of earlier leaders could begin."""
     entry = RosterEntry(worker.entry.address, None, worker.entry.zone)
@@ -87,6 +106,7 @@
     entry = worker.entry
     return (
         current.jobs is None
+        and not current.unleased_since
         and current.address == entry.address
         and current.zone == entry.zone
         and _may_get_starts(worker)
@@ -100,12 +120,12 @@
     if worker.last_applied_termination > worker.last_stored_termination:
         # A commit has the whole roster but not all progress, so the next leader could
         # read neither the worker nor that its tasks are done.
-        return current
+        return None if current is None else current._replace(unleased_since=0)
     jobs = _jobs_on(worker)
     if not jobs:
         return None
     if current is not None and current.jobs is not None and jobs <= set(current.jobs):
-        return current
+        return current._replace(unleased_since=0)
     return RosterEntry(address, tuple(sorted(jobs)), zone)
 
 
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -23,10 +23,11 @@
 )
 from ._admission import Backlog
 from ._dispatch import dispatch
+from ._earlier_leaders import find_unleased
 from ._fleet import Fleet, handlers
-from ._messages import Commit, Effect, Event, RosterEntry, Tick
+from ._messages import Commit, Effect, EndedLeaders, Event, RosterEntry, Tick
 from ._progress import progress_of
-from ._roster import update_roster
+from ._roster import mark_unleased, update_roster
 from ._settings import FleetSettings
 from ._worker import Worker
 from ._workspace_log import log_workspaces_if_due
@@ -79,7 +80,7 @@
     """The scheduler of one leader; `now_ms` is a monotonic clock in milliseconds.
 
     `row_confirmed_ms` is the time at which the write of the leader's row was sent, by
-    default the time of creation.
+    default the time of creation. `ended_leaders` is what that row said of earlier ones.
     """
 
     def __init__(
@@ -89,9 +90,11 @@
         roster: dict[str, RosterEntry],
         now_ms: float,
         row_confirmed_ms: float | None = None,
+        *,
+        ended_leaders: tuple[EndedLeaders, ...] = (),
     ) -> None:
         self._settings = settings
-        self._fleet = Fleet(settings, epoch, roster, now_ms)
+        self._fleet = Fleet(settings, epoch, roster, now_ms, ended_leaders)
         self._row_confirmed_ms = (
             now_ms if row_confirmed_ms is None else row_confirmed_ms
         )
@@ -209,7 +212,7 @@
             # anew, so an acknowledgement meant for the previous one would remove
             # terminations that this leader has not read.
             return WorkerPoll(address, None, 0, 0, worker.restarts)
-        if not self.may_send_commands(now_ms):
+        if not self.may_renew_lease(worker_id, now_ms):
             acknowledged = worker.last_stored_termination
             return WorkerPoll(address, None, acknowledged, 0, worker.restarts)
         worker.extend_lease(self._settings, self._settings.lease_ms, now_ms)
@@ -222,6 +225,18 @@
             worker.restarts,
         )
 
+    def may_renew_lease(self, worker_id: str, now_ms: float) -> bool:
+        """Return whether this leader may extend the lease of a worker.
+
+        It may not while the stored roster could say that it does not.
+        """
+        is_unleased = worker_id in self._fleet.unleased_workers
+        return self.may_send_commands(now_ms) and not is_unleased
+
+    def ended_leaders(self, now_ms: float) -> tuple[EndedLeaders, ...]:
+        """Return what the row of this leader has to say of the earlier ones."""
+        return self._fleet.earlier_leaders.ended(now_ms)
+
     def is_fenced(self, worker_id: str, restarts: int) -> bool:
         """Return whether the refusal of a command shows a leader of a later epoch.
 
@@ -268,6 +283,7 @@
             # Until the result of the commit is known, the store could hold the old or
             # the new roster. So only entries that are equal in both are relied on.
             fleet.stored_roster = dict(fleet.stored_roster.items() & roster.items())
+            fleet.unleased_workers |= find_unleased(roster)
         ends = {
             worker.worker_id: (worker.incarnation, worker.last_applied_termination)
             for worker in fleet.workers.values()
@@ -322,6 +338,7 @@
                 )
         if commit.roster is not None:
             fleet.stored_roster = dict(commit.roster)
+            fleet.unleased_workers = find_unleased(commit.roster)
             fleet.needs_dispatch = fleet.pools_outdated = True
         for job_id, progress in commit.progress.items():
             _starts.record_stored_starts(fleet, job_id, progress)
@@ -411,6 +428,7 @@
     _occurrences.begin_due_occurrences(fleet)
     _reports.expire_leases(fleet)
     update_roster(fleet)
+    mark_unleased(fleet)
     if fleet.now_ms - fleet.runs_checked_ms >= RUN_CHECK_INTERVAL_MS:
         fleet.runs_checked_ms = fleet.now_ms
         _reports.retry_stops(fleet)
--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any, NamedTuple, TypedDict
 
-from marigoldpath_core.fleet import RosterEntry
+from marigoldpath_core.fleet import EndedLeaders, RosterEntry
 from marigoldpath_core.jobs import (
     AcceptedJob,
     AdvicePolicy,
@@ -34,7 +34,8 @@
     `token` identifies one incarnation of a process, and `beat` is a counter that each
     commit increments. `cores` is the processor capacity of the leader's host, 0 if it
     is unknown. A leader that releases the leadership sets `released`, and `successor`
-    to the address of the preferred next leader.
+    to the address of the preferred next leader. `ended` is what the leader knows of the
+    earlier ones.
     """
 
     epoch: int
@@ -44,6 +45,7 @@
     released: bool = False
     successor: str = ""
     cores: float = 0.0
+    ended: tuple[EndedLeaders, ...] = ()
 
 
 class Term(NamedTuple):
@@ -108,21 +110,31 @@
 def decode_leader(value: bytes) -> LeaderRow:
     """Decode the stored leader's row; fields of later versions are ignored."""
     data: dict[str, Any] = json.loads(value)
-    return LeaderRow(**{name: data[name] for name in LeaderRow._fields if name in data})
+    row = LeaderRow(**{name: data[name] for name in LeaderRow._fields if name in data})
+    return row._replace(ended=tuple(EndedLeaders(*each) for each in row.ended))
 
 
 def encode_roster(roster: dict[str, RosterEntry]) -> bytes:
-    """Encode a roster for the store."""
-    return to_json(roster)
+    """Encode a roster for the store.
+
+    Hosts of an earlier build read an entry without `unleased_since` only.
+    """
+    length = len(RosterEntry._fields)
+    return to_json(
+        {
+            worker_id: entry[: length if entry.unleased_since else length - 1]
+            for worker_id, entry in roster.items()
+        }
+    )
 
 
 def decode_roster(value: bytes) -> dict[str, RosterEntry]:
     """Decode a stored roster."""
     data: dict[str, list[Any]] = json.loads(value)
     return {
-        worker_id: RosterEntry(address, None if jobs is None else tuple(jobs), *zone)
-        # Rows written by earlier versions have no zone.
-        for worker_id, (address, jobs, *zone) in data.items()
+        worker_id: RosterEntry(address, None if jobs is None else tuple(jobs), *others)
+        # Rows written by earlier versions have fewer fields.
+        for worker_id, (address, jobs, *others) in data.items()
     }
 
 
--- a/packages/node/src/marigoldpath_node/cell/_commits.py
+++ b/packages/node/src/marigoldpath_node/cell/_commits.py
@@ -120,6 +120,8 @@
         row = self._row._replace(
             beat=self._row.beat + 1, released=released, successor=successor
         )
+        if scheduler is not None:
+            row = row._replace(ended=scheduler.ended_leaders(now_ms()))
         commit, rows, removals = self._begin_commit(row)
         try:
             while True:
--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -1,7 +1,11 @@
 """Leader election: monitors the leader and acquires its row if the leader fails."""
 
+from typing import NamedTuple
+
 import curio
 
+from marigoldpath_core.fleet import EndedLeaders, inherit_ended_leaders
+
 from ._clock import now_s
 from ._codec import LeaderRow, Term, decode_leader, encode_leader
 from ._peers import (
@@ -9,6 +13,7 @@
     LeaderStatus,
     PeerClient,
     PeerError,
+    PeerRefusedError,
     PeerUnreachableError,
 )
 from ._ports import CellDependencies, StoreConflictError, StoreError
@@ -16,6 +21,19 @@
 from ._settings import CellSettings
 from ._store_health import StoreHealth
 
+# What the first leader of a cell replaces.
+FIRST_ROW = LeaderRow(0, "", "", ended=(EndedLeaders(0, 0.0),))
+
+
+class Failover(NamedTuple):
+    """When a host may acquire the leader's row, if the row does not change until then.
+
+    `has_ended` says whether the row's leader certainly sends no more commands.
+    """
+
+    delay_s: float
+    has_ended: bool
+
 
 class Election:
     """Monitors the leader's row and its process on behalf of one entry host."""
@@ -136,27 +154,27 @@
             read_s = now_s() - read_start_s
             if version != known_version:
                 known_version, unchanged_since_s = version, now_s()
-            delay_s = await self._failover_delay_s(row, read_s)
-            if delay_s is None:
+            failover = await self._plan_failover(row, read_s)
+            if failover is None:
                 return None
-            if now_s() - unchanged_since_s >= delay_s:
-                term = await self._try_acquire(row, version)
+            if now_s() - unchanged_since_s >= failover.delay_s:
+                term = await self._try_acquire(row, version, failover.has_ended)
                 if term is not None:
                     return term
             await curio.sleep(self._settings.leader_row_read_interval_s)
 
-    async def _failover_delay_s(
+    async def _plan_failover(
         self, row: LeaderRow | None, read_s: float
-    ) -> float | None:
-        """Return the number of seconds after which this host may acquire the row.
+    ) -> Failover | None:
+        """Return when this host may acquire the row, None if its leader is active.
 
-        The row must not change during this time. None means that the row's leader is
-        active. `read_s` is the time that the store took to return the row.
+        `read_s` is the time that the store took to return the row.
         """
         settings = self._settings
-        delay_s = await self._base_failover_delay_s(row)
-        if delay_s is None or row is None:
-            return delay_s
+        failover = await self._plan_without_load(row)
+        if failover is None or row is None:
+            return failover
+        delay_s = failover.delay_s
         if delay_s:
             # A slow store also delays the commits of the leader.
             delay_s += settings.slow_store_factor * read_s
@@ -166,45 +184,53 @@
             # waits this long itself.
             delay_s = max(delay_s, settings.refused_leader_timeout_s)
             delay_s += settings.smaller_host_delay_s
-        return delay_s
+        return failover._replace(delay_s=delay_s)
 
-    async def _base_failover_delay_s(self, row: LeaderRow | None) -> float | None:
-        """Return the failover delay that follows from the row and its leader's reply.
+    async def _plan_without_load(self, row: LeaderRow | None) -> Failover | None:
+        """Return what follows from the row and its leader's reply.
 
-        None means that the row's leader is active.
+        None means that the row's leader is active. The load of the store and the size
+        of this host are not considered.
         """
         settings = self._settings
         if row is None:
-            return 0.0
+            return Failover(0.0, has_ended=True)
         if row.released:
-            if row.token == settings.token:
-                # This process released the leadership, so other hosts may acquire the
-                # row first.
-                return settings.released_leader_delay_s
-            is_preferred = row.successor in ("", settings.address)
-            return 0.0 if is_preferred else settings.successor_timeout_s
+            return Failover(self._released_row_delay_s(row), has_ended=True)
         self.record_epoch(row.epoch)
         if row.address == settings.address:
             # The row was written by an earlier incarnation of this process, or by a
             # write of this one whose reply was lost.
-            return 0.0
+            return Failover(0.0, has_ended=True)
         try:
             status = await self._exchange_status(row.address)
+        except PeerRefusedError:
+            return Failover(settings.refused_leader_timeout_s, has_ended=True)
         except PeerUnreachableError:
-            return settings.refused_leader_timeout_s
+            return Failover(settings.refused_leader_timeout_s, has_ended=False)
         except PeerError:
-            return settings.unresponsive_leader_timeout_s
+            return Failover(settings.unresponsive_leader_timeout_s, has_ended=False)
         if status.token != row.token:
             # The leader's process has terminated: another incarnation replied.
-            return 0.0
+            return Failover(0.0, has_ended=True)
         if not status.epoch:
-            return settings.refused_leader_timeout_s
+            # The process may still learn that its write of the row succeeded.
+            return Failover(settings.refused_leader_timeout_s, has_ended=False)
         self._leader = row
         self._record_status(status)
         if status.store_age_s > settings.max_commit_age_s:
-            return settings.unresponsive_leader_timeout_s
+            return Failover(settings.unresponsive_leader_timeout_s, has_ended=False)
         return None
 
+    def _released_row_delay_s(self, row: LeaderRow) -> float:
+        settings = self._settings
+        if row.token == settings.token:
+            # This process released the leadership, so other hosts may acquire the row
+            # first.
+            return settings.released_leader_delay_s
+        is_preferred = row.successor in ("", settings.address)
+        return 0.0 if is_preferred else settings.successor_timeout_s
+
     async def _exchange_status(self, address: str) -> LeaderStatus:
         settings = self._settings
         started_s = now_s() - self._started_s
@@ -228,12 +254,25 @@
         self._log.info("leader_lost", address=self._leader.address, reason=reason)
         self._leader = None
 
-    async def _try_acquire(self, row: LeaderRow | None, version: int) -> Term | None:
-        """Try to replace `row` by the row of a new term of this host."""
-        epoch = 1 if row is None else row.epoch + 1
+    async def _try_acquire(
+        self, row: LeaderRow | None, version: int, has_ended: bool
+    ) -> Term | None:
+        """Try to replace `row` by the row of a new term of this host.
+
+        `has_ended` is whether the leader of `row` certainly sends no more commands.
+        """
+        previous = FIRST_ROW if row is None else row
         settings = self._settings
+        epoch = previous.epoch + 1
+        ended = inherit_ended_leaders(
+            previous.ended, previous.epoch, has_ended=has_ended
+        )
         own_row = LeaderRow(
-            epoch, settings.address, settings.token, cores=settings.cores
+            epoch,
+            settings.address,
+            settings.token,
+            cores=settings.cores,
+            ended=ended,
         )
         sent_s = now_s()
         try:
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -233,7 +233,7 @@
             self._log.error("rows_unreadable", jobs=sorted(stored.unreadable))
         scheduler = create_scheduler(
             self._settings,
-            self.epoch,
+            self._term.row,
             self._committer.committed_s,
             stored,
             self._queues_changed,
@@ -387,8 +387,8 @@
                 await self._committer.wait_for_commit()
             elif poll.until_clock_ms is not None:
                 await curio.sleep(self._settings.poll_interval_s)
-            elif not self.may_send_commands:
-                # Without authority, polls grant no lease and do not wait.
+            elif not self._scheduler.may_renew_lease(worker_id, now_ms()):
+                # Polls that grant no lease do not wait.
                 await curio.sleep(self._settings.poll_retry_s)
         self._polled_workers.discard(worker_id)
 
--- a/packages/node/src/marigoldpath_node/cell/_peers.py
+++ b/packages/node/src/marigoldpath_node/cell/_peers.py
@@ -6,6 +6,7 @@
 from marigoldpath_core.jobs import AcceptedJob, JobState, TaskKey
 from marigoldpath_core.registry import Registry
 from marigoldpath_node.http import (
+    ConnectionRefusedByPeerError,
     HttpClient,
     HttpError,
     HttpRequest,
@@ -29,6 +30,10 @@
     """The connection to a peer could not be established."""
 
 
+class PeerRefusedError(PeerUnreachableError):
+    """The peer's host refused the connection: no process listens at the address."""
+
+
 class NotLeadingError(PeerError):
     """The peer replied that it is not the leader."""
 
@@ -195,6 +200,8 @@
             if response.status != 200:
                 raise PeerError(f"{address} replied {response.status} to {name}")
             return _require_object(response.json())
+        except ConnectionRefusedByPeerError as error:
+            raise PeerRefusedError(str(error)) from error
         except NotSentError as error:
             raise PeerUnreachableError(str(error)) from error
         except (HttpError, ValueError) as error:
@@ -272,6 +279,7 @@
     "NotLeadingError",
     "PeerClient",
     "PeerError",
+    "PeerRefusedError",
     "PeerUnreachableError",
     "decode_job_body",
     "decode_status",
--- a/packages/node/src/marigoldpath_node/cell/_state_loading.py
+++ b/packages/node/src/marigoldpath_node/cell/_state_loading.py
@@ -14,7 +14,7 @@
 )
 
 from ._clock import now_ms, now_s, wall_ms
-from ._codec import Term
+from ._codec import LeaderRow, Term
 from ._commits import Committer
 from ._ports import CellDependencies, StoreError
 from ._records import LoadPlan, StateReader, StoredState, read_leader
@@ -71,12 +71,14 @@
             reply_s = min(2 * reply_s, self._settings.max_load_page_timeout_s)
             await curio.sleep(self._settings.commit_retry_s)
         self._is_done = True
+        row = self._term.row
         self._log.info(
             "leader_loaded",
-            epoch=self._term.row.epoch,
+            epoch=row.epoch,
             jobs=len(stored.jobs),
             roster=len(stored.roster),
             workers=len(entries),
+            ended=[(each.epoch, round(each.elapsed_ms)) for each in row.ended],
             took_ms=round(1_000 * (now_s() - self._start_s)),
         )
         return LoadedState(stored, entries)
@@ -116,22 +118,23 @@
 
 def create_scheduler(
     settings: CellSettings,
-    epoch: int,
+    row: LeaderRow,
     row_written_s: float,
     stored: StoredState,
     queues_changed: QueuesChanged | None,
 ) -> FleetScheduler:
-    """Return a scheduler with the stored jobs.
+    """Return a scheduler with the stored jobs for the term that began with `row`.
 
-    The leader's row was last written at `row_written_s`. The load may have taken so
-    long that this proves nothing any more.
+    The row was last written at `row_written_s`. The load may have taken so long that
+    this proves nothing any more.
     """
     scheduler = FleetScheduler(
         settings.fleet,
-        epoch,
+        row.epoch,
         stored.roster,
         now_ms(),
         row_confirmed_ms=1_000 * row_written_s,
+        ended_leaders=row.ended,
     )
     if queues_changed is not None:
         scheduler.handle(queues_changed, now_ms())
--- a/tests/core/fleet_fixture.py
+++ b/tests/core/fleet_fixture.py
@@ -70,7 +70,7 @@
 class FleetHarness:
     """A scheduler with a simulated clock, which all workers share."""
 
-    def __init__(self, *entries, epoch=1, roster=None, settings=None):
+    def __init__(self, *entries, epoch=1, roster=None, settings=None, ended=()):
         self.now_ms = 10_000.0
         self.entries = entries
         roster = (
@@ -82,7 +82,11 @@
             else roster
         )
         self.scheduler = FleetScheduler(
-            settings or FleetSettings(), epoch, roster, self.now_ms
+            settings or FleetSettings(),
+            epoch,
+            roster,
+            self.now_ms,
+            ended_leaders=ended,
         )
         self.scheduler.handle(WorkersListed(entries), self.now_ms)
         self.effects = []
--- a/tests/core/simulated_cell.py
+++ b/tests/core/simulated_cell.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from marigoldpath_core.fleet import (
+    EndedLeaders,
     FleetScheduler,
     FleetSettings,
     JobAccepted,
@@ -29,6 +30,7 @@
     WorkersListed,
     WorkerUnresponsive,
     fencing_token,
+    inherit_ended_leaders,
 )
 from marigoldpath_core.jobs import JobState, Resources, TaskKey
 
@@ -182,6 +184,7 @@
 
     def __init__(self, roster):
         self.epoch = 0
+        self.ended = (EndedLeaders(0, 0.0),)
         self.roster = roster
         self.jobs = {}
         self.progress = {}
@@ -189,10 +192,17 @@
         self.done_ms = {}
         self.failed_ms = {}
 
-    def apply(self, epoch, commit, now_ms):
+    def acquire(self, has_ended):
+        """Write the row of a new leader, and return its epoch."""
+        self.ended = inherit_ended_leaders(self.ended, self.epoch, has_ended=has_ended)
+        self.epoch += 1
+        return self.epoch
+
+    def apply(self, epoch, commit, ended, now_ms):
         """Store a commit, unless a leader of a later epoch has replaced the row."""
         if epoch != self.epoch:
             return False
+        self.ended = ended
         for job_id, progress in commit.progress.items():
             self.progress[job_id] = progress
             if progress.state is JobState.FAILED:
@@ -221,9 +231,12 @@
         self.cell = cell
         self.epoch = epoch
         store = cell.store
-        store.epoch = epoch
         self.scheduler = FleetScheduler(
-            cell.settings, epoch, dict(store.roster), cell.now_ms
+            cell.settings,
+            epoch,
+            dict(store.roster),
+            cell.now_ms,
+            ended_leaders=store.ended,
         )
         self.reaches_store = True
         self.unreachable = set()
@@ -386,7 +399,9 @@
         """Store the remaining decisions and end, as a process does on SIGTERM."""
         self.scheduler.retire()
         commit = self.scheduler.begin_commit(100)
-        self.cell.store.apply(self.epoch, commit, self.cell.now_ms)
+        now_ms = self.cell.now_ms
+        ended = self.scheduler.ended_leaders(now_ms)
+        self.cell.store.apply(self.epoch, commit, ended, now_ms)
         self.ended = True
 
     def commit(self):
@@ -398,9 +413,10 @@
         self.commit_in_flight = True
         self.committed_ms = now_ms
         commit = self.scheduler.begin_commit(100)
+        ended = self.scheduler.ended_leaders(now_ms)
 
         def arrive():
-            stored = self.cell.store.apply(self.epoch, commit, self.cell.now_ms)
+            stored = self.cell.store.apply(self.epoch, commit, ended, self.cell.now_ms)
             self.cell.to_leader(self, lambda: receive(stored))
 
         def receive(stored):
@@ -502,7 +518,8 @@
 
     def elect(self):
         """Let a new leader replace the row."""
-        leader = Leader(self, self.store.epoch + 1)
+        has_ended = not self.leaders or self.leaders[-1].ended
+        leader = Leader(self, self.store.acquire(has_ended))
         self.leaders.append(leader)
         return leader
 
--- a/tests/core/test_fleet_failover.py
+++ b/tests/core/test_fleet_failover.py
@@ -3,6 +3,7 @@
 import unittest
 
 from marigoldpath_core.fleet import (
+    EndedLeaders,
     JobCancelled,
     JobsRead,
     LogEvent,
@@ -288,6 +289,84 @@
         self.assertEqual(harness.dispatch_starts(), [])
 
 
+class EarlierLeadersTests(unittest.TestCase):
+    """Guards against a wait for earlier leaders that has no end, or ends too early."""
+
+    def begin(self, ended, roster=None, epoch=3):
+        """Begin a term; no majority of the three workers ever reports."""
+        entries = (entry("a"), entry("b"), entry("c"))
+        self.harness = FleetHarness(*entries, epoch=epoch, roster=roster, ended=ended)
+        self.harness.accept(job(step()))
+        self.harness.handle(WorkerUnresponsive("a"))
+        self.harness.handle(WorkerUnresponsive("b"))
+        self.harness.report("c")
+
+    def starts_after(self, for_ms):
+        """Return whether the task of an earlier epoch starts after this time."""
+        self.harness.advance(for_ms)
+        self.harness.commit()
+        self.harness.report("c")
+        self.harness.advance(0)
+        return bool(self.harness.dispatch_starts())
+
+    def test_a_predecessor_that_ended_and_knew_of_the_others_needs_no_majority(self):
+        self.begin((EndedLeaders(3, 0.0),))
+        self.assertFalse(self.starts_after(4_500))
+        self.assertTrue(self.starts_after(500))
+
+    def test_a_predecessor_that_did_not_know_of_the_others_is_no_proof(self):
+        self.begin((EndedLeaders(2, 0.0),))
+        self.assertFalse(self.starts_after(60_000))
+
+    def test_a_worker_without_a_lease_of_later_leaders_waits_for_the_earlier_ones(self):
+        roster = {
+            "a": RosterEntry("a:1", None, "zone", 2),
+            "b": RosterEntry("b:1", None, "zone", 2),
+            "c": RosterEntry("c:1", None, "zone"),
+        }
+        self.begin((EndedLeaders(2, 3_000.0),), roster)
+        self.assertFalse(self.starts_after(1_500))
+        self.assertTrue(self.starts_after(500))
+
+    def test_what_was_waited_passes_on(self):
+        self.begin((EndedLeaders(2, 3_000.0), EndedLeaders(3, 0.0)))
+        self.harness.advance(1_000)
+        ended = self.harness.scheduler.ended_leaders(self.harness.now_ms)
+        self.assertEqual(ended, (EndedLeaders(2, 4_000.0), EndedLeaders(3, 1_000.0)))
+        # Of those whose leases have ended, only the last one is needed.
+        self.harness.advance(9_000)
+        ended = self.harness.scheduler.ended_leaders(self.harness.now_ms)
+        self.assertEqual(ended, (EndedLeaders(3, 10_000.0),))
+
+    def test_a_worker_that_reports_late_gets_a_lease_once_its_mark_is_gone(self):
+        """Otherwise a successor would not wait for the lease that it was given."""
+        self.begin((EndedLeaders(3, 0.0),))
+        self.harness.advance(2_000)
+        self.assertEqual(self.harness.commit().roster["a"].unleased_since, 3)
+        self.harness.report("a")
+        self.assertIsNone(self.next_lease("a"))
+        self.harness.advance(10)
+        commit = self.harness.scheduler.begin_commit(100)
+        self.assertEqual(commit.roster["a"].unleased_since, 0)
+        self.assertIsNone(self.next_lease("a"))
+        now_ms = self.harness.now_ms
+        self.harness.scheduler.commit_succeeded(commit, now_ms, now_ms)
+        self.assertIsNotNone(self.next_lease("a"))
+
+    def test_a_successor_grants_no_lease_under_an_inherited_mark(self):
+        roster = {"c": RosterEntry("c:1", None, "zone", 2)}
+        self.begin((EndedLeaders(3, 0.0),), roster)
+        self.assertIsNone(self.next_lease("c"))
+        self.assertEqual(self.harness.dispatch_starts(), [])
+        self.harness.advance(10)
+        self.harness.commit()
+        self.assertIsNotNone(self.next_lease("c"))
+
+    def next_lease(self, worker_id):
+        scheduler = self.harness.scheduler
+        return scheduler.next_poll(worker_id, self.harness.now_ms).until_clock_ms
+
+
 class RosterTests(unittest.TestCase):
     """The next leader reads from the roster which jobs could be running on a worker.
 
--- a/tests/core/test_fleet_former_incarnation.py
+++ b/tests/core/test_fleet_former_incarnation.py
@@ -416,7 +416,7 @@
             while harness.now_ms - began_ms < 60_000:
                 harness.now_ms += 100
                 harness.report("b")
-                harness.scheduler._fleet.majority_reported_ms = began_ms
+                harness.scheduler._fleet.earlier_leaders.majority_reported_ms = began_ms
                 wall_ms = int(WALL_MS + harness.now_ms - began_ms)
                 harness.handle(Tick(wall_ms))
                 harness.commit()
--- a/tests/core/test_fleet_handovers.py
+++ b/tests/core/test_fleet_handovers.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from tests.core.fleet_fixture import BACKGROUND, entry, job, step
-from tests.core.simulated_cell import Cell
+from tests.core.simulated_cell import ROW_MS, SETTINGS, Cell
 
 SEEDS = 40
 WORKERS = 6
@@ -24,6 +24,13 @@
 # How long a released and a lost leader's row stays without a new leader.
 RELEASED_MS = (50, 200)
 LOST_MS = (1_000, 1_300)
+# When the leaders are replaced that a worker is waited for under.
+FIRST_MS = 300
+INTERVAL_MS = 3_500
+# The longest lease that an earlier leader granted, and the time in which tasks are
+# started once nothing keeps them back.
+LONGEST_LEASE_MS = SETTINGS.longest_wait_ms(SETTINGS.lease_ms)
+PLACE_MS = 1_000
 # All tasks are done within this time, whatever is lost.
 END_MS = 60_000
 
@@ -32,10 +39,11 @@
     """Leaders that replace each other while one or two workers are cut off.
 
     Each leader is stopped, and releases its row, or it is killed. With `gone`, the
-    workers never come back.
+    workers never come back. `is_stopped` says how all leaders end, at random if it is
+    None.
     """
 
-    def __init__(self, seed, *, gone=False):
+    def __init__(self, seed, *, gone=False, is_stopped=None):
         self.random = random = Random(f"hand-overs {seed}")
         names = [f"w{number}" for number in range(WORKERS)]
         self.cell = cell = Cell(
@@ -44,31 +52,34 @@
             rates={name: random.uniform(0.98, 1.02) for name in names},
         )
         cell.rereads_directory = True
+        # The runs of the workers that are cut off, which nobody else may start yet, and
+        # when the last of them was started elsewhere.
+        self.held = set()
+        self.restarted_ms = None
         cell.elect()
         fields = {"cpu": 2_000, "estimate_ms": TASK_MS}
         cell.submit(job(step(TASKS, **fields), queue=BACKGROUND))
         self.run_for(random.uniform(700, 1_500))
         self.cut = self.choose_workers(random.choice([1, 2]))
         self.cut_ms = cell.now_ms
-        # The runs of the workers that are cut off, which nobody else may start yet.
         self.held = {key for name in self.cut for key, _ in cell.workers[name].runs}
-        # When the last of them was started elsewhere, None as long as it is not.
-        self.restarted_ms = None
         # The leaders that were elected while workers that are cut off ran tasks.
         self.elected_in_lease = 0
+        self.first_elected_ms = None
+        self.is_stopped = is_stopped
         cell.isolated.update(self.cut)
         cell.after(random.uniform(*EXPIRY_MS), lambda: cell.unlisted.update(self.cut))
         if not gone:
             cell.after(CUT_MS, self.heal)
 
     def choose_workers(self, count):
-        """Wait until leases were renewed; return up to `count` workers with one."""
+        """Wait for renewed leases; return up to `count` busy workers with one."""
         while True:
             self.cell.step()
             renewed = [
                 name
                 for name, each in self.cell.workers.items()
-                if each.lease_clock_ms - each.clock_ms >= MIN_LEASE_MS
+                if each.runs and each.lease_clock_ms - each.clock_ms >= MIN_LEASE_MS
             ]
             if renewed:
                 return self.random.sample(renewed, min(count, len(renewed)))
@@ -80,7 +91,14 @@
     def run_for(self, for_ms):
         end_ms = self.cell.now_ms + for_ms
         while self.cell.now_ms < end_ms:
-            self.cell.step()
+            self.step()
+
+    def step(self):
+        self.cell.step()
+        if self.restarted_ms is None and self.held:
+            started = self.cell.started
+            if all(started[key] > 1 for key in self.held):
+                self.restarted_ms = self.cell.now_ms
 
     def run(self, intervals_ms):
         """Replace the leader after each interval; return the violated rules."""
@@ -90,18 +108,16 @@
             self.replace_leader()
         end_ms = cell.now_ms + END_MS
         while cell.now_ms < end_ms and not self.is_over:
-            cell.step()
-            if self.restarted_ms is None and all(
-                cell.started[key] > 1 for key in self.held
-            ):
-                self.restarted_ms = cell.now_ms
+            self.step()
         if not self.is_over:
             cell.found("not all tasks are done, or the roster has lost workers")
         return cell.violations
 
     def replace_leader(self):
         leader = self.cell.leader
-        is_stopped = self.random.random() < 0.7
+        is_stopped = self.is_stopped
+        if is_stopped is None:
+            is_stopped = self.random.random() < 0.7
         if is_stopped:
             leader.release()
         else:
@@ -109,6 +125,8 @@
         self.run_for(self.random.uniform(*(RELEASED_MS if is_stopped else LOST_MS)))
         workers = [self.cell.workers[name] for name in self.cell.isolated]
         self.elected_in_lease += any(each.runs for each in workers)
+        if self.first_elected_ms is None:
+            self.first_elected_ms = self.cell.now_ms
         self.cell.elect()
 
     @property
@@ -128,6 +146,31 @@
     return [first_ms, second_ms, *others_ms]
 
 
+class LostWorkerTests(unittest.TestCase):
+    """Guards against tasks that wait for a lost worker as long as leaders change.
+
+    Each new leader waited for the whole time again in which the leases of all earlier
+    ones end, although its predecessor had granted none.
+    """
+
+    def check(self, is_stopped, limit_ms):
+        """Replace the leader again and again, and check when the tasks start."""
+        for seed in range(SEEDS // 4):
+            with self.subTest(seed=seed):
+                play = HandOverPlay(seed, gone=True, is_stopped=is_stopped)
+                self.assertEqual(play.run([FIRST_MS, *[INTERVAL_MS] * 6]), [])
+                waited_ms = play.restarted_ms - play.first_elected_ms
+                self.assertLess(waited_ms, limit_ms)
+
+    def test_they_wait_for_the_longest_lease_if_leaders_are_stopped(self):
+        self.check(True, LONGEST_LEASE_MS + PLACE_MS)
+
+    def test_they_wait_for_the_longest_lease_if_leaders_are_killed(self):
+        """What a leader has waited since its last commit is not known to the next."""
+        lost_ms = 2 * (LOST_MS[1] + ROW_MS)
+        self.check(False, LONGEST_LEASE_MS + lost_ms + PLACE_MS)
+
+
 class HandOverTests(unittest.TestCase):
     """Guards against a leader that takes a lease for ended because it never knew of it.
 
--- a/tests/node/test_cell_commits.py
+++ b/tests/node/test_cell_commits.py
@@ -11,6 +11,7 @@
 
 from marigoldpath_core.fleet import (
     Commit,
+    EndedLeaders,
     FleetScheduler,
     FleetSettings,
     JobAccepted,
@@ -355,7 +356,17 @@
 
     def test_a_decoded_roster_equals_the_encoded_roster(self):
         roster = {"a": RosterEntry("a:1", None), "b": RosterEntry("b:1", (JOB_ID,))}
-        self.assertEqual(decode_roster(encode_roster(roster)), roster)
+        roster["c"] = RosterEntry("c:1", (JOB_ID,), "zone", 7)
+        encoded = encode_roster(roster)
+        self.assertEqual(decode_roster(encoded), roster)
+        # Hosts of an earlier build read entries of three fields only.
+        self.assertEqual(json.loads(encoded)["a"], ["a:1", None, ""])
+
+    def test_a_decoded_leader_row_equals_the_encoded_row(self):
+        """An election compares the rows to find out whether its write was applied."""
+        ended = (EndedLeaders(2, 4_785.25), EndedLeaders(3, 0.0))
+        row = LeaderRow(3, "a:1", "token", ended=ended)
+        self.assertEqual(decode_leader(encode_leader(row)), row)
 
     def test_a_commit_fails_if_the_leader_row_was_replaced(self):
         async def replace(store):
--- a/tests/node/test_cell_election.py
+++ b/tests/node/test_cell_election.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from marigoldpath_core.fleet import EndedLeaders
 from marigoldpath_node.cell import (
     CellDependencies,
     EntryHost,
@@ -21,6 +22,7 @@
     FollowerStatus,
     LeaderStatus,
     PeerError,
+    PeerRefusedError,
     PeerUnreachableError,
     decode_status,
 )
@@ -87,6 +89,36 @@
                 term = self.run_with_leader_row(FakePeers(exchange_status=error))
                 self.assertEqual(term.row.epoch, 4)
 
+    def test_what_a_new_leader_knows_of_the_earlier_ones(self):
+        """Guards against a leader that waits without end, or too briefly, for others.
+
+        Only a process that has ended certainly sends no more commands. One that does
+        not reply may be cut off, and lead a majority of the workers.
+        """
+        known = (EndedLeaders(2, 100.0), EndedLeaders(3, 50.0))
+        proved = (*known, EndedLeaders(4, 0.0))
+        restarted = self.leader_status(token="later")
+        loading = self.leader_status(epoch=0)
+        for reply, fields, expected in (
+            (PeerRefusedError("refused"), {}, proved),
+            (restarted, {}, proved),
+            (PeerError("not asked"), {"released": True}, proved),
+            (PeerUnreachableError("no route"), {}, known),
+            (PeerError("no reply"), {}, known),
+            (loading, {}, known),
+            (self.leader_status(store_age_s=9.0), {}, known),
+            (PeerRefusedError("refused"), {"ended": known[:1]}, known[:1]),
+        ):
+            with self.subTest(reply=reply, fields=fields):
+                self.setUp()
+                peers = FakePeers(exchange_status=reply)
+                term = self.run_with_leader_row(peers, **{"ended": known, **fields})
+                self.assertEqual(term.row.ended, expected)
+
+    def test_the_first_leader_knows_that_there_were_none(self):
+        term = curio.run(self.run_until_elected, FakePeers())
+        self.assertEqual(term.row.ended[-1], EndedLeaders(1, 0.0))
+
     def test_a_leader_whose_row_changes_is_not_replaced(self):
         """The leader may be partitioned only from this host and still be active."""
 
