Bound the wait for a silent worker whose entry has a start time in the future

A new leader waits for a silent worker that restarted lately until commands for its former incarnation cannot arrive any more, which is counted from the start time in the worker's entry. With a time that is ahead of the leader's clock the wait moved on with the clock, so the tasks of that worker never started (60 s and longer in the test).

The age of an incarnation now is at least the time since the directory first named it.

--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -335,7 +335,11 @@
         if worker is None or not worker.entry.incarnation or not self.wall_ms:
             return expires_ms
         settings = self.settings
-        age_ms = max(0, self.wall_ms - worker.entry.incarnation)
+        age_ms = max(
+            self.wall_ms - worker.entry.incarnation,
+            # A wrong time in the entry must not delay this without end.
+            self.now_ms - worker.incarnation_listed_ms,
+        )
         late_ms = settings.max_command_delay_ms - age_ms
         lease_ms = settings.longest_wait_ms(settings.longest_lease_ms)
         return max(expires_ms, self.now_ms + late_ms + lease_ms)
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -44,7 +44,7 @@
             fleet.log("worker_listed", worker=entry.worker_id, zone=entry.zone)
         elif entry.draining and not worker.entry.draining:
             fleet.log("worker_draining", worker=entry.worker_id)
-        worker.update_entry(entry)
+        worker.update_entry(entry, fleet.now_ms)
         fleet.pools_outdated = True
         if entry.draining:
             worker.drain_observed_ms = fleet.now_ms
--- a/packages/core/src/marigoldpath_core/fleet/_worker.py
+++ b/packages/core/src/marigoldpath_core/fleet/_worker.py
@@ -42,6 +42,8 @@
         self._accelerators = 0
         self._background_cpu_millis = 0
         self.is_listed = True
+        # When the directory first named the incarnation that is in the entry.
+        self.incarnation_listed_ms = -math.inf
         self.incarnation = 0
         self.clock_ms = 0
         self.clock_read_ms = 0.0
@@ -129,8 +131,11 @@
         """Return when all leases of the worker have expired for certain."""
         return max(self._lease_expiry_ms, self._former_lease_expiry_ms)
 
-    def update_entry(self, entry: WorkerEntry) -> None:
+    def update_entry(self, entry: WorkerEntry, now_ms: float) -> None:
         """Apply a newer entry of the directory."""
+        is_first = self.incarnation_listed_ms == -math.inf
+        if is_first or entry.incarnation != self._entry.incarnation:
+            self.incarnation_listed_ms = now_ms
         self._entry = entry
         self.is_listed = True
         self._update_free()
--- a/tests/core/test_fleet_former_incarnation.py
+++ b/tests/core/test_fleet_former_incarnation.py
@@ -405,30 +405,37 @@
     def test_a_restart_long_ago_makes_no_difference(self):
         self.assertEqual(self.play_loss(restarts=True), self.play_loss(restarts=False))
 
-    def test_a_worker_that_did_not_restart_delays_a_successor_no_longer(self):
+    def play_successor(self, born_ms):
+        """Return how long a successor waits for a silent worker that began then."""
         roster = {"a": RosterEntry("a:1", None, "zone")}
-        waits = []
-        for born_ms in (WALL_MS - 60_000, WALL_MS - 1_000):
-            entries = (entry("a", incarnation=born_ms), entry("b"))
-            harness = FleetHarness(*entries, epoch=2, roster=roster, settings=SETTINGS)
-            harness.accept(job(step()))
-            began_ms = harness.now_ms
-            while harness.now_ms - began_ms < 60_000:
-                harness.now_ms += 100
-                harness.report("b")
-                harness.scheduler._fleet.earlier_leaders.majority_reported_ms = began_ms
-                wall_ms = int(WALL_MS + harness.now_ms - began_ms)
-                harness.handle(Tick(wall_ms))
-                harness.commit()
-                if harness.dispatch_starts():
-                    break
-            waits.append(harness.now_ms - began_ms)
-        long_ago, lately = waits
-        self.assertLess(long_ago, 8_000)
+        entries = (entry("a", incarnation=born_ms), entry("b"))
+        harness = FleetHarness(*entries, epoch=2, roster=roster, settings=SETTINGS)
+        harness.accept(job(step()))
+        began_ms = harness.now_ms
+        while harness.now_ms - began_ms < 60_000:
+            harness.now_ms += 100
+            harness.report("b")
+            harness.scheduler._fleet.earlier_leaders.majority_reported_ms = began_ms
+            wall_ms = int(WALL_MS + harness.now_ms - began_ms)
+            harness.handle(Tick(wall_ms))
+            harness.commit()
+            if harness.dispatch_starts():
+                break
+        return harness.now_ms - began_ms
+
+    def test_a_worker_that_did_not_restart_delays_a_successor_no_longer(self):
+        self.assertLess(self.play_successor(WALL_MS - 60_000), 8_000)
+        lately = self.play_successor(WALL_MS - 1_000)
         late_ms = SETTINGS.max_command_delay_ms + SETTINGS.longest_lease_ms
         self.assertGreater(lately, late_ms - 1_000)
         self.assertLess(lately, late_ms + 1_000)
 
+    def test_a_worker_whose_start_is_in_the_future_delays_a_successor_no_longer(self):
+        """Guards against a wait without end for an entry with a wrong start time."""
+        waited_ms = self.play_successor(10 * WALL_MS)
+        late_ms = SETTINGS.max_command_delay_ms + SETTINGS.longest_lease_ms
+        self.assertLess(waited_ms, late_ms + 1_000)
+
 
 if __name__ == "__main__":
     unittest.main()
