Ignore entries of the directory that name no worker of the cell

The leadership changes every 4.3 s, and the jobs of lost workers stay blocked for good, with room free.

Cause: a leader added every valid entry as a worker, polled it, and counted it for its majority, so it never had one. It released its row after 4 s, its successor too, and each of them waited for the lost worker until a majority had reported, which is without end.

- An entry counts if a queue of the configuration or of a job uses its service, or if its worker is in the roster, which only leaders write.
Another service under the id of a known worker shows that its entry was replaced: it ends no run and changes no address.
- The directory is read again at once when the configuration names another service.
- If no host reaches a majority, hand-overs do not help: the time before the next one doubles, up to 16 times, and a term with a majority resets it.
- `directory_entries_ignored` and the gauge marigoldpath_directory_entries show what is ignored.

The apply of the directory moved to a module of its own, and the counts for the majority too.

--- a/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
+++ b/packages/bench/src/marigoldpath_bench/fleet_simulation/_simulation.py
@@ -29,6 +29,7 @@
 from marigoldpath_core.jobs import (
     AcceptedJob,
     JobState,
+    Queue,
     Resources,
     TaskKey,
     Workspace,
@@ -44,6 +45,9 @@
 # How long a worker lives after the start of a task that crashes it.
 CRASH_DELAY_MS = 10.0
 
+# The configured queue; jobs keep the queues under which they were accepted.
+QUEUES = {"simulated": Queue("simulated", "service", 0, 3, 1.5, 300)}
+
 effect_handlers: Registry = Registry("effect in the simulated cell")
 
 
@@ -233,7 +237,7 @@
         if not leader.configuration_version:
             inherited_quotas = self._quota_history.largest(self.now_ms)
         leader.configuration_version = version
-        self._handle(leader, QueuesChanged({}, workspaces, inherited_quotas))
+        self._handle(leader, QueuesChanged(QUEUES, workspaces, inherited_quotas))
 
     def suspend(
         self, leader: SimulatedLeader, for_ms: float, *, before_sending: bool
--- a/packages/core/src/marigoldpath_core/fleet/_fleet.py
+++ b/packages/core/src/marigoldpath_core/fleet/_fleet.py
@@ -8,6 +8,7 @@
 
 from ._advice_state import SlowAdviceState
 from ._copy_state import CopyState
+from ._directory_state import DirectoryState
 from ._earlier_leaders import EarlierLeaders, find_unleased
 from ._failing_images import FailingImages
 from ._job import Job
@@ -61,8 +62,7 @@
         # job id. Their next report shows which of its tasks run or terminated there.
         self.unknown_job_workers: dict[str, set[str]] = {}
         self.workers: dict[str, Worker] = {}
-        # How often each worker that was removed had restarted in this term.
-        self.removed_restarts: dict[str, int] = {}
+        self.directory = DirectoryState()
         self.queues: dict[str, Queue] = {}
         self.quotas = QuotaState()
         self.usage = WorkspaceUsage()
--- a/packages/core/src/marigoldpath_core/fleet/_jobs.py
+++ b/packages/core/src/marigoldpath_core/fleet/_jobs.py
@@ -36,6 +36,7 @@
     queue = fleet.queues.get(accepted.queue.name, accepted.queue)
     job = Job(accepted._replace(queue=queue), progress)
     fleet.jobs[job_id] = job
+    fleet.directory.job_services.add(queue.service)
     if progress is not None:
         job.state = progress.state
         job.has_started = progress.state is JobState.RUNNING
@@ -89,6 +90,9 @@
 def apply_queues(fleet: Fleet, event: QueuesChanged) -> None:
     """Apply the queue policies of a new configuration, also to open jobs."""
     fleet.queues = event.queues
+    fleet.directory.configured_services = {
+        queue.service for queue in event.queues.values()
+    }
     update_workspaces(fleet, event)
     fleet.priority_classes = {
         queue.priority_class: queue for queue in event.queues.values()
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -1,4 +1,4 @@
-"""Applies the directory's entries and the reports of workers, and expires leases."""
+"""Applies the reports of workers, and expires leases."""
 
 import math
 
@@ -11,12 +11,13 @@
     record_survival,
     retract,
 )
+from ._directory import remove_if_gone
 from ._fleet import Fleet, handlers
 from ._incarnations import begin_incarnation, begin_reports, settle_restart
+from ._majority import has_majority
 from ._messages import (
     RunningTask,
     WorkerReport,
-    WorkersListed,
     WorkerUnresponsive,
 )
 from ._quotas import find_stray
@@ -30,34 +31,6 @@
 REFUSAL_MARGIN_MS = 50
 
 
-@handlers.register(WorkersListed)
-def apply_worker_list(fleet: Fleet, event: WorkersListed) -> None:
-    """Add, update and remove workers after the directory was read."""
-    listed = set()
-    for entry in event.entries:
-        listed.add(entry.worker_id)
-        worker = fleet.workers.get(entry.worker_id)
-        if worker is None:
-            worker = fleet.workers[entry.worker_id] = Worker(entry, fleet.usage)
-            # The fencing token must rise, also for a worker that was only cut off.
-            worker.restarts = fleet.removed_restarts.pop(entry.worker_id, -1) + 1
-            fleet.log("worker_listed", worker=entry.worker_id, zone=entry.zone)
-        elif entry.draining and not worker.entry.draining:
-            fleet.log("worker_draining", worker=entry.worker_id)
-        worker.update_entry(entry, fleet.now_ms)
-        fleet.pools_outdated = True
-        if entry.draining:
-            worker.drain_observed_ms = fleet.now_ms
-        if worker.incarnation and entry.incarnation > worker.incarnation:
-            begin_incarnation(fleet, worker, entry.incarnation, None)
-    if not fleet.unreported_workers.keys() <= listed:
-        fleet.lost_worker_before_term = True
-    for worker in list(fleet.workers.values()):
-        if worker.worker_id not in listed:
-            worker.is_listed = False
-            _remove_if_gone(fleet, worker)
-
-
 @handlers.register(WorkerReport)
 def apply_report(fleet: Fleet, event: WorkerReport) -> None:
     """Apply the runs and terminations in a worker's report."""
@@ -136,7 +109,7 @@
         if worker.is_unresponsive and fleet.now_ms > worker.lease_expiry_ms:
             release_runs(fleet, worker, "the worker's lease has expired")
         if not worker.is_listed:
-            _remove_if_gone(fleet, worker)
+            remove_if_gone(fleet, worker)
     _give_up_unreported_workers(fleet)
 
 
@@ -201,9 +174,7 @@
     earlier_leaders = fleet.earlier_leaders
     if earlier_leaders.majority_reported_ms is not None:
         return
-    listed = [each for each in fleet.workers.values() if each.is_listed]
-    reported = sum(1 for each in listed if each.last_polled_ms is not None)
-    if reported * 2 > len(listed):
+    if has_majority(fleet, -math.inf):
         earlier_leaders.majority_reported_ms = fleet.now_ms
         fleet.log(
             "unheard_workers",
@@ -329,25 +300,3 @@
         if terminated.number > worker.last_applied_termination
     )
     return job_ids
-
-
-def _remove_if_gone(fleet: Fleet, worker: Worker) -> None:
-    """Remove an unlisted worker on which no lease of any leader can be valid.
-
-    This leader knows only the leases that it granted itself. A worker that has not
-    reported to it may hold one of an earlier leader.
-    """
-    if (
-        worker.runs
-        or not worker.is_unresponsive
-        or fleet.now_ms < worker.lease_expiry_ms
-        or worker.worker_id in fleet.unreported_workers
-    ):
-        return
-    fleet.usage.replace_strays(worker.worker_id, ())
-    fleet.record_unknown_jobs(worker, set())
-    fleet.speeds.forget_worker(worker)
-    remove_from_roster(fleet, worker.worker_id, "the worker is gone")
-    del fleet.workers[worker.worker_id]
-    fleet.removed_restarts[worker.worker_id] = worker.restarts
-    fleet.log("worker_gone", worker=worker.worker_id)
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -3,7 +3,6 @@
 It applies events and returns effects. It does no input or output itself.
 """
 
-from collections import Counter
 from typing import NamedTuple
 
 from marigoldpath_core.jobs import JobState
@@ -12,6 +11,7 @@
     _admission,
     _advice,
     _copies,
+    _directory,
     _draining,
     _health,
     _jobs,
@@ -25,6 +25,7 @@
 from ._dispatch import dispatch
 from ._earlier_leaders import find_unleased
 from ._fleet import Fleet, handlers
+from ._majority import WorkerCounts, count_workers, has_majority
 from ._messages import Commit, Effect, EndedLeaders, Event, RosterEntry, Tick
 from ._progress import progress_of
 from ._roster import mark_unleased, update_roster
@@ -39,10 +40,14 @@
 # The share of a commit that the removal of expired jobs may use while many jobs change.
 REMOVAL_SHARE = 0.125
 
-# The services in a log line that counts the workers by service.
-MAX_LOGGED_SERVICES = 5
-
-_MODULES_WITH_HANDLERS = (_advice, _terminations, _jobs, _reports, _starts)
+_MODULES_WITH_HANDLERS = (
+    _advice,
+    _directory,
+    _jobs,
+    _reports,
+    _starts,
+    _terminations,
+)
 
 
 class WorkerPoll(NamedTuple):
@@ -61,21 +66,6 @@
     restarts: int = 0
 
 
-class WorkerCounts(NamedTuple):
-    """How many workers a leader knows, and how many count for its majority.
-
-    Of all `workers`, `listed` are in the directory now, `reachable` of these replied
-    recently, and `never_reported` of these have not replied to this leader at all.
-    `listed_by_service` has at most MAX_LOGGED_SERVICES services with most workers.
-    """
-
-    workers: int
-    listed: int
-    reachable: int
-    never_reported: int
-    listed_by_service: dict[str, int]
-
-
 class FleetScheduler:
     """The scheduler of one leader; `now_ms` is a monotonic clock in milliseconds.
 
@@ -133,6 +123,11 @@
         """The ids of the workers to poll."""
         return tuple(self._fleet.workers)
 
+    @property
+    def ignored_entries(self) -> int:
+        """The number of the directory's entries that name no worker of the cell."""
+        return self._fleet.directory.ignored.total
+
     def handle(self, event: Event, now_ms: float) -> None:
         """Apply an event."""
         self._fleet.now_ms = now_ms
@@ -168,33 +163,20 @@
             return False
         if now_ms - self._row_confirmed_ms < self._settings.row_authority_ms:
             return True
-        return self._has_majority(now_ms - self._settings.majority_window_ms)
+        return has_majority(self._fleet, now_ms - self._settings.majority_window_ms)
 
     def is_majority_reachable(self, now_ms: float) -> bool:
         """Return whether a majority of the workers replied to this epoch recently."""
-        return self._has_majority(self._oldest_reply_ms(now_ms))
+        return has_majority(self._fleet, self._oldest_reply_ms(now_ms))
 
     def count_reachable(self, now_ms: float) -> WorkerCounts:
         """Return the counts that decide `is_majority_reachable`."""
-        listed = [each for each in self._fleet.workers.values() if each.is_listed]
-        services = Counter(each.entry.service for each in listed)
-        return WorkerCounts(
-            workers=len(self._fleet.workers),
-            listed=len(listed),
-            reachable=_count_replied(listed, self._oldest_reply_ms(now_ms)),
-            never_reported=sum(each.last_polled_ms is None for each in listed),
-            listed_by_service=dict(services.most_common(MAX_LOGGED_SERVICES)),
-        )
+        return count_workers(self._fleet, self._oldest_reply_ms(now_ms))
 
     def _oldest_reply_ms(self, now_ms: float) -> float:
         settings = self._settings
         return now_ms - settings.majority_window_ms - settings.poll_wait_ms
 
-    def _has_majority(self, oldest_ms: float) -> bool:
-        """Return whether most workers replied to polls sent at `oldest_ms` or later."""
-        listed = [each for each in self._fleet.workers.values() if each.is_listed]
-        return _count_replied(listed, oldest_ms) * 2 > len(listed)
-
     def next_poll(self, worker_id: str, now_ms: float) -> WorkerPoll | None:
         """Return the parameters of a poll of the worker.
 
@@ -398,19 +380,6 @@
         return _admission.limit_workspaces(self._fleet)
 
 
-def _count_replied(workers: list[Worker], oldest_ms: float) -> int:
-    """Return how many workers replied to polls sent at `oldest_ms` or later.
-
-    A worker may check the epoch of a poll when it arrives, and reply later. So the age
-    of a reply counts from the time at which its poll was sent.
-    """
-    return sum(
-        1
-        for each in workers
-        if each.last_polled_ms is not None and each.last_polled_ms >= oldest_ms
-    )
-
-
 def _adjust_start_limit(fleet: Fleet, lag_ms: float) -> None:
     limit = fleet.start_limit
     was_lowest = limit.limit == fleet.settings.min_starts_in_flight
--- a/packages/node/src/marigoldpath_node/cell/_codec.py
+++ b/packages/node/src/marigoldpath_node/cell/_codec.py
@@ -35,7 +35,8 @@
     commit increments. `cores` is the processor capacity of the leader's host, 0 if it
     is unknown. A leader that releases the leadership sets `released`, and `successor`
     to the address of the preferred next leader. `ended` is what the leader knows of the
-    earlier ones.
+    earlier ones. `unreachable_terms` is the number of terms in a row that were released
+    without ever having had a majority of the workers.
     """
 
     epoch: int
@@ -46,6 +47,7 @@
     successor: str = ""
     cores: float = 0.0
     ended: tuple[EndedLeaders, ...] = ()
+    unreachable_terms: int = 0
 
 
 class Term(NamedTuple):
--- a/packages/node/src/marigoldpath_node/cell/_commits.py
+++ b/packages/node/src/marigoldpath_node/cell/_commits.py
@@ -101,10 +101,11 @@
                 if self._row.released or not await self._commit(released=False):
                     return
 
-    async def release(self, successor: str) -> None:
+    async def release(self, successor: str, unreachable_terms: int = 0) -> None:
         """Try to store the remaining decisions and mark the leader's row as released.
 
-        The attempt ends after `unresponsive_leader_timeout_s`.
+        The attempt ends after `unresponsive_leader_timeout_s`. `unreachable_terms` is
+        what the row says from then on.
         """
         # A commit may be in flight. This one must wait for it, because its condition
         # is the row version that the earlier commit returns.
@@ -112,6 +113,7 @@
             curio.ignore_after(self._settings.unresponsive_leader_timeout_s),
             self._lock,
         ):
+            self._row = self._row._replace(unreachable_terms=unreachable_terms)
             await self._commit(released=True, successor=successor)
 
     async def _commit(self, *, released: bool, successor: str = "") -> bool:
--- a/packages/node/src/marigoldpath_node/cell/_election.py
+++ b/packages/node/src/marigoldpath_node/cell/_election.py
@@ -273,6 +273,7 @@
             settings.token,
             cores=settings.cores,
             ended=ended,
+            unreachable_terms=previous.unreachable_terms if previous.released else 0,
         )
         sent_s = now_s()
         try:
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -11,6 +11,7 @@
     JobCancelled,
     QueuesChanged,
     Tick,
+    WorkerEntry,
     WorkersListed,
     WorkerUnresponsive,
 )
@@ -31,6 +32,7 @@
     WorkerFailedError,
     WorkerGoneError,
 )
+from ._reachability import Reachability
 from ._records import plan_load
 from ._relayed_workers import RelayedWorkerClient
 from ._settings import CellSettings
@@ -80,6 +82,7 @@
             settings, dependencies, self._workers, followers, self
         )
         self._dispatch_event = curio.Event()
+        self._directory_event = curio.Event()
         self._term_ended = curio.Event()
         self._tasks: set[curio.Task] = set()
 
@@ -151,11 +154,13 @@
         """Store the remaining decisions and release the leadership."""
         await self._transfer_leadership(self._followers.choose_successor())
 
-    async def _transfer_leadership(self, successor: str) -> None:
+    async def _transfer_leadership(
+        self, successor: str, unreachable_terms: int = 0
+    ) -> None:
         if self._scheduler is not None:
             self._scheduler.retire()
         self._log.info("leadership_released", epoch=self.epoch, successor=successor)
-        await self._committer.release(successor)
+        await self._committer.release(successor, unreachable_terms)
         await self._followers.notify_successor(successor)
         await self._term_ended.set()
 
@@ -188,11 +193,16 @@
         """
         if self._queues_changed is not None and inherited_quotas is None:
             inherited_quotas = self._queues_changed.inherited_quotas
+        previous = self._queues_changed
         self._queues_changed = QueuesChanged(
             configuration.queues, configuration.workspaces, inherited_quotas
         )
-        if self._scheduler is not None:
-            await self.handle(self._queues_changed)
+        if self._scheduler is None:
+            return
+        await self.handle(self._queues_changed)
+        if previous is None or _services(previous) != _services(self._queues_changed):
+            # Entries that were ignored may be of a service that is configured now.
+            await self._directory_event.set()
 
     async def handle(self, event: Event) -> None:
         """Pass an event to the scheduler and execute the resulting effects."""
@@ -240,8 +250,7 @@
         )
         self._scheduler = scheduler
         self._committer.use_scheduler(scheduler, stored.progress_parts)
-        await self.handle(WorkersListed(loaded.entries))
-        await self._poll_new_workers()
+        await self._apply_directory(loaded.entries)
         sync = StateSync(
             self._settings,
             self._dependencies,
@@ -263,14 +272,24 @@
 
     async def _directory_loop(self) -> None:
         while True:
-            await curio.sleep(self._settings.directory_interval_s)
+            await curio.ignore_after(
+                self._settings.directory_interval_s, self._directory_event.wait
+            )
+            self._directory_event.clear()
             try:
                 entries = await self._directory.list_workers()
             except StoreError as error:
                 self._log.warning("directory_unavailable", reason=repr(error))
                 continue
-            await self.handle(WorkersListed(entries))
-            await self._poll_new_workers()
+            await self._apply_directory(entries)
+
+    async def _apply_directory(self, entries: tuple[WorkerEntry, ...]) -> None:
+        await self.handle(WorkersListed(entries))
+        assert self._scheduler is not None
+        self._metrics.set_directory_entries(
+            len(entries), self._scheduler.ignored_entries
+        )
+        await self._poll_new_workers()
 
     async def _transfer_loop(self) -> None:
         """Transfer the leadership once a follower with a much larger host is found."""
@@ -281,23 +300,14 @@
         await self._transfer_leadership(larger_host)
 
     async def _reachability_loop(self) -> None:
-        """Transfer the leadership if this host reaches no majority of the workers.
-
-        The host may be partitioned from them, or its link may be too slow for their
-        reports. No other host is elected while this host renews the leader's row.
-        """
+        """Transfer the leadership if this host reaches no majority of the workers."""
         assert self._scheduler is not None
-        reached_s = now_s()
-        while now_s() - reached_s < self._settings.workers_unreachable_timeout_s:
-            await curio.sleep(self._settings.check_interval_s)
-            if (
-                self._scheduler.is_majority_reachable(now_ms())
-                or not self._scheduler.workers
-            ):
-                reached_s = now_s()
+        reachability = Reachability(self._settings, self._term.row.unreachable_terms)
+        await reachability.wait_until_lost(self._scheduler)
+        terms = reachability.unreachable_terms + 1
         counts = self._scheduler.count_reachable(now_ms())
-        self._log.warning("workers_out_of_reach", **counts._asdict())
-        await self._transfer_leadership(self._followers.choose_successor())
+        self._log.warning("workers_out_of_reach", terms=terms, **counts._asdict())
+        await self._transfer_leadership(self._followers.choose_successor(), terms)
 
     async def _tick_loop(self) -> None:
         while True:
@@ -411,3 +421,7 @@
             await self.end(f"{function.__name__} failed: {error!r}")
         finally:
             self._tasks.discard(await curio.current_task())
+
+
+def _services(event: QueuesChanged) -> set[str]:
+    return {queue.service for queue in event.queues.values()}
--- a/packages/node/src/marigoldpath_node/cell/_settings.py
+++ b/packages/node/src/marigoldpath_node/cell/_settings.py
@@ -32,7 +32,8 @@
     - A leader checks every `transfer_interval_s` whether a follower has at least
       `larger_host_factor` times its cores, and transfers the leadership to it.
     - A leader that reaches no majority of the workers for
-      `workers_unreachable_timeout_s` transfers the leadership.
+      `workers_unreachable_timeout_s` transfers the leadership. The time doubles with
+      each term in a row that never had a majority.
 
     Slow advice requests are sent through the followers of a leader. A leader without
     followers sends them itself, at the earliest `follower_discovery_s` after the start
--- a/packages/node/src/marigoldpath_node/exposition/_metrics.py
+++ b/packages/node/src/marigoldpath_node/exposition/_metrics.py
@@ -49,6 +49,12 @@
             "Starts without a reply that the leader's lag permits",
             registry=self._registry,
         )
+        self._directory_entries = Gauge(
+            f"{PREFIX}_directory_entries",
+            "Entries of the last list of workers that this host read as the leader",
+            ["kind"],
+            registry=self._registry,
+        )
         self._calls = Histogram(
             f"{PREFIX}_call_seconds",
             "Seconds until a call was settled",
@@ -149,6 +155,11 @@
         self._lag.set(lag_s)
         self._starts_in_flight.set(max_starts_in_flight)
 
+    def set_directory_entries(self, entries: int, ignored: int) -> None:
+        """Set the number of valid entries, and of those that name no worker of ours."""
+        self._directory_entries.labels("worker").set(entries - ignored)
+        self._directory_entries.labels("ignored").set(ignored)
+
     def count_decision(self, event: str) -> None:
         """Count a decision of the leader, by its log event."""
         self._decisions.labels(event).inc()
--- a/tests/core/test_fleet_handovers.py
+++ b/tests/core/test_fleet_handovers.py
@@ -68,7 +68,8 @@
         self.first_elected_ms = None
         self.is_stopped = is_stopped
         cell.isolated.update(self.cut)
-        cell.after(random.uniform(*EXPIRY_MS), lambda: cell.unlisted.update(self.cut))
+        self.are_expired = True
+        cell.after(random.uniform(*EXPIRY_MS), self.expire)
         if not gone:
             cell.after(CUT_MS, self.heal)
 
@@ -84,6 +85,10 @@
             if renewed:
                 return self.random.sample(renewed, min(count, len(renewed)))
 
+    def expire(self):
+        if self.are_expired:
+            self.cell.unlisted.update(self.cut)
+
     def heal(self):
         self.cell.isolated.difference_update(self.cut)
         self.cell.unlisted.difference_update(self.cut)
@@ -171,6 +176,28 @@
         self.check(False, LONGEST_LEASE_MS + lost_ms + PLACE_MS)
 
 
+class NoMajorityTests(unittest.TestCase):
+    """Guards against jobs that wait without end if most workers reply to no leader.
+
+    Their entries stay in the directory, so no leader ever has a majority.
+    """
+
+    def check(self, is_stopped):
+        for seed in range(SEEDS // 4):
+            with self.subTest(seed=seed):
+                play = HandOverPlay(seed, gone=True, is_stopped=is_stopped)
+                play.cut = play.cut[:1]
+                play.cell.isolated = set(sorted(play.cell.workers)[: WORKERS - 2])
+                play.are_expired = False
+                self.assertEqual(play.run([FIRST_MS, *[INTERVAL_MS] * 3]), [])
+
+    def test_the_leaders_are_stopped(self):
+        self.check(True)
+
+    def test_the_leaders_are_killed(self):
+        self.check(False)
+
+
 class HandOverTests(unittest.TestCase):
     """Guards against a leader that takes a lease for ended because it never knew of it.
 
--- a/tests/node/test_cell_election.py
+++ b/tests/node/test_cell_election.py
@@ -26,6 +26,7 @@
     PeerUnreachableError,
     decode_status,
 )
+from marigoldpath_node.cell._reachability import Reachability
 from marigoldpath_node.cell._records import (
     LEADER_ROW_KEY,
 )
@@ -314,6 +315,34 @@
         self.assertEqual(curio.run(run), (True, False))
         self.assertTrue(decode_leader(store.rows[LEADER_ROW_KEY].value).released)
 
+    def test_the_time_without_a_majority_doubles_with_each_term(self):
+        """Guards against a leadership that changes for good if no host reaches one."""
+        timeouts = [
+            Reachability(SETTINGS, terms).timeout_s for terms in (0, 1, 2, 4, 100)
+        ]
+        base_s = SETTINGS.workers_unreachable_timeout_s
+        self.assertEqual(timeouts, [base_s * each for each in (1, 2, 4, 16, 16)])
+
+    def test_a_released_row_passes_on_the_terms_without_a_majority(self):
+        for fields, expected in (
+            ({"released": True, "unreachable_terms": 2}, 2),
+            ({"unreachable_terms": 2}, 0),
+        ):
+            with self.subTest(fields=fields):
+                store = MemoryStore()
+                row = LeaderRow(3, "10.0.0.1:1", "gone", **fields)
+
+                async def run(store=store, row=row):
+                    await store.commit({}, {LEADER_ROW_KEY: encode_leader(row)})
+                    dependencies = CellDependencies(
+                        store, None, None, None, RecordingLogger(), CellMetrics()
+                    )
+                    peers = FakePeers(exchange_status=PeerRefusedError("refused"))
+                    election = create_election(FAST_SETTINGS, dependencies, peers)
+                    return await election.run_until_elected()
+
+                self.assertEqual(curio.run(run).row.unreachable_terms, expected)
+
     def test_the_timeout_of_a_load_doubles_after_each_failure(self):
         """On a slow link, the read of a page can take longer than the first timeout."""
         store = MemoryStore()
