--- a/tests/adapter/test_malformed.py
+++ b/tests/adapter/test_malformed.py
@@ -336,6 +336,25 @@
         scheduler.handle(WorkersListed(entries), 1.0)
         scheduler.dispatch(2.0)
 
+    def test_very_many_invalid_entries_have_a_limited_number_of_lines(self):
+        """Guards against a log that other programs fill through the directory."""
+        rows = [
+            {"table": "servers", "part": "", "key": str(number), "value": "", "ver": 4}
+            for number in range(400)
+        ]
+        store = PlatformStore(
+            CannedClient(encoded({"rows": rows, "ver": 4})), "10.0.0.7:80"
+        )
+        log = RecordingLogger()
+        directory = PlatformDirectory(store, log)
+        for _ in range(3):
+            self.assertEqual(curio.run(directory.list_workers), ())
+        self.assertEqual(log.events().count("worker_entry_invalid"), 10)
+        totals = [
+            fields for event, fields in log.lines if event.endswith("entries_invalid")
+        ]
+        self.assertEqual(totals, [{"new": 400, "total": 400}])
+
     @EXAMPLES
     @given(malformed(CONFIGURATION) | malformed(KEYED_CONFIGURATION))
     def test_a_configuration_is_decoded_or_refused(self, message):
