Move the polls of workers out of the leader and of its scheduler

What a poll grants and how long it may wait is decided in fleet/_polls.py, and cell/_worker_polls.py sends the polls. Without a lease, an acknowledgement is sent as before. No behaviour is changed.

--- a/packages/core/src/marigoldpath_core/fleet/__init__.py
+++ b/packages/core/src/marigoldpath_core/fleet/__init__.py
@@ -34,9 +34,10 @@
     WorkerUnresponsive,
     fencing_token,
 )
+from ._polls import WorkerPoll
 from ._rate_limit import MAX_LIMITED_WORKSPACES, RateRefusal, refuse_if_rate_limited
 from ._relay_assignment import choose_relays, find_relay
-from ._scheduler import FleetScheduler, WorkerPoll
+from ._scheduler import FleetScheduler
 from ._settings import FleetSettings
 from ._submission_checks import AdmissionState, Submission, find_refusal
 
--- a/packages/core/src/marigoldpath_core/fleet/_scheduler.py
+++ b/packages/core/src/marigoldpath_core/fleet/_scheduler.py
@@ -3,14 +3,11 @@
 It applies events and returns effects. It does no input or output itself.
 """
 
-from typing import NamedTuple
-
 from marigoldpath_core.jobs import JobState
 
 from . import (
     _admission,
     _advice,
-    _copies,
     _directory,
     _draining,
     _health,
@@ -27,10 +24,10 @@
 from ._fleet import Fleet, handlers
 from ._majority import WorkerCounts, count_workers, has_majority
 from ._messages import Commit, Effect, EndedLeaders, Event, RosterEntry, Tick
+from ._polls import WorkerPoll, poll_with_lease, poll_without_lease
 from ._progress import progress_of
 from ._roster import mark_unleased, update_roster
 from ._settings import FleetSettings
-from ._worker import Worker
 from ._workspace_log import log_workspaces_if_due
 
 # The interval of the checks that examine every run. The time limits that they check are
@@ -50,22 +47,6 @@
 )
 
 
-class WorkerPoll(NamedTuple):
-    """Parameters of a poll of a worker.
-
-    The worker extends its lease to `until_clock_ms` on its clock; None grants no lease.
-    Terminations up to the number `last_acknowledged` are stored, so the worker may
-    remove them. The worker may delay its reply by up to `wait_ms`. `restarts` is part
-    of the fencing token.
-    """
-
-    address: str
-    until_clock_ms: int | None
-    last_acknowledged: int
-    wait_ms: int
-    restarts: int = 0
-
-
 class FleetScheduler:
     """The scheduler of one leader; `now_ms` is a monotonic clock in milliseconds.
 
@@ -181,31 +162,14 @@
         """Return the parameters of a poll of the worker.
 
         None means that the worker was removed or that the leader has retired.
-
-        A poll of an unresponsive worker grants no lease, because a new lease would
-        delay the time from which its tasks may run on other workers.
         """
         worker = self._fleet.workers.get(worker_id)
         if worker is None or self._is_retired:
             return None
-        address = worker.entry.address
-        if worker.is_unresponsive or worker.last_polled_ms is None:
-            # The worker could have restarted. Its new incarnation numbers terminations
-            # anew, so an acknowledgement meant for the previous one would remove
-            # terminations that this leader has not read.
-            return WorkerPoll(address, None, 0, 0, worker.restarts)
         if not self.may_renew_lease(worker_id, now_ms):
-            acknowledged = worker.last_stored_termination
-            return WorkerPoll(address, None, acknowledged, 0, worker.restarts)
-        worker.extend_lease(self._settings, self._settings.lease_ms, now_ms)
-        until_clock_ms = worker.estimated_clock_ms(now_ms) + self._settings.lease_ms
-        return WorkerPoll(
-            address,
-            until_clock_ms,
-            worker.last_stored_termination,
-            self._poll_wait_ms(worker, now_ms),
-            worker.restarts,
-        )
+            return poll_without_lease(worker)
+        row_age_ms = now_ms - self._row_confirmed_ms
+        return poll_with_lease(self._fleet, worker, row_age_ms, now_ms)
 
     def may_renew_lease(self, worker_id: str, now_ms: float) -> bool:
         """Return whether this leader may extend the lease of a worker.
@@ -228,22 +192,6 @@
         worker = self._fleet.workers.get(worker_id)
         return worker is None or restarts >= worker.restarts
 
-    def _poll_wait_ms(self, worker: Worker, now_ms: float) -> int:
-        """Return how long a worker may delay its reply until a run terminates.
-
-        A termination ends the wait. Only loads and progress have to be polled for.
-        """
-        settings = self._settings
-        row_age_ms = now_ms - self._row_confirmed_ms
-        if worker.has_fillers or row_age_ms > settings.row_age_for_short_polls_ms:
-            return settings.watched_poll_wait_ms
-        if _copies.must_be_watched(self._fleet, worker):
-            return settings.watched_poll_wait_ms
-        oldest_ms = worker.estimated_clock_ms(now_ms) - settings.stall_ms / 2
-        if any(run.progress_clock_ms < oldest_ms for run in worker.runs.values()):
-            return settings.watched_poll_wait_ms
-        return settings.poll_wait_ms
-
     def has_unstored_terminations(self, worker_id: str) -> bool:
         """Return whether terminations reported by the worker are not stored yet."""
         worker = self._fleet.workers.get(worker_id)
--- a/packages/node/src/marigoldpath_node/cell/_leader.py
+++ b/packages/node/src/marigoldpath_node/cell/_leader.py
@@ -13,7 +13,6 @@
     Tick,
     WorkerEntry,
     WorkersListed,
-    WorkerUnresponsive,
 )
 from marigoldpath_core.jobs import AcceptedJob, JobState, Resources
 
@@ -26,11 +25,7 @@
 from ._ports import (
     CellDependencies,
     Configuration,
-    FencedError,
-    RelayFailedError,
     StoreError,
-    WorkerFailedError,
-    WorkerGoneError,
 )
 from ._reachability import Reachability
 from ._records import plan_load
@@ -39,6 +34,7 @@
 from ._state_loading import StateLoader, create_scheduler
 from ._state_sync import StateSync
 from ._summary import JobsSummarizer, JobsSummary
+from ._worker_polls import WorkerPolls
 
 
 class Leader:
@@ -77,10 +73,10 @@
         self._queues_changed: QueuesChanged | None = None
         self._summarizer = JobsSummarizer()
         self._term_start_s = now_s()
-        self._polled_workers: set[str] = set()
         self._effect_runner = EffectRunner(
             settings, dependencies, self._workers, followers, self
         )
+        self._polls = WorkerPolls(settings, dependencies, self._committer, self)
         self._dispatch_event = curio.Event()
         self._directory_event = curio.Event()
         self._term_ended = curio.Event()
@@ -289,7 +285,7 @@
         self._metrics.set_directory_entries(
             len(entries), self._scheduler.ignored_entries
         )
-        await self._poll_new_workers()
+        await self._polls.follow(self._scheduler)
 
     async def _transfer_loop(self) -> None:
         """Transfer the leadership once a follower with a much larger host is found."""
@@ -350,58 +346,6 @@
     def _count_workers(self) -> int:
         return 0 if self._scheduler is None else len(self._scheduler.workers)
 
-    async def _poll_new_workers(self) -> None:
-        assert self._scheduler is not None
-        for worker_id in self._scheduler.workers:
-            if worker_id not in self._polled_workers:
-                self._polled_workers.add(worker_id)
-                await self.spawn(self._poll_loop, worker_id)
-
-    async def _poll_loop(self, worker_id: str) -> None:
-        """Poll one worker until it is removed; a poll can renew the worker's lease."""
-        assert self._scheduler is not None
-        failures = 0
-        while True:
-            polled_ms = now_ms()
-            poll = self._scheduler.next_poll(worker_id, polled_ms)
-            if poll is None:
-                break
-            try:
-                report = await self._workers.poll(worker_id, self.epoch, poll)
-            except FencedError:
-                if not self._scheduler.is_fenced(worker_id, poll.restarts):
-                    continue
-                await self.end(f"worker {worker_id} has seen a later epoch")
-                break
-            except RelayFailedError as error:
-                self._log.debug("look_not_relayed", worker=worker_id, reason=str(error))
-                continue
-            except WorkerFailedError as error:
-                self._log.debug("look_failed", worker=worker_id, reason=repr(error))
-                is_gone = isinstance(error, WorkerGoneError)
-                await self.handle(WorkerUnresponsive(worker_id, str(error), is_gone))
-                settings = self._settings
-                # A single lost reply is weak evidence of a failure, so the first retry
-                # is immediate.
-                pause_s = min(
-                    settings.max_poll_backoff_s, settings.poll_retry_s * failures
-                )
-                failures += 1
-                await curio.sleep(pause_s)
-                continue
-            failures = 0
-            await self.handle(
-                report._replace(polled_ms=polled_ms, restarts=poll.restarts)
-            )
-            if self._scheduler.has_unstored_terminations(worker_id):
-                await self._committer.wait_for_commit()
-            elif poll.until_clock_ms is not None:
-                await curio.sleep(self._settings.poll_interval_s)
-            elif not self._scheduler.may_renew_lease(worker_id, now_ms()):
-                # Polls that grant no lease do not wait.
-                await curio.sleep(self._settings.poll_retry_s)
-        self._polled_workers.discard(worker_id)
-
     async def spawn(self, function: Any, *arguments: Any) -> None:
         """Run a coroutine function as a curio task until the term ends.
 
