Count workers for the majority whose entries expired while the store was away

The platform removes entries of workers also while the store is down, and they are back within 2 s of its return.

- A leader that can read the directory but not write its row lost its majority as soon as the entries had expired, although all workers replied.
It then renewed no lease.
Workers that reply count now, listed or not.
- A new leader that reads the directory while one of five entries is back took the report of that worker for a majority, which ends the wait for earlier leaders.
The workers of the roster that are not listed count as well for the first 2.5 s of a term; an entry that is missing then is that of a worker that is gone.

Tests: ExpiredEntryTests, both failed before.

--- a/packages/core/src/marigoldpath_core/fleet/_majority.py
+++ b/packages/core/src/marigoldpath_core/fleet/_majority.py
@@ -1,9 +1,11 @@
-"""Counts the workers that reply to a leader, of those that are listed.
+"""Counts the workers that reply to a leader, of those of the cell.
 
-A majority of them is an authority besides the leader's row. Only workers of the cell
-count, as any program may write to the directory.
+A majority of them is an authority besides the leader's row. The directory does not
+decide alone who counts: any program may write to it, and entries expire while the store
+is away.
 """
 
+import math
 from collections import Counter
 from typing import NamedTuple
 
@@ -31,13 +33,27 @@
 
 def has_majority(fleet: Fleet, oldest_ms: float) -> bool:
     """Return whether most workers replied to polls sent at `oldest_ms` or later."""
-    listed = _listed(fleet)
-    return _count_replied(listed, oldest_ms) * 2 > len(listed)
+    counted = _counted(fleet)
+    return _count_replied(counted, oldest_ms) * 2 > len(counted)
+
+
+def has_reported_majority(fleet: Fleet) -> bool:
+    """Return whether most workers have reported to this leader.
+
+    At the beginning of the term, workers in the roster whose entry may have expired
+    while the store was away count as well.
+    """
+    counted = _counted(fleet)
+    needed = len(counted)
+    term_ms = fleet.now_ms - fleet.earlier_leaders.began_ms
+    if term_ms < fleet.settings.expired_entry_return_ms:
+        needed += len(fleet.unreported_workers.keys() - fleet.workers.keys())
+    return _count_replied(counted, -math.inf) * 2 > needed
 
 
 def count_workers(fleet: Fleet, oldest_ms: float) -> WorkerCounts:
     """Return the counts; reachable workers replied to polls sent since `oldest_ms`."""
-    listed = _listed(fleet)
+    listed = [each for each in fleet.workers.values() if each.is_listed]
     services = Counter(each.entry.service for each in listed)
     return WorkerCounts(
         workers=len(fleet.workers),
@@ -48,8 +64,14 @@
     )
 
 
-def _listed(fleet: Fleet) -> list[Worker]:
-    return [each for each in fleet.workers.values() if each.is_listed]
+def _counted(fleet: Fleet) -> list[Worker]:
+    """Return the workers that are listed, and those that reply without an entry."""
+    return [
+        each
+        for each in fleet.workers.values()
+        if each.is_listed
+        or (each.last_polled_ms is not None and not each.is_unresponsive)
+    ]
 
 
 def _count_replied(workers: list[Worker], oldest_ms: float) -> int:
--- a/packages/core/src/marigoldpath_core/fleet/_reports.py
+++ b/packages/core/src/marigoldpath_core/fleet/_reports.py
@@ -14,7 +14,7 @@
 from ._directory import remove_if_gone
 from ._fleet import Fleet, handlers
 from ._incarnations import begin_incarnation, begin_reports, settle_restart
-from ._majority import has_majority
+from ._majority import has_reported_majority
 from ._messages import (
     RunningTask,
     WorkerReport,
@@ -170,11 +170,11 @@
 
 
 def _record_majority(fleet: Fleet) -> None:
-    """Record the time when a majority of the listed workers has reported."""
+    """Record the time when a majority of the workers has reported."""
     earlier_leaders = fleet.earlier_leaders
     if earlier_leaders.majority_reported_ms is not None:
         return
-    if has_majority(fleet, -math.inf):
+    if has_reported_majority(fleet):
         earlier_leaders.majority_reported_ms = fleet.now_ms
         fleet.log(
             "unheard_workers",
--- a/packages/core/src/marigoldpath_core/fleet/_settings.py
+++ b/packages/core/src/marigoldpath_core/fleet/_settings.py
@@ -12,6 +12,8 @@
     whose clock is known, and at most `max_command_delay_ms` late otherwise.
     A leader may send commands for `row_authority_ms` after it stored its row, and while
     a majority of the workers has replied to polls sent within `majority_window_ms`.
+    Entries of the directory that expired while the store was away are back at the
+    latest `expired_entry_return_ms` after its return.
     A worker that has not reported to a new leader for `unleased_mark_ms` is marked in
     the roster as one to which that leader has granted no lease.
     A worker may delay its reply to a poll by `poll_wait_ms`, until a run terminates.
@@ -59,6 +61,7 @@
     max_command_delay_ms: int = 12_000
     row_authority_ms: int = 2_000
     majority_window_ms: int = 1_500
+    expired_entry_return_ms: int = 2_500
     unleased_mark_ms: int = 1_000
     row_age_for_short_polls_ms: int = 800
     poll_wait_ms: int = 1_200
--- a/tests/core/test_fleet_directory.py
+++ b/tests/core/test_fleet_directory.py
@@ -235,5 +235,38 @@
         self.assertNotIn("a", harness.scheduler._fleet.roster)
 
 
+class ExpiredEntryTests(unittest.TestCase):
+    """Guards against counts that entries change which expire while the store is away.
+
+    They are back within two seconds of its return.
+    """
+
+    def setUp(self):
+        self.entries = tuple(entry(name) for name in "abcde")
+
+    def test_workers_that_reply_count_for_the_majority_without_their_entries(self):
+        """The store may answer reads, but no writes of the leader or the workers."""
+        harness = FleetHarness(*self.entries)
+        harness.report_all()
+        harness.handle(WorkersListed(()))
+        harness.now_ms += ROW_EXPIRED_MS
+        harness.report_all()
+        self.assertTrue(harness.scheduler.may_send_commands(harness.now_ms))
+
+    def test_a_few_entries_are_no_majority_of_the_workers_in_the_roster(self):
+        """An earlier leader could lead those whose entries are not back yet."""
+        roster = {
+            each.worker_id: RosterEntry(each.address, None) for each in self.entries
+        }
+        harness = FleetHarness(self.entries[0], epoch=2, roster=roster)
+        harness.report("a")
+        earlier_leaders = harness.scheduler._fleet.earlier_leaders
+        self.assertIsNone(earlier_leaders.majority_reported_ms)
+        # An entry that is still missing then is that of a worker that is gone.
+        harness.now_ms += 3_000
+        harness.report("a")
+        self.assertIsNotNone(earlier_leaders.majority_reported_ms)
+
+
 if __name__ == "__main__":
     unittest.main()
