Count a worker without an entry for the majority only while it replies

A worker that had left the directory counted until it was known to be silent, so a leader lost its majority when several workers crashed at once. It now counts only if its reply is recent enough to count.

--- a/packages/core/src/marigoldpath_core/fleet/_majority.py
+++ b/packages/core/src/marigoldpath_core/fleet/_majority.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple
 
 from ._fleet import Fleet
-from ._worker import Worker
 
 # The services in a log line that counts the workers by service.
 MAX_LOGGED_SERVICES = 5
@@ -19,8 +18,8 @@
 class WorkerCounts(NamedTuple):
     """How many workers a leader knows, and how many count for its majority.
 
-    Of all `workers`, `listed` are in the directory now, `reachable` of these replied
-    recently, and `never_reported` of these have not replied to this leader at all.
+    Of all `workers`, `listed` are in the directory now, and `reachable` replied
+    recently. Of those listed, `never_reported` have not replied to this leader at all.
     `listed_by_service` has at most MAX_LOGGED_SERVICES services with most workers.
     """
 
@@ -32,9 +31,12 @@
 
 
 def has_majority(fleet: Fleet, oldest_ms: float) -> bool:
-    """Return whether most workers replied to polls sent at `oldest_ms` or later."""
-    counted = _counted(fleet)
-    return _count_replied(counted, oldest_ms) * 2 > len(counted)
+    """Return whether most workers replied to polls sent at `oldest_ms` or later.
+
+    One that replied counts also if its entry has expired.
+    """
+    replied = _replied(fleet, oldest_ms)
+    return len(replied) * 2 > len(replied | _listed(fleet))
 
 
 def has_reported_majority(fleet: Fleet) -> bool:
@@ -43,12 +45,12 @@
     At the beginning of the term, workers in the roster whose entry may have expired
     while the store was away count as well.
     """
-    counted = _counted(fleet)
-    needed = len(counted)
+    reported = _replied(fleet, -math.inf)
+    counted = reported | _listed(fleet)
     term_ms = fleet.now_ms - fleet.earlier_leaders.began_ms
     if term_ms < fleet.settings.expired_entry_return_ms:
-        needed += len(fleet.unreported_workers.keys() - fleet.workers.keys())
-    return _count_replied(counted, -math.inf) * 2 > needed
+        counted |= fleet.unreported_workers.keys()
+    return len(reported) * 2 > len(counted)
 
 
 def count_workers(fleet: Fleet, oldest_ms: float) -> WorkerCounts:
@@ -58,30 +60,24 @@
     return WorkerCounts(
         workers=len(fleet.workers),
         listed=len(listed),
-        reachable=_count_replied(listed, oldest_ms),
+        reachable=len(_replied(fleet, oldest_ms)),
         never_reported=sum(each.last_polled_ms is None for each in listed),
         listed_by_service=dict(services.most_common(MAX_LOGGED_SERVICES)),
     )
 
 
-def _counted(fleet: Fleet) -> list[Worker]:
-    """Return the workers that are listed, and those that reply without an entry."""
-    return [
-        each
-        for each in fleet.workers.values()
-        if each.is_listed
-        or (each.last_polled_ms is not None and not each.is_unresponsive)
-    ]
+def _listed(fleet: Fleet) -> set[str]:
+    return {each.worker_id for each in fleet.workers.values() if each.is_listed}
 
 
-def _count_replied(workers: list[Worker], oldest_ms: float) -> int:
-    """Return how many workers replied to polls sent at `oldest_ms` or later.
+def _replied(fleet: Fleet, oldest_ms: float) -> set[str]:
+    """Return the workers that replied to polls sent at `oldest_ms` or later.
 
     A worker may check the epoch of a poll when it arrives, and reply later. So the age
     of a reply counts from the time at which its poll was sent.
     """
-    return sum(
-        1
-        for each in workers
+    return {
+        each.worker_id
+        for each in fleet.workers.values()
         if each.last_polled_ms is not None and each.last_polled_ms >= oldest_ms
-    )
+    }
