--- a/tests/bench/cell_processes.py
+++ b/tests/bench/cell_processes.py
@@ -105,6 +105,18 @@
             for worker_id in self.store.value(table, key, partition)
         }
 
+    async def wait_for_runs(self, count):
+        """Wait until this number of tasks runs; return the worker with most of them."""
+
+        def counts():
+            return {each: len(each.worker.running_tasks) for each in self.workers}
+
+        started = await self.wait_until(
+            lambda: sum(counts().values()) == count, TIMEOUT_S
+        )
+        assert started, f"not all {count} tasks run"
+        return max(self.workers, key=counts().get)
+
     async def wait_for_next_leader(self, terms):
         """Wait until this number of leaders has loaded the stored state."""
         loaded = await self.wait_until(
--- a/tests/bench/test_process_directory.py
+++ b/tests/bench/test_process_directory.py
@@ -66,7 +66,7 @@
                     await server.start()
                 self.write_entries([each.address for each in servers])
                 await cell.submit(JobSpec(JOB, JOB, (STEP,)))
-                lost = await self.wait_for_busy_worker()
+                lost = await cell.wait_for_runs(STEP.width)
                 # It is lost for good, together with the leader.
                 cell.worker_proxies[lost.worker_id].mode = "silent"
                 lost.worker.restart(cell.now_ms())
@@ -94,16 +94,6 @@
         self.cell.store.put("servers", "nested", b"[" * 50_000)
         self.cell.store.put("servers", "no-fields", {"service": "service"})
 
-    async def wait_for_busy_worker(self):
-        """Wait until all tasks run; return the worker with most of them."""
-        workers = self.cell.workers
-        started = await self.cell.wait_until(
-            lambda: sum(len(each.worker.running_tasks) for each in workers) == 6,
-            TIMEOUT_S,
-        )
-        self.assertTrue(started)
-        return max(workers, key=lambda each: len(each.worker.running_tasks))
-
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/bench/test_process_handovers.py
+++ b/tests/bench/test_process_handovers.py
@@ -24,16 +24,6 @@
         self.addCleanup(folder.cleanup)
         self.cell = CellProcesses(Path(folder.name), hosts=3)
 
-    async def wait_for_runs(self):
-        """Wait until all tasks run; return the worker with most of them."""
-        workers = self.cell.workers
-        started = await self.cell.wait_until(
-            lambda: sum(len(each.worker.running_tasks) for each in workers) == 8,
-            TIMEOUT_S,
-        )
-        self.assertTrue(started)
-        return max(workers, key=lambda each: len(each.worker.running_tasks))
-
     async def wait_for_directory_reads(self):
         """Wait until a read of the directory that begins now has been applied."""
         reads = self.cell.store.read_counts["servers"]
@@ -50,7 +40,7 @@
             for each in cell.workers:
                 each.worker.failed_run_share = 0.0
             await cell.submit(JobSpec(JOB, JOB, (STEP,)))
-            worker = await self.wait_for_runs()
+            worker = await cell.wait_for_runs(STEP.width)
             proxy = cell.worker_proxies[worker.worker_id]
             proxy.mode = "silent"
             await cell.stop_leader()
--- a/tests/core/test_fleet_handovers.py
+++ b/tests/core/test_fleet_handovers.py
@@ -24,7 +24,7 @@
 # How long a released and a lost leader's row stays without a new leader.
 RELEASED_MS = (50, 200)
 LOST_MS = (1_000, 1_300)
-# When the leaders are replaced that a worker is waited for under.
+# When the first leader is replaced after a worker is lost, and when each further one.
 FIRST_MS = 300
 INTERVAL_MS = 3_500
 # The longest lease that an earlier leader granted, and the time in which tasks are
@@ -61,7 +61,6 @@
         cell.submit(job(step(TASKS, **fields), queue=BACKGROUND))
         self.run_for(random.uniform(700, 1_500))
         self.cut = self.choose_workers(random.choice([1, 2]))
-        self.cut_ms = cell.now_ms
         self.held = {key for name in self.cut for key, _ in cell.workers[name].runs}
         # The leaders that were elected while workers that are cut off ran tasks.
         self.elected_in_lease = 0
